--- /dev/null
+++ b/tools/lint.sh
@@ -0,0 +1,31 @@
+#!/usr/bin/env bash
+# Runs clang-tidy on all sources with the compile commands of a build directory: lint.sh BUILD JOBS [FILE...]
+# A file whose content, headers and configuration are unchanged since its last clean run is skipped.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${1:-build}
+jobs=${2:-$(nproc)}
+shift $(($# > 2 ? 2 : $#))
+stamps="$build/lint"
+mkdir -p "$stamps"
+headers=$(cat .clang-tidy $(git ls-files --cached --others --exclude-standard '*.h' | grep -E '^(src|standins|bench|tests)/') 2>/dev/null | sha256sum)
+files=("$@")
+if [ "${#files[@]}" -eq 0 ]; then
+    mapfile -t files < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'standins/*.cpp' 'tests/*.cpp' 'bench/*.cpp')
+fi
+export build stamps headers
+lintOne() {
+    local stamp output
+    [ -f "$1" ] || return 0
+    stamp="$stamps/$( (echo "$headers"; cat "$1") | sha256sum | cut -c1-32)"
+    [ -f "$stamp" ] && return 0
+    # -Wno-unknown-warning-option: the compile commands are gcc's.
+    if ! output=$(clang-tidy --quiet -p "$build" --extra-arg=-Wno-unknown-warning-option "$1" 2>/dev/null); then
+        echo "$output"
+        echo "clang-tidy failed: $1"
+        return 1
+    fi
+    touch "$stamp"
+}
+export -f lintOne
+printf '%s\n' "${files[@]}" | xargs -P "$jobs" -I{} bash -c 'lintOne {}'
