--- /dev/null
+++ b/src/adapters/GrpcPeer.cpp
@@ -0,0 +1,237 @@
+// Calls between nodes over gRPC.
+#include "adapters/GrpcPeer.h"
+
+#include "node.grpc.pb.h"
+
+#include <grpcpp/grpcpp.h>
+#include <mutex>
+#include <unordered_map>
+
+namespace guavapond {
+
+namespace {
+
+using Stub = node::Node::Stub;
+
+// One channel for each peer; gRPC reconnects by itself.
+class Channels {
+public:
+    explicit Channels(const GrpcPeerSettings& s)
+        : settings(s)
+    {
+    }
+
+    std::shared_ptr<Stub> stub(std::string_view address)
+    {
+        std::lock_guard lock(this->mutex);
+        auto& entry = this->stubs[std::string(address)];
+        if (!entry) {
+            grpc::ChannelArguments arguments;
+            arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, static_cast<int>(toMilliseconds(this->settings.keepAlive)));
+            arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, static_cast<int>(toMilliseconds(this->settings.keepAliveTimeout)));
+            arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, maxReconnectBackoffMs);
+            arguments.SetInt(GRPC_ARG_MAX_RECEIVE_MESSAGE_LENGTH, static_cast<int>(this->settings.maxMessageBytes));
+            // A retry by the library could run a forwarded request at two incarnations of its owner.
+            arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+            entry = node::Node::NewStub(grpc::CreateCustomChannel(std::string(address), grpc::InsecureChannelCredentials(), arguments));
+        }
+        return entry;
+    }
+
+    const GrpcPeerSettings settings;
+
+private:
+    static constexpr int maxReconnectBackoffMs = 1000;
+    std::mutex mutex;
+    std::unordered_map<std::string, std::shared_ptr<Stub>> stubs;
+};
+
+Failure failureOf(const grpc::Status& status, bool mayHaveRun)
+{
+    auto disposition = mayHaveRun ? Disposition::Unknown : Disposition::NotRun;
+    return { FailureKind::OwnerUnreachable, disposition, "the other node does not answer: " + status.error_message(), std::chrono::seconds(1) };
+}
+
+std::chrono::system_clock::time_point deadlineAfter(Duration timeout) { return std::chrono::system_clock::now() + timeout; }
+
+std::optional<Failure> forwardCall(
+    Channels& channels, std::string_view address, const ForwardedRequest& request, const std::function<bool(const ForwardedChunk&)>& onChunk)
+{
+    node::ForwardRequest message;
+    message.set_method(request.method);
+    message.set_target(request.path);
+    message.set_body(request.body);
+    for (const auto& [name, value] : request.headers) {
+        auto* header = message.add_headers();
+        header->set_name(name);
+        header->set_value(value);
+    }
+    grpc::ClientContext context;
+    context.set_deadline(deadlineAfter(channels.settings.forwardTimeout));
+    auto reader = channels.stub(address)->Forward(&context, message);
+    node::ForwardChunk part;
+    bool whole = false;
+    while (!whole && reader->Read(&part)) {
+        ForwardedChunk chunk;
+        chunk.status = static_cast<int>(part.status());
+        for (const auto& header : part.headers())
+            chunk.headers.emplace_back(header.name(), header.value());
+        chunk.data = part.data();
+        chunk.last = part.last();
+        whole = chunk.last;
+        if (!onChunk(chunk)) {
+            context.TryCancel();
+            break;
+        }
+    }
+    auto status = reader->Finish();
+    if (whole || status.error_code() == grpc::StatusCode::CANCELLED)
+        return std::nullopt;
+    return failureOf(status, true);
+}
+
+Result<std::string> outcomeCall(Channels& channels, std::string_view address, std::string_view ticket)
+{
+    node::OutcomeRequest request;
+    request.set_ticket(std::string(ticket));
+    node::OutcomeReply reply;
+    grpc::ClientContext context;
+    context.set_deadline(deadlineAfter(channels.settings.callTimeout));
+    auto status = channels.stub(address)->Outcome(&context, request, &reply);
+    if (!status.ok())
+        return failureOf(status, true);
+    return reply.json();
+}
+
+Result<std::optional<TableVersion>> tableCall(Channels& channels, std::string_view address, uint64_t revision)
+{
+    node::TableRequest request;
+    request.set_revision(revision);
+    node::TableReply reply;
+    grpc::ClientContext context;
+    context.set_deadline(deadlineAfter(channels.settings.callTimeout));
+    auto status = channels.stub(address)->Table(&context, request, &reply);
+    if (!status.ok())
+        return failureOf(status, false);
+    if (reply.revision() <= revision)
+        return std::optional<TableVersion> {};
+    TableVersion version;
+    version.revision = reply.revision();
+    version.head = reply.head();
+    for (const auto& page : reply.pages())
+        version.pages.emplace_back(page.key(), page.value());
+    return std::optional<TableVersion>(std::move(version));
+}
+
+class NodeService final : public node::Node::Service {
+public:
+    explicit NodeService(PeerHandler h)
+        : handler(std::move(h))
+    {
+    }
+
+    grpc::Status Forward(grpc::ServerContext* context, const node::ForwardRequest* message, grpc::ServerWriter<node::ForwardChunk>* writer) override // NOLINT(readability-identifier-naming)
+    {
+        ForwardedRequest request;
+        request.method = message->method();
+        request.path = message->target();
+        request.body = message->body();
+        for (const auto& header : message->headers())
+            request.headers.emplace_back(header.name(), header.value());
+        this->handler.forward(request, [&](const ForwardedChunk& chunk) {
+            node::ForwardChunk part;
+            part.set_status(static_cast<uint32_t>(chunk.status));
+            for (const auto& [name, value] : chunk.headers) {
+                auto* header = part.add_headers();
+                header->set_name(name);
+                header->set_value(value);
+            }
+            part.set_data(chunk.data);
+            part.set_last(chunk.last);
+            return !context->IsCancelled() && writer->Write(part);
+        });
+        return grpc::Status::OK;
+    }
+
+    grpc::Status Outcome(grpc::ServerContext* /*context*/, const node::OutcomeRequest* request, node::OutcomeReply* reply) override // NOLINT(readability-identifier-naming)
+    {
+        reply->set_json(this->handler.outcome(request->ticket()));
+        return grpc::Status::OK;
+    }
+
+    grpc::Status Table(grpc::ServerContext* /*context*/, const node::TableRequest* request, node::TableReply* reply) override // NOLINT(readability-identifier-naming)
+    {
+        auto version = this->handler.table(request->revision());
+        if (!version)
+            return grpc::Status::OK;
+        reply->set_revision(version->revision);
+        reply->set_head(version->head);
+        for (const auto& [key, value] : version->pages) {
+            auto* page = reply->add_pages();
+            page->set_key(key);
+            page->set_value(value);
+        }
+        return grpc::Status::OK;
+    }
+
+private:
+    PeerHandler handler;
+};
+
+} // namespace
+
+Peer makeGrpcPeer(const GrpcPeerSettings& settings)
+{
+    auto channels = std::make_shared<Channels>(settings);
+    Peer peer;
+    peer.forward = [channels](std::string_view address, const ForwardedRequest& request, const std::function<bool(const ForwardedChunk&)>& onChunk) {
+        return forwardCall(*channels, address, request, onChunk);
+    };
+    peer.outcome = [channels](std::string_view address, std::string_view ticket) { return outcomeCall(*channels, address, ticket); };
+    peer.table = [channels](std::string_view address, uint64_t revision) { return tableCall(*channels, address, revision); };
+    return peer;
+}
+
+struct GrpcPeerServer::State {
+    std::string address;
+    int port = 0;
+    GrpcPeerSettings settings;
+    NodeService service;
+    std::unique_ptr<grpc::Server> server;
+};
+
+GrpcPeerServer::GrpcPeerServer(std::string address, uint16_t port, const GrpcPeerSettings& settings, PeerHandler handler)
+    : state(new State { std::move(address), port, settings, NodeService(std::move(handler)), nullptr })
+{
+}
+
+GrpcPeerServer::~GrpcPeerServer() { this->stop(Duration::zero()); }
+
+std::optional<Failure> GrpcPeerServer::start()
+{
+    grpc::ServerBuilder builder;
+    int chosen = 0;
+    builder.AddListeningPort(this->state->address + ":" + std::to_string(this->state->port), grpc::InsecureServerCredentials(), &chosen);
+    builder.RegisterService(&this->state->service);
+    builder.SetMaxReceiveMessageSize(static_cast<int>(this->state->settings.maxMessageBytes));
+    // Two nodes on one port would each get a part of the calls.
+    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, 1000);
+    this->state->server = builder.BuildAndStart();
+    if (!this->state->server || chosen == 0) {
+        return Failure { FailureKind::BadRequest, Disposition::NotRun,
+            "can't listen for nodes on " + this->state->address + ":" + std::to_string(this->state->port), {} };
+    }
+    this->state->port = chosen;
+    return std::nullopt;
+}
+
+uint16_t GrpcPeerServer::port() const { return static_cast<uint16_t>(this->state->port); }
+
+void GrpcPeerServer::stop(Duration grace)
+{
+    if (this->state->server)
+        this->state->server->Shutdown(deadlineAfter(grace));
+}
+
+} // namespace guavapond
--- a/src/adapters/HttpServer.cpp
+++ b/src/adapters/HttpServer.cpp
@@ -471,7 +471,7 @@
         }
     }
 
-    static constexpr size_t readAhead = 4096; // bytes
+    static constexpr size_t readAhead = 4096;                  // bytes
     static constexpr size_t maxDrainedBytes = 4 * 1024 * 1024; // bytes
     static constexpr std::chrono::steady_clock::duration drainTime = std::chrono::seconds(2);
 
--- a/src/adapters/HttpServer.h
+++ b/src/adapters/HttpServer.h
@@ -23,14 +23,14 @@
     unsigned threads = 4;
     size_t maxHeaderBytes = 16 * 1024; // bytes
     size_t maxHeaders = 64;
-    size_t maxBodyBytes = 8 * 1024 * 1024; // bytes
+    size_t maxBodyBytes = 8 * 1024 * 1024;    // bytes
     size_t maxPendingBytes = 4 * 1024 * 1024; // bytes not yet taken by a slow reader; above it the connection is closed
     size_t maxConnections = 4096;
     Duration receiveTimeout = std::chrono::seconds(20); // for a whole request, from its first byte
-    Duration idleTimeout = std::chrono::seconds(60); // between requests
-    Duration writeTimeout = std::chrono::seconds(30); // without progress of a reader
-    std::string certificateFile; // PEM; empty: no TLS
-    std::string keyFile; // PEM
+    Duration idleTimeout = std::chrono::seconds(60);    // between requests
+    Duration writeTimeout = std::chrono::seconds(30);   // without progress of a reader
+    std::string certificateFile;                        // PEM; empty: no TLS
+    std::string keyFile;                                // PEM
 };
 
 // Makes the answer for input that never becomes a request (too large, malformed, slow).
--- a/src/core/CallerRequest.h
+++ b/src/core/CallerRequest.h
@@ -36,14 +36,14 @@
 
 struct CallerRequest {
     Operation operation = Operation::ChatCompletion;
-    RequestSpec spec; // id is not set here
-    std::string model; // model or service
+    RequestSpec spec;   // id is not set here
+    std::string model;  // model or service
     std::string method; // of a service call
-    std::string path; // towards the target, with query
+    std::string path;   // towards the target, with query
     std::string contentType;
-    std::string body; // towards the target; engines are always asked for a stream
+    std::string body;    // towards the target; engines are always asked for a stream
     bool stream = false; // the caller wants server-sent events
-    std::string ticket; // text as sent; empty: none
+    std::string ticket;  // text as sent; empty: none
     uint64_t digest = 0; // of everything that makes two requests the same
 };
 
--- a/src/core/CostModel.h
+++ b/src/core/CostModel.h
@@ -13,13 +13,13 @@
 
 struct TokenRates {
     double prefillTokensPerSecond = 4000; // uncached prompt tokens of one request
-    double decodeTokensPerSecond = 40; // tokens of one request while the target runs its window
+    double decodeTokensPerSecond = 40;    // tokens of one request while the target runs its window
 };
 
 struct CostSettings {
     uint32_t defaultOutputTokens = 256; // tokens; until something is learned
-    double learningRate = 0.05; // weight of a new observation
-    size_t maxLearnedKeys = 65536; // workspace and model pairs kept
+    double learningRate = 0.05;         // weight of a new observation
+    size_t maxLearnedKeys = 65536;      // workspace and model pairs kept
 };
 
 class CostModel {
--- a/src/core/Router.h
+++ b/src/core/Router.h
@@ -15,18 +15,18 @@
 namespace guavapond {
 
 struct RouterSettings {
-    size_t prefixCandidates = 3; // targets with the longest cached prefix
-    size_t sampledCandidates = 6; // further targets of the model
+    size_t prefixCandidates = 3;                            // targets with the longest cached prefix
+    size_t sampledCandidates = 6;                           // further targets of the model
     Duration remotePenalty = std::chrono::milliseconds(20); // added for a target in another failure domain
 };
 
 struct Choice {
     TargetId target {};
     uint32_t cachedTokens = 0; // tokens expected in the target's cache
-    Duration engineTime {}; // µs of engine time this request will take there
-    Duration completion {}; // µs from now until the last token, running work included
-    Duration firstToken {}; // µs from now until the first token
-    bool free = true; // a slot is free now
+    Duration engineTime {};    // µs of engine time this request will take there
+    Duration completion {};    // µs from now until the last token, running work included
+    Duration firstToken {};    // µs from now until the first token
+    bool free = true;          // a slot is free now
 };
 
 class Router {
--- a/src/core/Table.h
+++ b/src/core/Table.h
@@ -16,12 +16,12 @@
 
 // ---- Rows
 struct TierLimits {
-    double weight = 1; // share inside the tier; above 0
+    double weight = 1;                 // share inside the tier; above 0
     double engineSecondsPerSecond = 0; // 0: no limit
-    uint32_t burstEngineSeconds = 60; // engine seconds that may be saved up
-    uint32_t running = 0; // requests at a time; 0: no limit
-    uint32_t queued = 0; // requests waiting at a time; 0: no limit
-    double reservedEngineSeconds = 0; // engine seconds per second kept for this workspace; at most the limit
+    uint32_t burstEngineSeconds = 60;  // engine seconds that may be saved up
+    uint32_t running = 0;              // requests at a time; 0: no limit
+    uint32_t queued = 0;               // requests waiting at a time; 0: no limit
+    double reservedEngineSeconds = 0;  // engine seconds per second kept for this workspace; at most the limit
 
     bool operator==(const TierLimits&) const = default;
 };
@@ -48,8 +48,8 @@
     std::string version;
     TargetState state = TargetState::Active;
     bool checksFencing = false; // refuses an order with an old fencing number
-    bool resumes = true; // can resume a stream at an offset
-    uint32_t maxRunning = 64; // requests; upper bound of the window
+    bool resumes = true;        // can resume a stream at an offset
+    uint32_t maxRunning = 64;   // requests; upper bound of the window
 
     bool operator==(const TargetRow&) const = default;
 };
@@ -73,10 +73,10 @@
     std::string model;
     std::string fromVersion;
     std::string toVersion;
-    int64_t deadlineUnixMs = 0; // wall clock; operators state it so
+    int64_t deadlineUnixMs = 0;    // wall clock; operators state it so
     double maxUnprovedPercent = 5; // largest share while the new version is unproved
-    double badFailureRate = 0.02; // failures above the old version's that make the new one bad
-    double badLatencyRatio = 1.5; // latency against the old version's that makes the new one bad
+    double badFailureRate = 0.02;  // failures above the old version's that make the new one bad
+    double badLatencyRatio = 1.5;  // latency against the old version's that makes the new one bad
     MoveState state = MoveState::Running;
     std::string reason; // of the last change of state
 
@@ -141,7 +141,7 @@
     NameMap<TargetId> targetIds;
     NameMap<ModelId> modelIds;
     std::vector<int32_t> workspaceById; // position in rows.workspaces; -1: a hole
-    std::vector<int32_t> targetById; // position in rows.targets; -1: a hole
+    std::vector<int32_t> targetById;    // position in rows.targets; -1: a hole
     std::vector<std::string> modelNames;
     std::vector<RequestKind> modelKinds;
     std::vector<std::vector<TargetId>> modelTargets;
--- a/src/core/TargetSet.h
+++ b/src/core/TargetSet.h
@@ -13,21 +13,21 @@
 namespace guavapond {
 
 struct TargetSettings {
-    uint32_t initialWindow = 4; // requests
-    uint32_t minWindow = 1; // requests
-    double shortWorkFraction = 0.25; // part of a window kept for short work; at least one slot from window 2 on
-    Duration shortWork = std::chrono::seconds(2); // engine time up to which work counts as short
-    Duration firstTokenGoal = std::chrono::milliseconds(640); // window shrinks when short work misses it
+    uint32_t initialWindow = 4;                                 // requests
+    uint32_t minWindow = 1;                                     // requests
+    double shortWorkFraction = 0.25;                            // part of a window kept for short work; at least one slot from window 2 on
+    Duration shortWork = std::chrono::seconds(2);               // engine time up to which work counts as short
+    Duration firstTokenGoal = std::chrono::milliseconds(640);   // window shrinks when short work misses it
     Duration betweenTokensGoal = std::chrono::milliseconds(44); // window shrinks when it is missed
-    double windowDecrease = 0.7; // factor
-    double windowIncrease = 1.0; // slots for each window of requests that met the goals
-    double stragglerRatio = 3.0; // token time against the median of the model's targets: suspect
-    double ejectRatio = 6.0; // the same: ejected
-    uint32_t ejectFailures = 3; // consecutive failures: ejected
-    Duration firstProbe = std::chrono::seconds(1); // after ejection; doubles up to maxProbe
+    double windowDecrease = 0.7;                                // factor
+    double windowIncrease = 1.0;                                // slots for each window of requests that met the goals
+    double stragglerRatio = 3.0;                                // token time against the median of the model's targets: suspect
+    double ejectRatio = 6.0;                                    // the same: ejected
+    uint32_t ejectFailures = 3;                                 // consecutive failures: ejected
+    Duration firstProbe = std::chrono::seconds(1);              // after ejection; doubles up to maxProbe
     Duration maxProbe = std::chrono::seconds(30);
     Duration loadHalfLife = std::chrono::milliseconds(500); // a report counts half at this age
-    double learningRate = 0.1; // weight of a new speed observation
+    double learningRate = 0.1;                              // weight of a new speed observation
 };
 
 enum class TargetHealth : uint8_t {
@@ -43,11 +43,11 @@
     ModelId model {};
     TargetHealth health = TargetHealth::Healthy;
     bool draining = false;
-    bool local = true; // in this node's failure domain
-    uint32_t window = 0; // requests
-    uint32_t running = 0; // requests from this node
+    bool local = true;         // in this node's failure domain
+    uint32_t window = 0;       // requests
+    uint32_t running = 0;      // requests from this node
     double foreignRunning = 0; // requests of other nodes, from load reports, discounted by age
-    Duration backlog {}; // µs of engine time of what runs from this node
+    Duration backlog {};       // µs of engine time of what runs from this node
     TokenRates rates;
 };
 
@@ -73,8 +73,8 @@
     const TokenRates& rates(TargetId target) const;
     std::span<const TargetId> targetsOf(ModelId model) const;
     bool accepts(TargetId target, bool shortWork, TimePoint now) const; // a slot is free and the target is usable
-    std::optional<TargetId> targetOf(RequestId request) const; // where it runs
-    std::vector<TargetId> dueHealthChecks(TimePoint now); // ejected targets whose probe time has come
+    std::optional<TargetId> targetOf(RequestId request) const;          // where it runs
+    std::vector<TargetId> dueHealthChecks(TimePoint now);               // ejected targets whose probe time has come
     const TargetSettings& settingsInUse() const { return this->settings; }
 
 private:
--- a/src/core/Ticket.h
+++ b/src/core/Ticket.h
@@ -12,11 +12,11 @@
 
 namespace guavapond {
 
-constexpr size_t maxNodeNameLength = 64; // characters
+constexpr size_t maxNodeNameLength = 64;                                        // characters
 constexpr size_t maxTicketLength = 4 + maxNodeNameLength + 1 + 16 + 1 + 16 + 2; // characters
 
 struct NodeIdentity {
-    std::string node; // letters, digits, '-' and '_'
+    std::string node;         // letters, digits, '-' and '_'
     uint64_t incarnation = 0; // 64 random bits drawn at start
 
     bool operator==(const NodeIdentity&) const = default;
--- a/src/core/TicketLedger.h
+++ b/src/core/TicketLedger.h
@@ -20,10 +20,10 @@
 namespace guavapond {
 
 struct LedgerSettings {
-    size_t answerBytes = size_t(1) << 20; // bytes kept per ticket; a larger answer is not kept
-    size_t totalAnswerBytes = size_t(64) << 20; // bytes; beyond it the oldest answers are dropped
-    size_t retainedTickets = 200'000; // tickets; beyond it the lowest sequence numbers are evicted
-    size_t liveBelowMark = 20'000; // queued or running tickets that may outlive the eviction of their range
+    size_t answerBytes = size_t(1) << 20;          // bytes kept per ticket; a larger answer is not kept
+    size_t totalAnswerBytes = size_t(64) << 20;    // bytes; beyond it the oldest answers are dropped
+    size_t retainedTickets = 200'000;              // tickets; beyond it the lowest sequence numbers are evicted
+    size_t liveBelowMark = 20'000;                 // queued or running tickets that may outlive the eviction of their range
     Duration retention = std::chrono::minutes(10); // after the end, or after minting if never claimed
 };
 
@@ -37,22 +37,22 @@
 
 enum class TicketState : uint8_t {
     Minted,
-    Queued, // claimed; its request waits for dispatch
+    Queued,     // claimed; its request waits for dispatch
     Dispatched, // sent, or about to be
-    Finished, // ran; its answer may still be kept
-    Unknown, // dispatched, end not seen
-    NotRun, // given up before dispatch: proved by this ledger
+    Finished,   // ran; its answer may still be kept
+    Unknown,    // dispatched, end not seen
+    NotRun,     // given up before dispatch: proved by this ledger
 };
 std::string_view ticketStateName(TicketState state); // lower_snake_case, as in JSON
 
 struct Claim {
     enum class Kind : uint8_t {
-        Run, // the caller's request is now the one bound to the ticket
-        Attach, // it is queued or runs: wait for it and get its answer
-        Answer, // finished: `answer` is set
-        Outcome, // ended without a kept answer: `failure` says not run, ran or unknown
-        Forward, // another node owns it: `Ticket::owner.node`
-        Gone, // an earlier incarnation of this node owned it: unknown, unless its witness proves "not run"
+        Run,      // the caller's request is now the one bound to the ticket
+        Attach,   // it is queued or runs: wait for it and get its answer
+        Answer,   // finished: `answer` is set
+        Outcome,  // ended without a kept answer: `failure` says not run, ran or unknown
+        Forward,  // another node owns it: `Ticket::owner.node`
+        Gone,     // an earlier incarnation of this node owned it: unknown, unless its witness proves "not run"
         Mismatch, // bound to another request body
         NotFound, // never minted here
     };
@@ -69,7 +69,7 @@
         NeverMinted,
     };
     Place place = Place::NeverMinted;
-    std::optional<TicketState> state; // Here, while retained
+    std::optional<TicketState> state;       // Here, while retained
     std::optional<Disposition> disposition; // once it has ended, or when it can't be known any more
     std::shared_ptr<const StoredAnswer> answer;
     std::optional<Failure> failure;
@@ -86,10 +86,10 @@
     Claim claim(const Ticket& ticket, uint64_t requestDigest, TimePoint now);
 
     // ---- Transitions
-    bool startDispatch(const Ticket& ticket, TimePoint now); // true exactly once per ticket; only from Queued
-    void finish(const Ticket& ticket, StoredAnswer answer, TimePoint now); // ran; ignored once the ticket has ended
+    bool startDispatch(const Ticket& ticket, TimePoint now);                  // true exactly once per ticket; only from Queued
+    void finish(const Ticket& ticket, StoredAnswer answer, TimePoint now);    // ran; ignored once the ticket has ended
     bool giveUp(const Ticket& ticket, const Failure& failure, TimePoint now); // false once dispatch has started
-    void lose(const Ticket& ticket, const Failure& failure, TimePoint now); // dispatched, end not seen: unknown
+    void lose(const Ticket& ticket, const Failure& failure, TimePoint now);   // dispatched, end not seen: unknown
 
     // ---- Reading
     Outcome outcome(const Ticket& ticket, TimePoint now) const;
@@ -104,8 +104,8 @@
     struct Record {
         TicketState state = TicketState::Minted;
         bool witnessed = false;
-        std::optional<uint64_t> digest; // of the request bound to the ticket
-        TimePoint since {}; // minted, or ended
+        std::optional<uint64_t> digest;   // of the request bound to the ticket
+        TimePoint since {};               // minted, or ended
         std::unique_ptr<Failure> failure; // why it ended without an answer
         std::shared_ptr<const StoredAnswer> answer;
     };
@@ -132,12 +132,12 @@
 
     NodeIdentity self;
     LedgerSettings settings;
-    uint64_t firstRetained = 1; // sequence number of records.front()
-    std::deque<Record> records; // dense by sequence number
+    uint64_t firstRetained = 1;           // sequence number of records.front()
+    std::deque<Record> records;           // dense by sequence number
     std::map<uint64_t, Record> belowMark; // tickets that were live when their range was evicted
-    std::deque<Ended> endedBelowMark; // in order of their end; its ticket may have been dropped
-    std::deque<uint64_t> answerOrder; // oldest first; an entry may be stale
-    size_t answerBytes = 0; // sum of the kept answers
+    std::deque<Ended> endedBelowMark;     // in order of their end; its ticket may have been dropped
+    std::deque<uint64_t> answerOrder;     // oldest first; an entry may be stale
+    size_t answerBytes = 0;               // sum of the kept answers
 };
 
 } // namespace guavapond
--- a/src/core/Types.h
+++ b/src/core/Types.h
@@ -51,47 +51,47 @@
 
 // ---- Failures: every failure has a type and says what became of the request.
 enum class Disposition : uint8_t {
-    NotRun, // proved: no target was ever sent the request
-    Ran, // the target finished it, or refused it itself
+    NotRun,  // proved: no target was ever sent the request
+    Ran,     // the target finished it, or refused it itself
     Unknown, // it was sent, or may have been, and its end was not seen
 };
 std::string_view dispositionName(Disposition disposition);
 
 enum class FailureKind : uint8_t {
-    BadRequest, // 400 malformed body or header
-    Unauthorized, // 401 missing or wrong token
-    WorkspaceForbidden, // 403 unknown workspace, or not the caller's
-    NotFound, // 404 unknown model, service, ticket or path
-    SlowSender, // 408 the body did not arrive in time
-    TicketMismatch, // 409 the ticket was used with another request
-    TicketRequired, // 428 a non-idempotent call without a ticket
-    BodyTooLarge, // 413
-    WrongType, // 422 well-formed JSON with a field of the wrong type or range
-    LimitReached, // 429 a limit of the workspace
-    QueueFull, // 429 the queue of the tier is full
-    HeadersTooLarge, // 431
+    BadRequest,          // 400 malformed body or header
+    Unauthorized,        // 401 missing or wrong token
+    WorkspaceForbidden,  // 403 unknown workspace, or not the caller's
+    NotFound,            // 404 unknown model, service, ticket or path
+    SlowSender,          // 408 the body did not arrive in time
+    TicketMismatch,      // 409 the ticket was used with another request
+    TicketRequired,      // 428 a non-idempotent call without a ticket
+    BodyTooLarge,        // 413
+    WrongType,           // 422 well-formed JSON with a field of the wrong type or range
+    LimitReached,        // 429 a limit of the workspace
+    QueueFull,           // 429 the queue of the tier is full
+    HeadersTooLarge,     // 431
     DeadlineUnreachable, // 504 refused before prefill: the deadline can't be met
-    DeadlineExceeded, // 504 the deadline passed
-    Shed, // 503 refused in favour of higher tiers
-    Stopping, // 503 the node is shutting down
-    NoTarget, // 503 no usable target for the model or service
-    TargetFailed, // 502 the target answered with an error or closed the connection
-    StreamCut, // 502 the stream ended before its terminator
-    OutcomeUnknown, // 502 the owner of the ticket is gone
-    OwnerUnreachable, // 503 the owner of the ticket does not answer now
+    DeadlineExceeded,    // 504 the deadline passed
+    Shed,                // 503 refused in favour of higher tiers
+    Stopping,            // 503 the node is shutting down
+    NoTarget,            // 503 no usable target for the model or service
+    TargetFailed,        // 502 the target answered with an error or closed the connection
+    StreamCut,           // 502 the stream ended before its terminator
+    OutcomeUnknown,      // 502 the owner of the ticket is gone
+    OwnerUnreachable,    // 503 the owner of the ticket does not answer now
     PlatformUnavailable, // 503 the key-value service does not answer
-    Conflict, // 409 an edit named an old revision
-    InvalidEdit, // 422 an edit with a value out of range
-    CallerGone, // no answer is possible
+    Conflict,            // 409 an edit named an old revision
+    InvalidEdit,         // 422 an edit with a value out of range
+    CallerGone,          // no answer is possible
 };
 constexpr size_t failureKindCount = static_cast<size_t>(FailureKind::CallerGone) + 1;
 std::string_view failureKindName(FailureKind kind); // lower_snake_case, as in error bodies
-int failureStatus(FailureKind kind); // HTTP status
+int failureStatus(FailureKind kind);                // HTTP status
 
 struct Failure {
     FailureKind kind = FailureKind::BadRequest;
     Disposition disposition = Disposition::NotRun;
-    std::string message; // for people; programs read kind
+    std::string message;                    // for people; programs read kind
     Duration retryAfter = Duration::zero(); // µs; zero: a retry does not help
 };
 
@@ -117,7 +117,7 @@
 
 // ---- Requests
 enum class RequestKind : uint8_t {
-    Engine, // tokens in, tokens out
+    Engine,  // tokens in, tokens out
     Service, // a plain call
 };
 
@@ -129,11 +129,11 @@
     ModelId model {};
     TimePoint arrival {};
     TimePoint deadline {};
-    uint32_t promptTokens = 0; // tokens
+    uint32_t promptTokens = 0;               // tokens
     std::optional<uint32_t> maxOutputTokens; // tokens; the caller's limit, if any
-    std::vector<uint64_t> prefixBlocks; // chained hashes of each full block of prompt tokens
-    std::optional<TargetId> onlyTarget; // set when a stream is resumed where it ran
-    bool idempotent = true; // false: never cancelled to make room
+    std::vector<uint64_t> prefixBlocks;      // chained hashes of each full block of prompt tokens
+    std::optional<TargetId> onlyTarget;      // set when a stream is resumed where it ran
+    bool idempotent = true;                  // false: never cancelled to make room
 };
 
 // What became of a dispatched request, as the target's adapter saw it.
--- /dev/null
+++ b/src/node/RequestPath.cpp
@@ -0,0 +1,833 @@
+// The path of a request.
+#include "node/RequestPath.h"
+
+#include <algorithm>
+#include <cassert>
+#include <deque>
+
+namespace guavapond {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr std::string_view forwardedHeader = "Guavapond-Forwarded";
+constexpr std::string_view eventStreamType = "text/event-stream";
+constexpr std::string_view jsonType = "application/json";
+constexpr Duration attachRetryAfter = std::chrono::seconds(1);
+constexpr Duration callbackTimerSlack = std::chrono::milliseconds(50);
+
+Failure notRun(FailureKind kind, std::string message, Duration retryAfter = {})
+{
+    return { kind, Disposition::NotRun, std::move(message), retryAfter };
+}
+
+CallerInput inputOf(const HttpRequest& request)
+{
+    return { request.method, request.target, request.body, [&request](std::string_view name) { return request.header(name); } };
+}
+
+std::vector<HttpHeader> answerHeaders(std::string_view ticket, std::string_view contentType)
+{
+    std::vector<HttpHeader> headers { { "Content-Type", std::string(contentType) } };
+    if (!ticket.empty())
+        headers.emplace_back(ticketHeader, ticket);
+    return headers;
+}
+
+void sendFailure(HttpReply& reply, const Failure& failure, std::string_view ticket)
+{
+    auto headers = answerHeaders(ticket, jsonType);
+    if (failure.retryAfter > Duration::zero()) {
+        auto seconds = std::chrono::ceil<std::chrono::seconds>(failure.retryAfter).count();
+        headers.emplace_back("Retry-After", std::to_string(seconds));
+    }
+    reply.send(failureStatus(failure.kind), headers, errorBody(failure, ticket));
+}
+
+// A stream that can't be completed ends with an error event and without its terminator.
+void endWithErrorEvent(HttpReply& reply, const Failure& failure, std::string_view ticket)
+{
+    reply.write("event: error\ndata: " + errorBody(failure, ticket) + "\n\n");
+    reply.finish();
+}
+
+// The answer of a forwarded request on its way back to the node that forwarded it: written on one thread, taken on another.
+class QueueReply final : public HttpReply {
+public:
+    void send(int status, std::span<const HttpHeader> headers, std::string body) override
+    {
+        this->push({ status, { headers.begin(), headers.end() }, std::move(body), true });
+    }
+    void start(int status, std::span<const HttpHeader> headers) override
+    {
+        this->push({ status, { headers.begin(), headers.end() }, {}, false });
+    }
+    void write(std::string_view data) override { this->push({ 0, {}, std::string(data), false }); }
+    void finish() override { this->push({ 0, {}, {}, true }); }
+    void abort() override
+    {
+        std::lock_guard lock(this->mutex);
+        this->aborted = true;
+        this->changed.notify_one();
+    }
+    bool isGone() const override { return this->gone; }
+    void onGone(std::function<void()> callback) override
+    {
+        std::lock_guard lock(this->mutex);
+        this->goneCallback = std::move(callback);
+    }
+
+    // Next piece; none: aborted, or nothing came within `wait`.
+    std::optional<ForwardedChunk> take(Duration wait)
+    {
+        std::unique_lock lock(this->mutex);
+        this->changed.wait_for(lock, wait, [this] { return this->aborted || !this->chunks.empty(); });
+        if (this->chunks.empty())
+            return std::nullopt;
+        auto chunk = std::move(this->chunks.front());
+        this->chunks.pop_front();
+        return chunk;
+    }
+    bool isAborted() const
+    {
+        std::lock_guard lock(this->mutex);
+        return this->aborted && this->chunks.empty();
+    }
+    void markGone()
+    {
+        std::function<void()> callback;
+        {
+            std::lock_guard lock(this->mutex);
+            this->gone = true;
+            callback.swap(this->goneCallback);
+        }
+        if (callback)
+            callback();
+    }
+
+private:
+    void push(ForwardedChunk chunk)
+    {
+        std::lock_guard lock(this->mutex);
+        if (this->gone)
+            return;
+        // Consecutive pieces of a stream travel as one message when the taker is slower than the engine.
+        bool joins = !this->chunks.empty() && chunk.status == 0 && this->chunks.back().status == 0 && !this->chunks.back().last;
+        if (joins) {
+            this->chunks.back().data += chunk.data;
+            this->chunks.back().last = chunk.last;
+        } else {
+            this->chunks.push_back(std::move(chunk));
+        }
+        this->changed.notify_one();
+    }
+
+    mutable std::mutex mutex;
+    std::condition_variable changed;
+    std::deque<ForwardedChunk> chunks;
+    bool aborted = false;
+    std::function<void()> goneCallback;
+    std::atomic<bool> gone { false };
+};
+
+} // namespace
+
+RequestPath::RequestPath(const RequestPathSettings& s, RequestPathPorts p, const Snapshot<TableIndex>& t, Decisions& d)
+    : settings(s)
+    , ports(std::move(p))
+    , table(t)
+    , decisions(d)
+{
+}
+
+// ---- Callers
+
+void RequestPath::serve(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply)
+{
+    auto now = this->ports.clock();
+    auto input = inputOf(request);
+    auto parsed = this->table.read([&](const TableIndex& rows) { return parseCallerRequest(input, rows, this->settings.callers, now); });
+    if (!parsed) {
+        if (this->ports.observer.refusedOnEntry)
+            this->ports.observer.refusedOnEntry(*parsed.reason);
+        return this->refuse(reply, *parsed.reason, {});
+    }
+    if (parsed->ticket.empty()) {
+        if (!parsed->spec.idempotent) {
+            return this->refuse(reply,
+                notRun(FailureKind::TicketRequired, "a call that is not idempotent needs a ticket: POST /v1/tickets, then send it as " + std::string(ticketHeader)), {});
+        }
+        return this->admit(std::move(*parsed), std::nullopt, reply, now);
+    }
+    auto ticket = parseTicket(parsed->ticket);
+    if (!ticket)
+        return this->refuse(reply, *ticket.reason, {});
+    if (ticket->owner.node != this->decisions.ledger.identity().node) {
+        if (request.header(forwardedHeader))
+            return this->refuse(reply, { FailureKind::OutcomeUnknown, Disposition::Unknown, "this node does not own the ticket", {} }, parsed->ticket);
+        return this->forward(request, *ticket, reply);
+    }
+    this->admit(std::move(*parsed), *ticket, reply, now);
+}
+
+void RequestPath::mintTicket(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply)
+{
+    auto now = this->ports.clock();
+    auto input = inputOf(request);
+    auto workspace = this->table.read([&](const TableIndex& rows) { return authorize(input, rows); });
+    if (!workspace)
+        return this->refuse(reply, *workspace.reason, {});
+    if (this->stopping)
+        return this->refuse(reply, notRun(FailureKind::Stopping, "the node is shutting down", this->settings.stoppingRetryAfter), {});
+    std::string text;
+    {
+        std::lock_guard lock(this->decisions.mutex);
+        text = ticketText(this->decisions.ledger.mint(false, now));
+    }
+    reply->send(201, answerHeaders(text, jsonType), Json { { "ticket", text } }.dump());
+}
+
+void RequestPath::outcome(std::string_view text, const std::shared_ptr<HttpReply>& reply)
+{
+    auto ticket = parseTicket(text);
+    if (!ticket)
+        return this->refuse(reply, *ticket.reason, {});
+    auto send = [reply](const std::string& json) { reply->send(200, answerHeaders({}, jsonType), json); };
+    if (ticket->owner.node == this->decisions.ledger.identity().node)
+        return send(this->outcomeJson(text));
+    auto address = this->ports.peerAddress(ticket->owner.node);
+    if (!address)
+        return this->refuse(reply, { FailureKind::NotFound, Disposition::Unknown, "the ticket names an unknown node", {} }, text);
+    this->ports.background([this, reply, send, address = *address, held = std::string(text)] {
+        auto json = this->ports.peer.outcome(address, held);
+        if (!json)
+            return this->refuse(reply, *json.reason, held);
+        send(*json);
+    });
+}
+
+std::string RequestPath::outcomeJson(std::string_view text)
+{
+    auto ticket = parseTicket(text);
+    if (!ticket)
+        return errorBody(*ticket.reason, {});
+    Outcome outcome;
+    {
+        std::lock_guard lock(this->decisions.mutex);
+        outcome = this->decisions.ledger.outcome(*ticket, this->ports.clock());
+    }
+    Json json { { "ticket", text }, { "state", outcome.state ? std::string(ticketStateName(*outcome.state)) : "unknown" },
+        { "answerKept", outcome.answer != nullptr } };
+    if (outcome.place == Outcome::Place::NeverMinted)
+        json["state"] = "never_minted";
+    if (outcome.disposition)
+        json["disposition"] = dispositionName(*outcome.disposition);
+    if (outcome.answer)
+        json["status"] = outcome.answer->status;
+    if (outcome.failure) {
+        json["reason"] = failureKindName(outcome.failure->kind);
+        json["message"] = outcome.failure->message;
+    }
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+// ---- Admission
+
+void RequestPath::admit(CallerRequest request, const std::optional<Ticket>& given, const std::shared_ptr<HttpReply>& reply, TimePoint now)
+{
+    auto workspaceName = this->table.read([&](const TableIndex& rows) {
+        const auto* row = rows.row(request.spec.workspace);
+        return row ? row->name : std::string();
+    });
+    std::vector<Step> steps;
+    FlightPtr running;
+    Claim claim;
+    std::optional<Failure> refused;
+    std::string text;
+    {
+        std::lock_guard lock(this->decisions.mutex);
+        auto& ledger = this->decisions.ledger;
+        auto ticket = given ? *given : ledger.mint(false, now);
+        text = ticketText(ticket);
+        claim = ledger.claim(ticket, request.digest, now);
+        if (claim.kind == Claim::Kind::Attach) {
+            auto found = this->flightsByTicket.find(text);
+            running = found == this->flightsByTicket.end() ? nullptr : found->second;
+        }
+        if (claim.kind == Claim::Kind::Run) {
+            request.spec.id = static_cast<RequestId>(this->nextRequest++);
+            auto flight = std::make_shared<Flight>(request, ticket, given.has_value(), this->settings.answerBytes);
+            flight->workspace = workspaceName;
+            flight->listeners.push_back({ reply });
+            if (this->stopping)
+                refused = notRun(FailureKind::Stopping, "the node is shutting down", this->settings.stoppingRetryAfter);
+            else
+                refused = this->decisions.scheduler.submit(flight->request.spec, now);
+            if (refused) {
+                ledger.giveUp(ticket, *refused, now);
+            } else {
+                this->flights[request.spec.id] = flight;
+                this->flightsByTicket[text] = flight;
+                running = flight;
+            }
+            // A refused submit may still have displaced work of lower tiers.
+            steps = this->takeSteps(now);
+        }
+    }
+    this->carryOut(steps, now);
+    if (refused) {
+        if (this->ports.observer.refusedOnEntry)
+            this->ports.observer.refusedOnEntry(*refused);
+        return this->refuse(reply, *refused, text);
+    }
+    if (claim.kind != Claim::Kind::Run)
+        return this->answerClaim(claim, request, text, running, reply);
+    reply->onGone([this, running, raw = reply.get()] { this->onCallerGone(running, raw); });
+}
+
+void RequestPath::answerClaim(
+    const Claim& claim, const CallerRequest& request, const std::string& text, const FlightPtr& running, const std::shared_ptr<HttpReply>& reply)
+{
+    if (claim.kind == Claim::Kind::Attach) {
+        if (running)
+            return this->attach(running, reply);
+        return this->refuse(reply, { FailureKind::Conflict, Disposition::Unknown, "the request is about to end", attachRetryAfter }, text);
+    }
+    if (claim.kind == Claim::Kind::Answer) {
+        auto headers = answerHeaders(text, claim.answer->contentType);
+        return reply->send(claim.answer->status, headers, claim.answer->body);
+    }
+    auto failure = claim.failure.value_or(
+        Failure { FailureKind::OutcomeUnknown, Disposition::Unknown, "what became of " + request.model + " is not known", {} });
+    this->refuse(reply, failure, text);
+}
+
+void RequestPath::attach(const FlightPtr& flight, const std::shared_ptr<HttpReply>& reply)
+{
+    std::optional<FinalResult> ended;
+    {
+        std::lock_guard lock(flight->mutex);
+        bool canWait = flight->request.spec.kind == RequestKind::Service || flight->assembler.has_value();
+        if (!canWait && !flight->result) {
+            Failure failure { FailureKind::Conflict, Disposition::Unknown, "the request runs for another connection and its answer is not kept", attachRetryAfter };
+            return this->refuse(reply, failure, flight->ticketText);
+        }
+        if (flight->result)
+            ended = flight->result;
+        else
+            flight->listeners.push_back({ reply, false });
+    }
+    if (ended) {
+        Listener listener { reply, false };
+        return this->deliver(*flight, listener, *ended);
+    }
+    reply->onGone([this, flight, raw = reply.get()] { this->onCallerGone(flight, raw); });
+}
+
+void RequestPath::forward(const HttpRequest& request, const Ticket& ticket, const std::shared_ptr<HttpReply>& reply)
+{
+    auto text = ticketText(ticket);
+    auto address = this->ports.peerAddress(ticket.owner.node);
+    if (!address)
+        return this->refuse(reply, { FailureKind::OutcomeUnknown, Disposition::Unknown, "the owner of the ticket is not known", {} }, text);
+    if (this->forwards.fetch_add(1) >= this->settings.maxForwards) {
+        --this->forwards;
+        // The owner was not asked, so nothing is known of an earlier call under this ticket.
+        return this->refuse(reply, { FailureKind::OwnerUnreachable, Disposition::Unknown, "too many requests for other nodes", attachRetryAfter }, text);
+    }
+    ForwardedRequest message { request.method, request.target, request.headers, request.body };
+    message.headers.emplace_back(forwardedHeader, "1");
+    this->ports.background([this, message = std::move(message), address = *address, text, reply] {
+        bool started = false;
+        auto failure = this->ports.peer.forward(address, message, [&](const ForwardedChunk& chunk) {
+            if (!started && chunk.last) {
+                started = true;
+                reply->send(chunk.status, chunk.headers, chunk.data);
+                return true;
+            }
+            if (!started)
+                reply->start(chunk.status, chunk.headers);
+            started = true;
+            reply->write(chunk.data);
+            if (chunk.last)
+                reply->finish();
+            return !reply->isGone();
+        });
+        if (failure && !started)
+            this->refuse(reply, *failure, text);
+        else if (failure)
+            endWithErrorEvent(*reply, *failure, text);
+        --this->forwards;
+    });
+}
+
+void RequestPath::forwarded(const ForwardedRequest& message, const std::function<bool(const ForwardedChunk&)>& onChunk)
+{
+    HttpRequest request { message.method, message.path, message.headers, message.body, {} };
+    auto reply = std::make_shared<QueueReply>();
+    this->serve(request, reply);
+    constexpr Duration poll = std::chrono::seconds(1);
+    while (true) {
+        auto chunk = reply->take(poll);
+        if (!chunk && reply->isAborted())
+            return;
+        // An empty piece at each poll finds out whether the other node still waits.
+        bool wanted = onChunk(chunk.value_or(ForwardedChunk {}));
+        if (chunk && chunk->last)
+            return;
+        if (!wanted) {
+            reply->markGone();
+            return;
+        }
+    }
+}
+
+void RequestPath::refuse(const std::shared_ptr<HttpReply>& reply, const Failure& failure, std::string_view ticket)
+{
+    sendFailure(*reply, failure, ticket);
+}
+
+// ---- Carrying out decisions
+
+std::vector<RequestPath::Step> RequestPath::takeSteps(TimePoint now)
+{
+    std::vector<Step> steps;
+    for (auto& action : this->decisions.scheduler.advance(now)) {
+        auto found = this->flights.find(action.request);
+        if (found == this->flights.end())
+            continue;
+        auto flight = found->second;
+        if (action.kind == Action::Kind::Dispatch) {
+            // The ledger is the only path to a dispatch.
+            if (!this->decisions.ledger.startDispatch(flight->ticket, now)) {
+                this->decisions.scheduler.onFinished(action.request, RunOutcome::Cancelled, now);
+                continue;
+            }
+            flight->target = this->table.read([&](const TableIndex& rows) {
+                const auto* row = rows.row(action.target);
+                return row ? *row : TargetRow {};
+            });
+            this->decisions.prefixes.onDispatched(action.target, flight->request.spec.prefixBlocks, now);
+        }
+        steps.push_back({ std::move(action), std::move(flight) });
+    }
+    auto wake = this->decisions.scheduler.nextWake(now);
+    if (wake) {
+        std::lock_guard lock(this->timerMutex);
+        if (!this->wakeAt || *wake < *this->wakeAt) {
+            this->wakeAt = wake;
+            this->timerChanged.notify_one();
+        }
+    }
+    return steps;
+}
+
+void RequestPath::carryOut(const std::vector<Step>& steps, TimePoint now)
+{
+    for (const auto& step : steps) {
+        switch (step.action.kind) {
+        case Action::Kind::Dispatch: {
+            std::lock_guard lock(step.flight->mutex);
+            step.flight->dispatched = true;
+            step.flight->dispatchedAt = now;
+            step.flight->cachedTokens = step.action.cachedTokens;
+        }
+            this->run(step.flight, now);
+            break;
+        case Action::Kind::Refuse:
+            this->fail(step.flight, step.action.failure.value_or(notRun(FailureKind::Shed, "refused")), RunOutcome::Cancelled, now);
+            break;
+        case Action::Kind::CancelRunning:
+            this->fail(step.flight, step.action.failure.value_or(Failure { FailureKind::Shed, Disposition::Unknown, "cancelled", {} }), RunOutcome::Cancelled, now);
+            break;
+        }
+    }
+}
+
+void RequestPath::run(const FlightPtr& flight, TimePoint now)
+{
+    if (flight->request.spec.kind == RequestKind::Service)
+        return this->callService(flight);
+    {
+        std::lock_guard lock(flight->mutex);
+        flight->tracker.emplace(flight->ticketText, flight->target.resumes, this->settings.streams, now);
+    }
+    this->callEngine(flight, 0, 0);
+}
+
+void RequestPath::callEngine(const FlightPtr& flight, uint32_t call, uint64_t resumeOffset)
+{
+    EngineRequest request;
+    request.url = flight->target.address;
+    request.path = flight->request.path;
+    request.requestId = flight->ticketText;
+    request.body = flight->request.body;
+    request.resumeOffset = resumeOffset;
+    request.firstByteTimeout = this->settings.streams.firstByteTimeout;
+    request.betweenTokensTimeout = this->settings.streams.betweenTokensTimeout;
+    auto cancel = this->ports.engine.generate(std::move(request), [this, flight, call](EngineEvent event) { this->onEngineEvent(flight, call, event); });
+    bool ended = false;
+    {
+        std::lock_guard lock(flight->mutex);
+        ended = flight->result.has_value();
+        bool current = flight->tracker && flight->tracker->call() == call;
+        if (!ended && current)
+            flight->cancelCall = cancel;
+    }
+    if (ended)
+        cancel();
+}
+
+void RequestPath::callService(const FlightPtr& flight)
+{
+    ServiceRequest request;
+    request.url = flight->target.address;
+    request.method = flight->request.method;
+    request.path = flight->request.path;
+    request.requestId = flight->ticketText;
+    request.contentType = flight->request.contentType;
+    request.body = flight->request.body;
+    request.timeout = std::chrono::duration_cast<Duration>(std::max(flight->request.spec.deadline - flight->dispatchedAt, callbackTimerSlack));
+    auto cancel = this->ports.service.call(std::move(request), [this, flight](ServiceAnswer answer) { this->onServiceAnswer(flight, answer); });
+    std::lock_guard lock(flight->mutex);
+    if (!flight->result)
+        flight->cancelCall = cancel;
+}
+
+// ---- Answers
+
+void RequestPath::onEngineEvent(const FlightPtr& flight, uint32_t call, const EngineEvent& event)
+{
+    auto now = this->ports.clock();
+    StreamStep step;
+    uint32_t report = 0;
+    bool first = false;
+    {
+        std::lock_guard lock(flight->mutex);
+        if (flight->result || !flight->tracker)
+            return;
+        auto& tracker = *flight->tracker;
+        if (event.kind == EngineEvent::Kind::Tokens)
+            step = tracker.onToken(call, event.streamId, event.offset, now);
+        else if (event.kind == EngineEvent::Kind::Terminator)
+            step = tracker.onTerminator(call, event.streamId, now);
+        else
+            step = tracker.onFailure(call, event.failure.value_or(Failure {}), event.sent, now);
+        if (step.kind == StreamStep::Kind::Forward) {
+            first = !flight->firstTokenAt;
+            this->passOn(*flight, event, now);
+            if (!first && ++flight->unreportedTokens >= this->settings.tokensPerReport)
+                report = std::exchange(flight->unreportedTokens, 0);
+        } else if (step.kind == StreamStep::Kind::Finish || step.kind == StreamStep::Kind::Cut) {
+            report = std::exchange(flight->unreportedTokens, 0);
+        }
+    }
+    if (first || report > 0) {
+        std::lock_guard lock(this->decisions.mutex);
+        if (first)
+            this->decisions.scheduler.onFirstToken(flight->request.spec.id, now);
+        if (report > 0)
+            this->decisions.scheduler.onTokens(flight->request.spec.id, report, now);
+    }
+    switch (step.kind) {
+    case StreamStep::Kind::Forward:
+    case StreamStep::Kind::Drop:
+        return;
+    case StreamStep::Kind::Resume:
+        return this->callEngine(flight, call + 1, step.offset);
+    case StreamStep::Kind::Finish: {
+        StoredAnswer answer { 200, std::string(flight->request.stream ? eventStreamType : jsonType), {} };
+        if (flight->assembler)
+            answer.body = flight->request.stream ? flight->assembler->events() : flight->assembler->answer();
+        return this->complete(flight, std::move(answer), RunOutcome::Completed, now);
+    }
+    case StreamStep::Kind::Cut: {
+        auto failure = step.failure.value_or(Failure { FailureKind::StreamCut, Disposition::Unknown, "stream cut", {} });
+        bool unsent = event.kind == EngineEvent::Kind::Failed && !event.sent && call == 0;
+        if (unsent && this->requeueUnsent(flight, now))
+            return;
+        auto outcome = failure.disposition == Disposition::Ran ? RunOutcome::FailedByTarget : RunOutcome::ConnectionLost;
+        return this->fail(flight, failure, outcome, now);
+    }
+    }
+}
+
+void RequestPath::passOn(Flight& flight, const EngineEvent& event, TimePoint now)
+{
+    if (flight.firstTokenAt && this->ports.observer.betweenTokens)
+        this->ports.observer.betweenTokens(now - flight.lastTokenAt);
+    if (!flight.firstTokenAt)
+        flight.firstTokenAt = now;
+    flight.lastTokenAt = now;
+    if (flight.assembler)
+        flight.assembler->add(event.data);
+    if (!flight.request.stream)
+        return;
+    std::string framed;
+    framed.reserve(event.data.size() + 8);
+    framed.append("data: ").append(event.data).append("\n\n");
+    for (auto& listener : flight.listeners) {
+        if (!listener.live)
+            continue;
+        if (!listener.started) {
+            auto headers = answerHeaders(flight.ticketText, eventStreamType);
+            headers.emplace_back("Cache-Control", "no-cache");
+            listener.reply->start(200, headers);
+            listener.started = true;
+        }
+        listener.reply->write(framed);
+    }
+}
+
+void RequestPath::onServiceAnswer(const FlightPtr& flight, const ServiceAnswer& answer)
+{
+    auto now = this->ports.clock();
+    if (!answer.failure) {
+        constexpr int firstServerError = 500;
+        auto outcome = answer.status >= firstServerError ? RunOutcome::FailedByTarget : RunOutcome::Completed;
+        return this->complete(flight, { answer.status, answer.contentType, answer.body }, outcome, now);
+    }
+    auto failure = *answer.failure;
+    if (!answer.sent) {
+        failure.disposition = Disposition::NotRun;
+        if (this->requeueUnsent(flight, now))
+            return;
+    }
+    this->fail(flight, failure, RunOutcome::ConnectionLost, now);
+}
+
+void RequestPath::complete(const FlightPtr& flight, StoredAnswer answer, RunOutcome outcome, TimePoint now)
+{
+    bool keep = flight->ticketByCaller || flight->assembler || flight->request.spec.kind == RequestKind::Service;
+    FinalResult result { std::make_shared<const StoredAnswer>(std::move(answer)), std::nullopt };
+    std::vector<Step> steps;
+    {
+        std::lock_guard lock(this->decisions.mutex);
+        if (this->flights.erase(flight->request.spec.id) == 0)
+            return; // it has ended another way
+        this->flightsByTicket.erase(flight->ticketText);
+        if (keep) {
+            this->decisions.ledger.finish(flight->ticket, *result.answer, now);
+        } else {
+            // The stream was passed on and is not kept.
+            StoredAnswer tooLarge { result.answer->status, result.answer->contentType, std::string(this->settings.answerBytes + 1, ' ') };
+            this->decisions.ledger.finish(flight->ticket, std::move(tooLarge), now);
+        }
+        this->decisions.scheduler.onFinished(flight->request.spec.id, outcome, now);
+        steps = this->takeSteps(now);
+    }
+    this->settle(*flight, result);
+    this->summarize(*flight, result, now);
+    this->carryOut(steps, now);
+}
+
+void RequestPath::fail(const FlightPtr& flight, const Failure& failure, RunOutcome outcome, TimePoint now)
+{
+    FinalResult result { nullptr, failure };
+    std::vector<Step> steps;
+    TargetId target {};
+    bool wasSent = false;
+    {
+        std::lock_guard lock(this->decisions.mutex);
+        if (this->flights.erase(flight->request.spec.id) == 0)
+            return; // it has ended another way
+        this->flightsByTicket.erase(flight->ticketText);
+        // The ledger decides whether "not run" can be said: it can't once the dispatch has started, unless the adapter proved that
+        // nothing was sent.
+        if (!this->decisions.ledger.giveUp(flight->ticket, failure, now)) {
+            wasSent = true;
+            bool unsent = failure.disposition == Disposition::NotRun;
+            if (unsent && this->decisions.ledger.revertUnsent(flight->ticket))
+                this->decisions.ledger.giveUp(flight->ticket, failure, now);
+            else
+                this->decisions.ledger.lose(flight->ticket, failure, now);
+            if (auto ran = this->decisions.targets.targetOf(flight->request.spec.id))
+                target = *ran;
+            this->decisions.scheduler.onFinished(flight->request.spec.id, outcome, now);
+        }
+        steps = this->takeSteps(now);
+    }
+    Cancellation cancel;
+    {
+        std::lock_guard lock(flight->mutex);
+        cancel = flight->cancelCall;
+    }
+    if (cancel)
+        cancel();
+    if (wasSent && outcome == RunOutcome::ConnectionLost)
+        this->checkHealth(target, flight->target.address, flight->request.spec.kind);
+    this->settle(*flight, result);
+    this->summarize(*flight, result, now);
+    this->carryOut(steps, now);
+}
+
+// No byte left this node, so the request goes back to the queue under the same ticket.
+bool RequestPath::requeueUnsent(const FlightPtr& flight, TimePoint now)
+{
+    std::vector<Step> steps;
+    TargetId target {};
+    bool queued = false;
+    {
+        std::lock_guard lock(this->decisions.mutex);
+        auto id = flight->request.spec.id;
+        if (this->flights.find(id) == this->flights.end())
+            return true; // it has ended another way
+        if (now >= flight->request.spec.deadline || !this->decisions.ledger.revertUnsent(flight->ticket))
+            return false;
+        if (auto ran = this->decisions.targets.targetOf(id))
+            target = *ran;
+        this->decisions.scheduler.onFinished(id, RunOutcome::ConnectionLost, now);
+        this->decisions.targets.onHealthCheck(target, false, now);
+        queued = !this->decisions.scheduler.submit(flight->request.spec, now);
+        // Refused: the ticket is queued in the ledger, so that fail() can still prove "not run".
+        steps = this->takeSteps(now);
+    }
+    {
+        std::lock_guard lock(flight->mutex);
+        flight->tracker.reset();
+        flight->dispatched = false;
+        flight->cancelCall = nullptr;
+    }
+    this->carryOut(steps, now);
+    return queued;
+}
+
+// Ends the flight for all its listeners.
+void RequestPath::settle(Flight& flight, const FinalResult& result)
+{
+    std::vector<Listener> listeners;
+    {
+        std::lock_guard lock(flight.mutex);
+        if (flight.result)
+            return;
+        flight.result = result;
+        listeners.swap(flight.listeners);
+    }
+    for (auto& listener : listeners)
+        this->deliver(flight, listener, result);
+}
+
+void RequestPath::deliver(const Flight& flight, Listener& listener, const FinalResult& result)
+{
+    if (result.failure) {
+        if (listener.started)
+            return endWithErrorEvent(*listener.reply, *result.failure, flight.ticketText);
+        return sendFailure(*listener.reply, *result.failure, flight.ticketText);
+    }
+    if (listener.started) {
+        listener.reply->write("data: [DONE]\n\n");
+        return listener.reply->finish();
+    }
+    const auto& answer = *result.answer;
+    // An answer without a single token has an empty body only when it was not assembled.
+    auto body = answer.body.empty() && answer.contentType == eventStreamType ? std::string("data: [DONE]\n\n") : answer.body;
+    listener.reply->send(answer.status, answerHeaders(flight.ticketText, answer.contentType), std::move(body));
+}
+
+// The request ends when nobody waits for it and nobody can ask for it again by a ticket of their own.
+void RequestPath::onCallerGone(const FlightPtr& flight, const HttpReply* reply)
+{
+    bool abandoned = false;
+    {
+        std::lock_guard lock(flight->mutex);
+        std::erase_if(flight->listeners, [reply](const Listener& listener) { return listener.reply.get() == reply; });
+        abandoned = !flight->result && flight->listeners.empty() && !flight->ticketByCaller && flight->request.spec.idempotent;
+    }
+    if (!abandoned)
+        return;
+    auto now = this->ports.clock();
+    {
+        std::lock_guard lock(this->decisions.mutex);
+        if (this->flights.find(flight->request.spec.id) == this->flights.end())
+            return;
+        this->decisions.scheduler.abandon(flight->request.spec.id, now);
+    }
+    this->fail(flight, { FailureKind::CallerGone, Disposition::Unknown, "the caller closed the connection", {} }, RunOutcome::Cancelled, now);
+}
+
+// A lost connection says little of the target: a check on a fresh connection decides whether the target is to blame.
+void RequestPath::checkHealth(TargetId target, std::string url, RequestKind /*kind*/)
+{
+    this->ports.background([this, target, url = std::move(url)] {
+        auto healthy = this->ports.engine.health(url);
+        {
+            std::lock_guard lock(this->decisions.mutex);
+            this->decisions.targets.onHealthCheck(target, healthy.value.value_or(false), this->ports.clock());
+        }
+        this->poke();
+    });
+}
+
+void RequestPath::summarize(const Flight& flight, const FinalResult& result, TimePoint now)
+{
+    if (!this->ports.observer.ended)
+        return;
+    const auto& spec = flight.request.spec;
+    RequestSummary summary;
+    summary.ticket = flight.ticketText;
+    summary.workspace = flight.workspace;
+    summary.model = flight.request.model;
+    summary.target = flight.dispatched ? std::string_view(flight.target.name) : std::string_view {};
+    summary.tier = spec.tier;
+    summary.queueTime = (flight.dispatched ? flight.dispatchedAt : now) - spec.arrival;
+    summary.firstToken = flight.firstTokenAt.value_or(now) - spec.arrival;
+    summary.total = now - spec.arrival;
+    summary.promptTokens = spec.promptTokens;
+    summary.cachedTokens = flight.cachedTokens;
+    summary.outputTokens = flight.tracker ? flight.tracker->received() : 0;
+    summary.dispatched = flight.dispatched;
+    summary.inTime = !result.failure && now <= spec.deadline;
+    summary.failure = result.failure ? &*result.failure : nullptr;
+    this->ports.observer.ended(summary);
+}
+
+// ---- Time
+
+void RequestPath::poke()
+{
+    auto now = this->ports.clock();
+    std::vector<Step> steps;
+    {
+        std::lock_guard lock(this->decisions.mutex);
+        steps = this->takeSteps(now);
+    }
+    this->carryOut(steps, now);
+}
+
+void RequestPath::runTimer(const std::atomic<bool>& stop)
+{
+    constexpr Duration longestSleep = std::chrono::milliseconds(500);
+    while (!stop) {
+        {
+            std::unique_lock lock(this->timerMutex);
+            auto until = this->ports.clock() + longestSleep;
+            while (!this->woken && !(this->wakeAt && *this->wakeAt <= this->ports.clock()) && this->ports.clock() < until) {
+                auto next = this->wakeAt ? std::min(*this->wakeAt, until) : until;
+                this->timerChanged.wait_until(lock, next);
+            }
+            this->woken = false;
+            this->wakeAt.reset();
+        }
+        this->poke();
+    }
+}
+
+void RequestPath::wakeTimer()
+{
+    std::lock_guard lock(this->timerMutex);
+    this->woken = true;
+    this->timerChanged.notify_one();
+}
+
+// ---- Stopping
+
+void RequestPath::stopAdmitting() { this->stopping = true; }
+
+size_t RequestPath::active() const
+{
+    std::lock_guard lock(this->decisions.mutex);
+    return this->flights.size() + this->forwards;
+}
+
+} // namespace guavapond
--- a/src/ports/Caller.h
+++ b/src/ports/Caller.h
@@ -51,11 +51,11 @@
     virtual ~HttpReply() = default;
 
     virtual void send(int status, std::span<const HttpHeader> headers, std::string body) = 0; // whole answer
-    virtual void start(int status, std::span<const HttpHeader> headers) = 0; // chunked answer
+    virtual void start(int status, std::span<const HttpHeader> headers) = 0;                  // chunked answer
     virtual void write(std::string_view data) = 0;
     virtual void finish() = 0;
-    virtual void abort() = 0; // closes the connection, so that a cut answer can't pass as whole
-    virtual bool isGone() const = 0; // the caller closed the connection
+    virtual void abort() = 0;                                // closes the connection, so that a cut answer can't pass as whole
+    virtual bool isGone() const = 0;                         // the caller closed the connection
     virtual void onGone(std::function<void()> callback) = 0; // at most once, on any thread
 };
 
--- a/src/ports/Peer.h
+++ b/src/ports/Peer.h
@@ -20,7 +20,7 @@
 };
 
 struct ForwardedChunk {
-    int status = 0; // first chunk only
+    int status = 0;                                           // first chunk only
     std::vector<std::pair<std::string, std::string>> headers; // first chunk only
     std::string data;
     bool last = false;
--- a/src/ports/Target.h
+++ b/src/ports/Target.h
@@ -17,10 +17,10 @@
 using Cancellation = std::function<void()>;
 
 struct EngineRequest {
-    std::string url; // base address of the target
-    std::string path; // /v1/chat/completions or /v1/completions
-    std::string requestId; // the ticket's text; every event of the answer has to carry it
-    std::string body; // JSON; the adapter asks the engine for a stream in any case
+    std::string url;           // base address of the target
+    std::string path;          // /v1/chat/completions or /v1/completions
+    std::string requestId;     // the ticket's text; every event of the answer has to carry it
+    std::string body;          // JSON; the adapter asks the engine for a stream in any case
     uint64_t resumeOffset = 0; // tokens already received; above 0: resume, never a second dispatch
     Duration connectTimeout = std::chrono::milliseconds(500);
     Duration firstByteTimeout = std::chrono::seconds(30);
@@ -29,14 +29,14 @@
 
 struct EngineEvent {
     enum class Kind : uint8_t {
-        Tokens, // data holds one event's JSON as the engine sent it
+        Tokens,     // data holds one event's JSON as the engine sent it
         Terminator, // [DONE]
-        Failed, // failure is set; the last event of a call
+        Failed,     // failure is set; the last event of a call
     };
     Kind kind = Kind::Tokens;
     std::string data;
     std::string streamId; // the id that the event names
-    uint64_t offset = 0; // tokens generated up to and with this event
+    uint64_t offset = 0;  // tokens generated up to and with this event
     std::optional<Failure> failure;
     bool sent = true; // Failed only. False: proved that no byte of the request left this node
 };
@@ -44,7 +44,7 @@
 struct EngineLoad {
     uint32_t running = 0; // requests
     uint32_t waiting = 0; // requests
-    Duration age {}; // µs since the engine measured it
+    Duration age {};      // µs since the engine measured it
 };
 
 struct CacheEvent {
@@ -78,7 +78,7 @@
     std::string contentType;
     std::string body;
     std::optional<Failure> failure; // set when no whole answer came
-    bool sent = true; // with failure. False: proved that no byte of the request left this node
+    bool sent = true;               // with failure. False: proved that no byte of the request left this node
 };
 
 struct Service {
