--- a/src/core/CostModel.h
+++ b/src/core/CostModel.h
@@ -19,13 +19,14 @@
 struct CostSettings {
     uint32_t defaultOutputTokens = 256; // tokens; until something is learned
     double learningRate = 0.05; // weight of a new observation
-    size_t maxLearnedKeys = 65536; // workspace and model pairs kept
+    size_t maxLearnedKeys = 65536; // combinations of workspace, model and tier kept
 };
 
 class CostModel {
 public:
     explicit CostModel(const CostSettings& settings);
 
+    // A call of a plain service counts as one output token: the decode rate of a service target is its calls per second.
     uint32_t expectedOutputTokens(const RequestSpec& request) const;
     Duration prefillTime(uint32_t uncachedTokens, const TokenRates& rates) const;
     Duration decodeTime(uint32_t outputTokens, const TokenRates& rates) const;
@@ -36,6 +37,7 @@
 private:
     CostSettings settings;
     std::unordered_map<uint64_t, double> learnedOutput; // tokens; bounded by maxLearnedKeys
+    std::unordered_map<uint32_t, double> modelOutput; // tokens, by model; used for workspaces without answers yet
 };
 
 } // namespace guavapond
--- a/src/core/PrefixIndex.h
+++ b/src/core/PrefixIndex.h
@@ -7,6 +7,9 @@
 
 #include "core/Types.h"
 
+#include <array>
+#include <unordered_map>
+
 namespace guavapond {
 
 constexpr uint32_t prefixBlockTokens = 256; // tokens in a block
@@ -20,6 +23,8 @@
     Duration entryLifetime = std::chrono::minutes(10); // without a use
     double gapTrust = 0.5; // factor on a target's trust for each gap in its events
     double minTrust = 0.1; // below it the target's entries are dropped
+    Duration eventLag = std::chrono::seconds(2); // a drop this soon after an own dispatch may be older than the dispatch
+    uint64_t reorderWindow = 1024; // events; a number further below the last one means that the target restarted its count
 };
 
 struct PrefixMatch {
@@ -41,7 +46,67 @@
     size_t size() const;
 
 private:
+    using Slot = uint32_t;
+    static constexpr Slot none = UINT32_MAX;
+
+    enum ListKind : uint8_t {
+        ByUse, // all entries, the last used first: eviction and expiry
+        ByTarget, // entries of one target, the last confirmed first: lost trust, forget()
+        ByBlock, // entries of one block, the last inserted first: find()
+        listKinds,
+    };
+    struct List {
+        Slot head = none;
+        Slot tail = none;
+        uint32_t count = 0;
+    };
+    struct Links {
+        Slot previous = none;
+        Slot next = none;
+    };
+    struct Entry {
+        uint64_t block = 0;
+        TimePoint lastUse {};
+        std::optional<TimePoint> lastDispatch {}; // by this node
+        TargetId target {};
+        uint32_t gapsAtConfirm = 0; // the target's gap count when a dispatch or an event last confirmed the entry
+        std::array<Links, listKinds> links {};
+    };
+    struct TargetEvents {
+        List entries;
+        uint64_t lastSeq = 0;
+        bool seenEvent = false;
+        uint32_t gaps = 0;
+    };
+    struct PairKey {
+        uint64_t block = 0;
+        TargetId target {};
+        bool operator==(const PairKey&) const = default;
+    };
+    struct PairHash {
+        size_t operator()(const PairKey& key) const { return key.block ^ (raw(key.target) * 0x9e3779b97f4a7c15ULL); }
+    };
+
+    TargetEvents& eventsOf(TargetId target);
+    void confirm(TargetId target, uint64_t block, bool dispatched, TimePoint now);
+    void remove(Slot slot);
+    void expire(TimePoint now);
+    void dropUntrusted(TargetId target);
+    double trust(const Entry& entry) const;
+    bool isUsable(const Entry& entry, TimePoint now) const;
+    Slot slotOf(TargetId target, uint64_t block) const;
+    uint32_t holders(uint64_t block) const;
+    uint32_t tokensAt(const Entry& entry, size_t depth) const;
+    void unlink(List& list, ListKind kind, Slot slot);
+    void pushFront(List& list, ListKind kind, Slot slot);
+
     PrefixSettings settings;
+    std::vector<Entry> entries; // invariant: at most maxEntries; slots in freeSlots hold no entry
+    std::vector<Slot> freeSlots;
+    List useOrder;
+    std::unordered_map<uint64_t, List> blocks;
+    std::unordered_map<PairKey, Slot, PairHash> pairs;
+    std::vector<TargetEvents> events; // by target id
 };
 
 } // namespace guavapond
--- a/src/core/Router.h
+++ b/src/core/Router.h
@@ -35,7 +35,7 @@
     Router(const RouterSettings& settings, TargetSet& targets, PrefixIndex& prefixes, CostModel& costs,
         std::function<uint64_t(uint64_t)> random);
 
-    void applyTable(const TableIndex& table, TimePoint now);
+    void applyTable(const TableIndex& table, TimePoint now); // after TargetSet::applyTable
     // Versions that must not be used now, by model: verdicts of this node or its peers.
     void setBlockedVersions(ModelId model, std::vector<std::string> versions);
 
@@ -43,15 +43,50 @@
     std::optional<Choice> pick(const RequestSpec& request, TimePoint now);
     // Least cost of the request on any usable target, whether a slot is free or not; none: no usable target.
     std::optional<Choice> estimate(const RequestSpec& request, TimePoint now);
+    // Why no request of the model can run anywhere now: every version with a share is blocked or has no usable target.
+    std::optional<Failure> unusable(ModelId model) const;
     // Sum of the windows of the model's usable targets: requests.
     uint32_t capacity(ModelId model, TimePoint now) const;
 
 private:
+    struct Version {
+        std::string name;
+        double percent = 0;
+        bool blocked = false;
+        uint32_t group = 0; // position in TargetSet::versionsOf()
+    };
+    struct ModelShares {
+        std::string name;
+        std::vector<Version> versions; // those with a share and with targets
+        std::optional<size_t> drawn; // version drawn for the next dispatch
+        bool shared = false; // the table states shares; otherwise all versions are alike
+    };
+    enum class Pool : uint8_t {
+        FreeShort,
+        FreeLong,
+        Usable,
+    };
+    struct Draw; // request being placed, with what is the same for all candidates
+
+    bool isUsable(ModelId model, const Version& version) const;
+    const VersionGroup& groupOf(ModelId model, const Version& version) const;
+    std::optional<size_t> drawVersion(ModelId model);
+    void applyBlocked(ModelShares& model);
+    std::optional<Choice> pickIn(const Draw& draw, const Version& version);
+    std::optional<Choice> best(const Draw& draw, const Version& version, Pool pool);
+    void sample(const VersionGroup::Sides& sides, std::vector<TargetId>& chosen);
+    Choice cost(const Draw& draw, TargetId target, uint32_t cachedTokens) const;
+    std::optional<Choice> only(const Draw& draw, TargetId target, bool needsSlot) const;
+    bool isShort(const Choice& choice) const;
+
     RouterSettings settings;
     TargetSet& targets;
     PrefixIndex& prefixes;
     CostModel& costs;
     std::function<uint64_t(uint64_t)> random;
+    std::vector<ModelShares> models; // by model id
+    std::unordered_map<std::string, std::vector<std::string>> blockedVersions; // by model name; ids may change with the table
+    std::vector<TargetId> candidates; // reused by each pick
 };
 
 } // namespace guavapond
