--- a/cmake/Programs.cmake
+++ b/cmake/Programs.cmake
@@ -7,7 +7,6 @@
 find_package(tomlplusplus REQUIRED)
 pkg_check_modules(GRPC REQUIRED IMPORTED_TARGET grpc++)
 pkg_check_modules(PROTOBUF REQUIRED IMPORTED_TARGET protobuf)
-pkg_check_modules(URCU REQUIRED IMPORTED_TARGET liburcu-memb)
 find_package(benchmark REQUIRED)
 
 add_library(guavapondRest INTERFACE)
@@ -24,8 +23,8 @@
 file(GLOB ADAPTER_SOURCES CONFIGURE_DEPENDS src/adapters/*.cpp)
 if(ADAPTER_SOURCES)
     add_library(guavapondAdapters STATIC ${ADAPTER_SOURCES})
-    target_link_libraries(guavapondAdapters PUBLIC guavapondCore guavapondRest prometheus-cpp::core log4cxx tomlplusplus::tomlplusplus
-        PkgConfig::URCU PRIVATE guavapondWarnings)
+    target_link_libraries(guavapondAdapters PUBLIC guavapondNode guavapondRest prometheus-cpp::core log4cxx tomlplusplus::tomlplusplus
+        PRIVATE guavapondWarnings)
     if(TARGET guavapondProto)
         target_link_libraries(guavapondAdapters PUBLIC guavapondProto)
     endif()
--- a/src/adapters/GrpcPeer.cpp
+++ b/src/adapters/GrpcPeer.cpp
@@ -49,13 +49,14 @@
 Failure failureOf(const grpc::Status& status, bool mayHaveRun)
 {
     auto disposition = mayHaveRun ? Disposition::Unknown : Disposition::NotRun;
-    return { FailureKind::OwnerUnreachable, disposition, "the other node does not answer: " + status.error_message(), std::chrono::seconds(1) };
+    return { FailureKind::OwnerUnreachable, disposition, "the other node does not answer: " + status.error_message(),
+        std::chrono::seconds(1) };
 }
 
 std::chrono::system_clock::time_point deadlineAfter(Duration timeout) { return std::chrono::system_clock::now() + timeout; }
 
-std::optional<Failure> forwardCall(
-    Channels& channels, std::string_view address, const ForwardedRequest& request, const std::function<bool(const ForwardedChunk&)>& onChunk)
+std::optional<Failure> forwardCall(Channels& channels, std::string_view address, const ForwardedRequest& request,
+    const std::function<bool(const ForwardedChunk&)>& onChunk)
 {
     node::ForwardRequest message;
     message.set_method(request.method);
@@ -130,7 +131,8 @@
     {
     }
 
-    grpc::Status Forward(grpc::ServerContext* context, const node::ForwardRequest* message, grpc::ServerWriter<node::ForwardChunk>* writer) override // NOLINT(readability-identifier-naming)
+    grpc::Status Forward(grpc::ServerContext* context, const node::ForwardRequest* message,
+        grpc::ServerWriter<node::ForwardChunk>* writer) override // NOLINT(readability-identifier-naming)
     {
         ForwardedRequest request;
         request.method = message->method();
@@ -153,13 +155,15 @@
         return grpc::Status::OK;
     }
 
-    grpc::Status Outcome(grpc::ServerContext* /*context*/, const node::OutcomeRequest* request, node::OutcomeReply* reply) override // NOLINT(readability-identifier-naming)
+    grpc::Status Outcome(grpc::ServerContext* /*context*/, const node::OutcomeRequest* request,
+        node::OutcomeReply* reply) override // NOLINT(readability-identifier-naming)
     {
         reply->set_json(this->handler.outcome(request->ticket()));
         return grpc::Status::OK;
     }
 
-    grpc::Status Table(grpc::ServerContext* /*context*/, const node::TableRequest* request, node::TableReply* reply) override // NOLINT(readability-identifier-naming)
+    grpc::Status Table(grpc::ServerContext* /*context*/, const node::TableRequest* request,
+        node::TableReply* reply) override // NOLINT(readability-identifier-naming)
     {
         auto version = this->handler.table(request->revision());
         if (!version)
@@ -184,9 +188,10 @@
 {
     auto channels = std::make_shared<Channels>(settings);
     Peer peer;
-    peer.forward = [channels](std::string_view address, const ForwardedRequest& request, const std::function<bool(const ForwardedChunk&)>& onChunk) {
-        return forwardCall(*channels, address, request, onChunk);
-    };
+    peer.forward
+        = [channels](std::string_view address, const ForwardedRequest& request, const std::function<bool(const ForwardedChunk&)>& onChunk) {
+              return forwardCall(*channels, address, request, onChunk);
+          };
     peer.outcome = [channels](std::string_view address, std::string_view ticket) { return outcomeCall(*channels, address, ticket); };
     peer.table = [channels](std::string_view address, uint64_t revision) { return tableCall(*channels, address, revision); };
     return peer;
--- a/src/core/AnswerAssembler.h
+++ b/src/core/AnswerAssembler.h
@@ -32,9 +32,9 @@
     size_t maxBytes;
     bool overflowed = false;
     size_t bytes = 0;
-    nlohmann::json head;                                      // id, created, model and what else the first event names
-    nlohmann::json usage;                                     // of the newest event that has it
-    nlohmann::json finishReason;                              // null until the engine gives one
+    nlohmann::json head;         // id, created, model and what else the first event names
+    nlohmann::json usage;        // of the newest event that has it
+    nlohmann::json finishReason; // null until the engine gives one
     std::string text;
     std::string reasoning;
     nlohmann::json toolCalls = nlohmann::json::array();
--- a/src/core/CostModel.h
+++ b/src/core/CostModel.h
@@ -18,8 +18,8 @@
 
 struct CostSettings {
     uint32_t defaultOutputTokens = 256; // tokens; until something is learned
-    double learningRate = 0.05; // weight of a new observation
-    size_t maxLearnedKeys = 65536; // combinations of workspace, model and tier kept
+    double learningRate = 0.05;         // weight of a new observation
+    size_t maxLearnedKeys = 65536;      // combinations of workspace, model and tier kept
 };
 
 class CostModel {
@@ -37,7 +37,7 @@
 private:
     CostSettings settings;
     std::unordered_map<uint64_t, double> learnedOutput; // tokens; bounded by maxLearnedKeys
-    std::unordered_map<uint32_t, double> modelOutput; // tokens, by model; used for workspaces without answers yet
+    std::unordered_map<uint32_t, double> modelOutput;   // tokens, by model; used for workspaces without answers yet
 };
 
 } // namespace guavapond
--- a/src/core/PrefixIndex.h
+++ b/src/core/PrefixIndex.h
@@ -21,9 +21,9 @@
 struct PrefixSettings {
     size_t maxEntries = 200000;                        // block and target pairs
     Duration entryLifetime = std::chrono::minutes(10); // without a use
-    double gapTrust = 0.5; // factor on a target's trust for each gap in its events
-    double minTrust = 0.1; // below it the target's entries are dropped
-    Duration eventLag = std::chrono::seconds(2); // a drop this soon after an own dispatch may be older than the dispatch
+    double gapTrust = 0.5;                             // factor on a target's trust for each gap in its events
+    double minTrust = 0.1;                             // below it the target's entries are dropped
+    Duration eventLag = std::chrono::seconds(2);       // a drop this soon after an own dispatch may be older than the dispatch
     uint64_t reorderWindow = 1024; // events; a number further below the last one means that the target restarted its count
 };
 
@@ -50,9 +50,9 @@
     static constexpr Slot none = UINT32_MAX;
 
     enum ListKind : uint8_t {
-        ByUse, // all entries, the last used first: eviction and expiry
+        ByUse,    // all entries, the last used first: eviction and expiry
         ByTarget, // entries of one target, the last confirmed first: lost trust, forget()
-        ByBlock, // entries of one block, the last inserted first: find()
+        ByBlock,  // entries of one block, the last inserted first: find()
         listKinds,
     };
     struct List {
--- a/src/core/Router.cpp
+++ b/src/core/Router.cpp
@@ -11,7 +11,7 @@
 // A version with at least this share may take what a full or unusable smaller version cannot; a smaller one never exceeds its share.
 constexpr double absorbingPercent = 50;
 constexpr uint64_t shareResolution = 1000000; // steps of a weighted draw
-constexpr double occupancySlowdown = 0.5; // decode time at a full window against an empty one, minus one
+constexpr double occupancySlowdown = 0.5;     // decode time at a full window against an empty one, minus one
 
 } // namespace
 
--- a/src/core/Router.h
+++ b/src/core/Router.h
@@ -58,8 +58,8 @@
     struct ModelShares {
         std::string name;
         std::vector<Version> versions; // those with a share and with targets
-        std::optional<size_t> drawn; // version drawn for the next dispatch
-        bool shared = false; // the table states shares; otherwise all versions are alike
+        std::optional<size_t> drawn;   // version drawn for the next dispatch
+        bool shared = false;           // the table states shares; otherwise all versions are alike
     };
     enum class Pool : uint8_t {
         FreeShort,
@@ -84,9 +84,9 @@
     PrefixIndex& prefixes;
     CostModel& costs;
     std::function<uint64_t(uint64_t)> random;
-    std::vector<ModelShares> models; // by model id
+    std::vector<ModelShares> models;                                           // by model id
     std::unordered_map<std::string, std::vector<std::string>> blockedVersions; // by model name; ids may change with the table
-    std::vector<TargetId> candidates; // reused by each pick
+    std::vector<TargetId> candidates;                                          // reused by each pick
 };
 
 } // namespace guavapond
--- a/src/core/StreamTracker.h
+++ b/src/core/StreamTracker.h
@@ -14,21 +14,21 @@
 namespace guavapond {
 
 struct StreamSettings {
-    Duration firstByteTimeout = std::chrono::seconds(30); // from the start of each call
+    Duration firstByteTimeout = std::chrono::seconds(30);    // from the start of each call
     Duration betweenTokensTimeout = std::chrono::seconds(5); // since the last new token
-    uint32_t maxResumes = 2; // per request
+    uint32_t maxResumes = 2;                                 // per request
 };
 
 struct StreamStep {
     enum class Kind : uint8_t {
         Forward, // pass the event on to the caller
-        Drop, // ignore it
-        Resume, // close this call and open the next one after `offset` tokens
-        Finish, // the answer is whole
-        Cut, // it ended early: `failure` says why
+        Drop,    // ignore it
+        Resume,  // close this call and open the next one after `offset` tokens
+        Finish,  // the answer is whole
+        Cut,     // it ended early: `failure` says why
     };
     Kind kind = Kind::Drop;
-    uint64_t offset = 0; // Resume: tokens already forwarded
+    uint64_t offset = 0;            // Resume: tokens already forwarded
     std::optional<Failure> failure; // Cut; Resume: why the call ended
 };
 
@@ -45,9 +45,9 @@
     StreamStep onTime(TimePoint now); // Drop before the deadline
 
     uint32_t call() const { return this->currentCall; } // from 0; each resume adds one
-    uint64_t received() const { return this->tokens; } // tokens forwarded
+    uint64_t received() const { return this->tokens; }  // tokens forwarded
     bool ended() const { return this->over; }
-    std::optional<TimePoint> deadline() const; // none once ended
+    std::optional<TimePoint> deadline() const;               // none once ended
     uint64_t foreignEvents() const { return this->foreign; } // events of other requests, dropped
 
 private:
--- a/src/core/TargetSet.cpp
+++ b/src/core/TargetSet.cpp
@@ -12,9 +12,9 @@
 
 constexpr uint32_t paceOverheadTokens = 256; // tokens; damps the fixed part of the time to a first token for short prompts
 constexpr uint32_t leastPrefillTokens = 128; // tokens; shorter prompts tell little about the prefill rate
-constexpr uint32_t leastObservations = 5; // observations of a target before its speed is compared
-constexpr double negligibleLoad = 0.05; // requests; a load report below it is dropped
-constexpr int stableIntervals = 4; // probe intervals without a new ejection after which the interval starts over
+constexpr uint32_t leastObservations = 5;    // observations of a target before its speed is compared
+constexpr double negligibleLoad = 0.05;      // requests; a load report below it is dropped
+constexpr int stableIntervals = 4;           // probe intervals without a new ejection after which the interval starts over
 
 double halved(double value, Duration age, Duration halfLife)
 {
--- a/src/core/TargetSet.h
+++ b/src/core/TargetSet.h
@@ -30,14 +30,14 @@
     uint32_t ejectFailures = 3;                                 // consecutive failures: ejected
     Duration firstProbe = std::chrono::seconds(1);              // after ejection; doubles up to maxProbe
     Duration maxProbe = std::chrono::seconds(30);
-    Duration loadHalfLife = std::chrono::milliseconds(500); // a report counts half at this age
-    double learningRate = 0.1; // weight of a new speed observation
+    Duration loadHalfLife = std::chrono::milliseconds(500);       // a report counts half at this age
+    double learningRate = 0.1;                                    // weight of a new speed observation
     Duration evaluationInterval = std::chrono::milliseconds(250); // between comparisons of a model's targets
-    Duration windowCooldown = std::chrono::seconds(1); // between two decreases of a window
-    double recoverRatio = 2.0; // below it a suspect target is healthy again; under stragglerRatio for hysteresis
-    double suspectWindow = 0.5; // factor on the window of a suspect target
+    Duration windowCooldown = std::chrono::seconds(1);            // between two decreases of a window
+    double recoverRatio = 2.0;   // below it a suspect target is healthy again; under stragglerRatio for hysteresis
+    double suspectWindow = 0.5;  // factor on the window of a suspect target
     uint32_t probeSuccesses = 2; // requests in sequence that readmit a probed target
-    double engineFloor = 1.25; // the token time goal is at least this times the best token time seen of the target
+    double engineFloor = 1.25;   // the token time goal is at least this times the best token time seen of the target
 };
 
 enum class TargetHealth : uint8_t {
@@ -53,11 +53,11 @@
     ModelId model {};
     TargetHealth health = TargetHealth::Healthy;
     bool draining = false;
-    bool local = true;         // in this node's failure domain
-    uint32_t window = 0;       // requests
-    uint32_t running = 0;      // requests from this node
-    double foreignRunning = 0; // requests of other nodes, from load reports, discounted by age
-    Duration backlog {}; // µs of engine time of what runs from this node
+    bool local = true;          // in this node's failure domain
+    uint32_t window = 0;        // requests
+    uint32_t running = 0;       // requests from this node
+    double foreignRunning = 0;  // requests of other nodes, from load reports, discounted by age
+    Duration backlog {};        // µs of engine time of what runs from this node
     Duration pendingPrefill {}; // µs of prefill of what this node sent and has no first token yet
     TokenRates rates;
 };
@@ -67,10 +67,10 @@
 struct VersionGroup {
     using Sides = std::array<std::vector<TargetId>, 2>; // [0] local, [1] remote
     std::string version;
-    Sides usable; // healthy, suspect or probing, and not draining
-    Sides freeShort; // a slot is free for short work
-    Sides freeLong; // a slot is free for any work
-    uint32_t members = 0; // targets, usable or not
+    Sides usable;           // healthy, suspect or probing, and not draining
+    Sides freeShort;        // a slot is free for short work
+    Sides freeLong;         // a slot is free for any work
+    uint32_t members = 0;   // targets, usable or not
     uint32_t windowSum = 0; // requests; windows of the usable targets
 
     bool isUsable() const { return !this->usable[0].empty() || !this->usable[1].empty(); }
@@ -91,7 +91,7 @@
     void onFinished(RequestId request, RunOutcome outcome, TimePoint now);
     void onLoadReport(TargetId target, uint32_t running, uint32_t waiting, Duration age, TimePoint now);
     void onHealthCheck(TargetId target, bool healthy, TimePoint now); // result of a check on a fresh connection
-    void onRestarted(TargetId target, TimePoint now); // forgets speed and window; the target's cache is gone
+    void onRestarted(TargetId target, TimePoint now);                 // forgets speed and window; the target's cache is gone
     void refresh(TimePoint now); // applies what changes with time alone: load reports that faded, probes that are due
     // Called with each target whose cache and speed are void: restarted, readdressed or removed.
     void setForgetHook(std::function<void(TargetId)> hook) { this->forgetHook = std::move(hook); }
@@ -125,11 +125,11 @@
     // What is learned of a running target process; reset when it restarts.
     struct Learned {
         TokenRates rates;
-        Average prefillSeconds; // s for each uncached token
-        Average tokenSeconds; // s for each output token
-        Average pace; // s to the first token, for each uncached token and paceOverheadTokens
+        Average prefillSeconds;      // s for each uncached token
+        Average tokenSeconds;        // s for each output token
+        Average pace;                // s to the first token, for each uncached token and paceOverheadTokens
         double bestTokenSeconds = 0; // s; 0: unknown
-        double window = 0; // requests
+        double window = 0;           // requests
         TimePoint lastDecrease = TimePoint::min();
     };
     struct Load {
@@ -152,14 +152,14 @@
         bool present = false;
         bool local = true;
         bool draining = false; // by the table
-        bool leaving = false; // by the VM list
+        bool leaving = false;  // by the VM list
         uint32_t maxRunning = 0;
 
-        uint32_t running = 0; // requests from this node
+        uint32_t running = 0;     // requests from this node
         uint32_t runningLong = 0; // those that are not short work
         Duration backlog {};
         Duration pendingPrefill {}; // of requests without a first token
-        double peakRunning = 0; // highest running count, fading with loadHalfLife
+        double peakRunning = 0;     // highest running count, fading with loadHalfLife
         TimePoint peakTime {};
         std::optional<Load> load;
         Learned learned;
@@ -167,14 +167,14 @@
         TargetHealth health = TargetHealth::Healthy;
         EjectReason reason = EjectReason::Failures;
         uint32_t consecutiveFailures = 0;
-        uint32_t pendingLost = 0; // connections lost, to be judged by the next health check
+        uint32_t pendingLost = 0;     // connections lost, to be judged by the next health check
         uint32_t pendingTimeouts = 0; // requests timed out, to be judged by the next health check
-        uint32_t probePassed = 0; // successes in sequence while Probing
+        uint32_t probePassed = 0;     // successes in sequence while Probing
         Duration probeInterval {};
         TimePoint nextProbe {};
         TimePoint readmitted {};
 
-        uint32_t group = 0; // position in groups
+        uint32_t group = 0;         // position in groups
         uint32_t countedWindow = 0; // part of the group's windowSum
         std::array<uint32_t, listNames> position { unlisted, unlisted, unlisted };
         std::optional<TimePoint> wake; // earliest entry in wakes
@@ -242,10 +242,10 @@
 
     TargetSettings settings;
     std::string failureDomain;
-    std::vector<Target> targets; // by target id; holes are not present
-    std::vector<Model> models; // by model id
-    std::vector<VersionGroup> groups; // those of one model stand together
-    std::unordered_map<uint64_t, Run> runs; // by request id
+    std::vector<Target> targets;                                        // by target id; holes are not present
+    std::vector<Model> models;                                          // by model id
+    std::vector<VersionGroup> groups;                                   // those of one model stand together
+    std::unordered_map<uint64_t, Run> runs;                             // by request id
     std::priority_queue<Wake, std::vector<Wake>, std::greater<>> wakes; // may hold entries that were overtaken
     std::function<void(TargetId)> forgetHook;
 };
--- a/src/core/TicketLedger.cpp
+++ b/src/core/TicketLedger.cpp
@@ -110,6 +110,15 @@
     return true;
 }
 
+bool TicketLedger::revertUnsent(const Ticket& ticket)
+{
+    auto* record = find(ticket);
+    if (!record || record->state != TicketState::Dispatched)
+        return false;
+    record->state = TicketState::Queued;
+    return true;
+}
+
 void TicketLedger::finish(const Ticket& ticket, StoredAnswer answer, TimePoint now)
 {
     Record* record = find(ticket);
--- a/src/core/TicketLedger.h
+++ b/src/core/TicketLedger.h
@@ -86,7 +86,10 @@
     Claim claim(const Ticket& ticket, uint64_t requestDigest, TimePoint now);
 
     // ---- Transitions
-    bool startDispatch(const Ticket& ticket, TimePoint now);                  // true exactly once per ticket; only from Queued
+    bool startDispatch(const Ticket& ticket, TimePoint now); // true exactly once per ticket; only from Queued
+    // Back to Queued, so that the request can go to another target. Only with the adapter's proof that no byte of it left this node:
+    // nothing was dispatched then. False unless it is in Dispatched.
+    bool revertUnsent(const Ticket& ticket);
     void finish(const Ticket& ticket, StoredAnswer answer, TimePoint now);    // ran; ignored once the ticket has ended
     bool giveUp(const Ticket& ticket, const Failure& failure, TimePoint now); // false once dispatch has started
     void lose(const Ticket& ticket, const Failure& failure, TimePoint now);   // dispatched, end not seen: unknown
--- a/src/node/RequestPath.cpp
+++ b/src/node/RequestPath.cpp
@@ -156,7 +156,9 @@
     if (parsed->ticket.empty()) {
         if (!parsed->spec.idempotent) {
             return this->refuse(reply,
-                notRun(FailureKind::TicketRequired, "a call that is not idempotent needs a ticket: POST /v1/tickets, then send it as " + std::string(ticketHeader)), {});
+                notRun(FailureKind::TicketRequired,
+                    "a call that is not idempotent needs a ticket: POST /v1/tickets, then send it as " + std::string(ticketHeader)),
+                {});
         }
         return this->admit(std::move(*parsed), std::nullopt, reply, now);
     }
@@ -165,7 +167,8 @@
         return this->refuse(reply, *ticket.reason, {});
     if (ticket->owner.node != this->decisions.ledger.identity().node) {
         if (request.header(forwardedHeader))
-            return this->refuse(reply, { FailureKind::OutcomeUnknown, Disposition::Unknown, "this node does not own the ticket", {} }, parsed->ticket);
+            return this->refuse(
+                reply, { FailureKind::OutcomeUnknown, Disposition::Unknown, "this node does not own the ticket", {} }, parsed->ticket);
         return this->forward(request, *ticket, reply);
     }
     this->admit(std::move(*parsed), *ticket, reply, now);
@@ -286,8 +289,8 @@
     reply->onGone([this, running, raw = reply.get()] { this->onCallerGone(running, raw); });
 }
 
-void RequestPath::answerClaim(
-    const Claim& claim, const CallerRequest& request, const std::string& text, const FlightPtr& running, const std::shared_ptr<HttpReply>& reply)
+void RequestPath::answerClaim(const Claim& claim, const CallerRequest& request, const std::string& text, const FlightPtr& running,
+    const std::shared_ptr<HttpReply>& reply)
 {
     if (claim.kind == Claim::Kind::Attach) {
         if (running)
@@ -310,7 +313,8 @@
         std::lock_guard lock(flight->mutex);
         bool canWait = flight->request.spec.kind == RequestKind::Service || flight->assembler.has_value();
         if (!canWait && !flight->result) {
-            Failure failure { FailureKind::Conflict, Disposition::Unknown, "the request runs for another connection and its answer is not kept", attachRetryAfter };
+            Failure failure { FailureKind::Conflict, Disposition::Unknown,
+                "the request runs for another connection and its answer is not kept", attachRetryAfter };
             return this->refuse(reply, failure, flight->ticketText);
         }
         if (flight->result)
@@ -334,7 +338,8 @@
     if (this->forwards.fetch_add(1) >= this->settings.maxForwards) {
         --this->forwards;
         // The owner was not asked, so nothing is known of an earlier call under this ticket.
-        return this->refuse(reply, { FailureKind::OwnerUnreachable, Disposition::Unknown, "too many requests for other nodes", attachRetryAfter }, text);
+        return this->refuse(
+            reply, { FailureKind::OwnerUnreachable, Disposition::Unknown, "too many requests for other nodes", attachRetryAfter }, text);
     }
     ForwardedRequest message { request.method, request.target, request.headers, request.body };
     message.headers.emplace_back(forwardedHeader, "1");
@@ -439,7 +444,8 @@
             this->fail(step.flight, step.action.failure.value_or(notRun(FailureKind::Shed, "refused")), RunOutcome::Cancelled, now);
             break;
         case Action::Kind::CancelRunning:
-            this->fail(step.flight, step.action.failure.value_or(Failure { FailureKind::Shed, Disposition::Unknown, "cancelled", {} }), RunOutcome::Cancelled, now);
+            this->fail(step.flight, step.action.failure.value_or(Failure { FailureKind::Shed, Disposition::Unknown, "cancelled", {} }),
+                RunOutcome::Cancelled, now);
             break;
         }
     }
@@ -466,7 +472,8 @@
     request.resumeOffset = resumeOffset;
     request.firstByteTimeout = this->settings.streams.firstByteTimeout;
     request.betweenTokensTimeout = this->settings.streams.betweenTokensTimeout;
-    auto cancel = this->ports.engine.generate(std::move(request), [this, flight, call](EngineEvent event) { this->onEngineEvent(flight, call, event); });
+    auto cancel = this->ports.engine.generate(
+        std::move(request), [this, flight, call](EngineEvent event) { this->onEngineEvent(flight, call, event); });
     bool ended = false;
     {
         std::lock_guard lock(flight->mutex);
@@ -488,8 +495,10 @@
     request.requestId = flight->ticketText;
     request.contentType = flight->request.contentType;
     request.body = flight->request.body;
-    request.timeout = std::chrono::duration_cast<Duration>(std::max(flight->request.spec.deadline - flight->dispatchedAt, callbackTimerSlack));
-    auto cancel = this->ports.service.call(std::move(request), [this, flight](ServiceAnswer answer) { this->onServiceAnswer(flight, answer); });
+    request.timeout
+        = std::chrono::duration_cast<Duration>(std::max(flight->request.spec.deadline - flight->dispatchedAt, callbackTimerSlack));
+    auto cancel
+        = this->ports.service.call(std::move(request), [this, flight](ServiceAnswer answer) { this->onServiceAnswer(flight, answer); });
     std::lock_guard lock(flight->mutex);
     if (!flight->result)
         flight->cancelCall = cancel;
@@ -743,7 +752,8 @@
             return;
         this->decisions.scheduler.abandon(flight->request.spec.id, now);
     }
-    this->fail(flight, { FailureKind::CallerGone, Disposition::Unknown, "the caller closed the connection", {} }, RunOutcome::Cancelled, now);
+    this->fail(
+        flight, { FailureKind::CallerGone, Disposition::Unknown, "the caller closed the connection", {} }, RunOutcome::Cancelled, now);
 }
 
 // A lost connection says little of the target: a check on a fresh connection decides whether the target is to blame.
--- a/src/node/RequestPath.h
+++ b/src/node/RequestPath.h
@@ -28,10 +28,10 @@
 struct RequestPathSettings {
     CallerSettings callers;
     StreamSettings streams;
-    size_t answerBytes = size_t(1) << 20;                           // bytes of an answer kept for other callers of its ticket
-    uint32_t tokensPerReport = 8;                                   // tokens between two reports of a stream to the scheduler
-    size_t maxForwards = 256;                                       // requests at a time passed on to other nodes
-    Duration stoppingRetryAfter = std::chrono::milliseconds(200);   // another node takes the request at once
+    size_t answerBytes = size_t(1) << 20;                         // bytes of an answer kept for other callers of its ticket
+    uint32_t tokensPerReport = 8;                                 // tokens between two reports of a stream to the scheduler
+    size_t maxForwards = 256;                                     // requests at a time passed on to other nodes
+    Duration stoppingRetryAfter = std::chrono::milliseconds(200); // another node takes the request at once
 };
 
 struct RequestPathPorts {
@@ -39,8 +39,8 @@
     Service service;
     Peer peer;
     std::function<TimePoint()> clock;
-    std::function<void(std::function<void()>)> background;                         // runs a task that may block
-    std::function<std::optional<std::string>(std::string_view node)> peerAddress;  // of another node; none: not known
+    std::function<void(std::function<void()>)> background;                        // runs a task that may block
+    std::function<std::optional<std::string>(std::string_view node)> peerAddress; // of another node; none: not known
     Observer observer;
 };
 
@@ -60,7 +60,7 @@
     // ---- Time
     void runTimer(const std::atomic<bool>& stop); // on a thread of its own, until `stop` and wakeTimer()
     void wakeTimer();
-    void poke();                                  // after a change of targets or table: carries out what has become possible
+    void poke(); // after a change of targets or table: carries out what has become possible
 
     // ---- Stopping
     void stopAdmitting();
@@ -77,7 +77,8 @@
 
     // ---- Admission
     void admit(CallerRequest request, const std::optional<Ticket>& ticket, const std::shared_ptr<HttpReply>& reply, TimePoint now);
-    void answerClaim(const Claim& claim, const CallerRequest& request, const std::string& text, const FlightPtr& running, const std::shared_ptr<HttpReply>& reply);
+    void answerClaim(const Claim& claim, const CallerRequest& request, const std::string& text, const FlightPtr& running,
+        const std::shared_ptr<HttpReply>& reply);
     void attach(const FlightPtr& flight, const std::shared_ptr<HttpReply>& reply);
     void forward(const HttpRequest& request, const Ticket& ticket, const std::shared_ptr<HttpReply>& reply);
     void refuse(const std::shared_ptr<HttpReply>& reply, const Failure& failure, std::string_view ticket);
--- a/src/node/Snapshot.h
+++ b/src/node/Snapshot.h
@@ -26,8 +26,7 @@
 };
 
 // Invariant: `current` is never null, and a version is deleted only after every reader that may hold it has left read().
-template <typename T>
-class Snapshot {
+template <typename T> class Snapshot {
 public:
     explicit Snapshot(std::unique_ptr<const T> first)
         : current(first.release())
@@ -38,8 +37,7 @@
     Snapshot& operator=(const Snapshot&) = delete;
 
     // `reader` must not block and must not keep a reference to its argument.
-    template <typename Reader>
-    auto read(Reader&& reader) const
+    template <typename Reader> auto read(Reader&& reader) const
     {
         RcuThread::ensure();
         urcu_memb_read_lock();
--- a/tests/core/AnswerAssemblerTest.cpp
+++ b/tests/core/AnswerAssemblerTest.cpp
@@ -10,7 +10,10 @@
 
 std::string chatEvent(const std::string& text, const Json& finish = nullptr)
 {
-    return Json { { "id", "cmpl-1" }, { "model", "m" }, { "choices", { { { "index", 0 }, { "delta", { { "content", text } } }, { "finish_reason", finish } } } } }.dump();
+    return Json {
+        { "id", "cmpl-1" }, { "model", "m" },
+        { "choices", { { { "index", 0 }, { "delta", { { "content", text } } }, { "finish_reason", finish } } } }
+    }.dump();
 }
 
 } // namespace
@@ -31,7 +34,8 @@
 TEST(AnswerAssembler, JoinsToolCallArgumentsByIndex)
 {
     AnswerAssembler assembler(true, 1000);
-    CHECK(assembler.add(R"({"choices":[{"delta":{"tool_calls":[{"index":1,"id":"b","function":{"name":"find","arguments":"{\"a\""}}]}}]})"));
+    CHECK(
+        assembler.add(R"({"choices":[{"delta":{"tool_calls":[{"index":1,"id":"b","function":{"name":"find","arguments":"{\"a\""}}]}}]})"));
     CHECK(assembler.add(R"({"choices":[{"delta":{"tool_calls":[{"index":1,"function":{"arguments":":1}"}}]}}]})"));
     auto calls = Json::parse(assembler.answer())["choices"][0]["message"]["tool_calls"];
     STRCMP_EQUAL("{\"a\":1}", calls[1]["function"]["arguments"].get<std::string>().c_str());
--- a/tests/core/TicketLedgerTest.cpp
+++ b/tests/core/TicketLedgerTest.cpp
@@ -119,6 +119,21 @@
     CHECK(ledger.outcome(ticket, start).disposition == Disposition::Ran);
 }
 
+// An unsent request may go to another target; a sent one must not.
+TEST(TicketLedger, OnlyAnUnsentDispatchGoesBackToTheQueue)
+{
+    TicketLedger ledger(self, smallSettings());
+    Ticket ticket = dispatchNew(ledger, 1);
+    CHECK(ledger.revertUnsent(ticket));
+    CHECK(!ledger.revertUnsent(ticket));
+    CHECK(ledger.startDispatch(ticket, start));
+    ledger.finish(ticket, answerOf(1), start);
+    CHECK(!ledger.revertUnsent(ticket));
+    Ticket lost = dispatchNew(ledger, 2);
+    ledger.lose(lost, cut, start);
+    CHECK(!ledger.revertUnsent(lost));
+}
+
 // A lost run may have had its effect: it never becomes "not run", finished or runnable.
 TEST(TicketLedger, ALostRunStaysUnknown)
 {
