--- /dev/null
+++ b/tests/node/RequestPathTest.cpp
@@ -0,0 +1,255 @@
+// Guards the path of a request against double dispatch, answers that are cut, crossed or passed as whole, and untrue refusals.
+#include "PathHarness.h"
+
+using namespace guavapond;
+
+TEST_GROUP(RequestPath) { PathHarness harness; };
+
+TEST(RequestPath, StreamsTheWholeAnswerAndItsTerminator)
+{
+    auto reply = harness.serve(PathHarness::chat());
+    CHECK_EQUAL(1U, harness.engineCalls.size());
+    auto& call = *harness.engineCalls.front();
+    call.token(1, "Two");
+    CHECK_EQUAL(200, reply->status);
+    CHECK(reply->header("Guavapond-Ticket") == call.request.requestId);
+    call.token(2, " hours");
+    CHECK(!reply->finished);
+    call.done();
+    CHECK(reply->finished);
+    CHECK(reply->body.ends_with("data: [DONE]\n\n"));
+    CHECK_EQUAL(0U, harness.path->active());
+    CHECK(harness.inTime == std::vector<bool> { true });
+}
+
+TEST(RequestPath, PutsTheAnswerTogetherForACallerWithoutStream)
+{
+    auto reply = harness.serve(PathHarness::chat(false));
+    auto& call = *harness.engineCalls.front();
+    call.token(1, "Two");
+    call.token(2, " hours");
+    CHECK_EQUAL(0, reply->status);
+    call.done();
+    CHECK_EQUAL(200, reply->status);
+    CHECK(reply->json()["choices"][0]["message"]["content"] == "Two hours");
+}
+
+// P4: a token of another request must never reach this caller, and a stream that ends early must not look whole.
+TEST(RequestPath, DropsCrossedTokensAndReportsACut)
+{
+    auto reply = harness.serve(PathHarness::chat());
+    auto& call = *harness.engineCalls.front();
+    call.token(1, "mine");
+    call.token(2, "theirs", "another-request");
+    call.token(2, "mine too");
+    CHECK(reply->body.find("theirs") == std::string::npos);
+    for (int i = 0; i < 3; ++i) // the first failures lead to a resume at the offset
+        harness.engineCalls.back()->fail(FailureKind::TargetFailed, Disposition::Unknown, true);
+    CHECK(reply->finished);
+    CHECK(reply->body.find("event: error") != std::string::npos);
+    CHECK(reply->body.find("[DONE]") == std::string::npos);
+}
+
+TEST(RequestPath, ResumesABrokenStreamAtItsOffsetOnce)
+{
+    auto reply = harness.serve(PathHarness::chat());
+    harness.engineCalls[0]->token(1, "a");
+    harness.engineCalls[0]->token(2, "b");
+    harness.engineCalls[0]->fail(FailureKind::TargetFailed, Disposition::Unknown, true);
+    CHECK_EQUAL(2U, harness.engineCalls.size());
+    auto& resumed = *harness.engineCalls[1];
+    CHECK_EQUAL(2U, resumed.request.resumeOffset);
+    CHECK(resumed.request.url == harness.engineCalls[0]->request.url);
+    harness.engineCalls[0]->token(3, "late");
+    resumed.token(3, "c");
+    resumed.done();
+    CHECK(reply->body.find("late") == std::string::npos);
+    CHECK(reply->body.ends_with("data: [DONE]\n\n"));
+}
+
+// P1: a request that may have reached a target is never sent to another one.
+TEST(RequestPath, ASentRequestIsNotSentAgain)
+{
+    auto reply = harness.serve(PathHarness::chat());
+    harness.engineCalls[0]->fail(FailureKind::TargetFailed, Disposition::Unknown, true);
+    harness.pass(std::chrono::seconds(1));
+    CHECK_EQUAL(1U, harness.engineCalls.size());
+    CHECK_EQUAL(502, reply->status);
+    CHECK(reply->disposition() == "unknown");
+}
+
+TEST(RequestPath, AnUnsentRequestGoesToAnotherTarget)
+{
+    auto reply = harness.serve(PathHarness::chat());
+    auto first = harness.engineCalls[0]->request.url;
+    harness.engineCalls[0]->fail(FailureKind::TargetFailed, Disposition::NotRun, false);
+    harness.pass(std::chrono::seconds(1));
+    CHECK_EQUAL(2U, harness.engineCalls.size());
+    harness.engineCalls[1]->token(1, "ok");
+    harness.engineCalls[1]->done();
+    CHECK_EQUAL(200, reply->status);
+    CHECK(first != harness.engineCalls[1]->request.url);
+}
+
+// P6: a retry under the same ticket gets the first run's answer, whatever connection it comes on.
+TEST(RequestPath, ANonIdempotentCallRunsOnceAcrossRetries)
+{
+    auto refused = harness.serve(PathHarness::certificate(""));
+    CHECK_EQUAL(428, refused->status);
+    CHECK(refused->disposition() == "not_run");
+    auto ticket = harness.mint();
+    auto first = harness.serve(PathHarness::certificate(ticket));
+    CHECK_EQUAL(1U, harness.serviceCalls.size());
+    first->leave();
+    auto second = harness.serve(PathHarness::certificate(ticket));
+    CHECK_EQUAL(1U, harness.serviceCalls.size());
+    harness.serviceCalls[0].second({ 201, "application/json", "{\"certificate\":1}", std::nullopt, true });
+    CHECK_EQUAL(201, second->status);
+    auto third = harness.serve(PathHarness::certificate(ticket));
+    CHECK_EQUAL(201, third->status);
+    CHECK(third->body == second->body);
+    CHECK_EQUAL(1U, harness.serviceCalls.size());
+}
+
+TEST(RequestPath, AnotherBodyUnderTheSameTicketIsRefused)
+{
+    auto ticket = harness.mint();
+    harness.serve(PathHarness::certificate(ticket));
+    auto other = harness.serve(PathHarness::certificate(ticket, "{\"paint\":\"B2\"}"));
+    CHECK_EQUAL(409, other->status);
+    CHECK_EQUAL(1U, harness.serviceCalls.size());
+}
+
+TEST(RequestPath, ALostServiceCallStaysUnknown)
+{
+    auto ticket = harness.mint();
+    auto reply = harness.serve(PathHarness::certificate(ticket));
+    ServiceAnswer lost;
+    lost.failure = Failure { FailureKind::TargetFailed, Disposition::Unknown, "connection lost", {} };
+    harness.serviceCalls[0].second(lost);
+    CHECK(reply->disposition() == "unknown");
+    auto again = harness.serve(PathHarness::certificate(ticket));
+    CHECK(again->disposition() == "unknown");
+    CHECK_EQUAL(1U, harness.serviceCalls.size());
+}
+
+TEST(RequestPath, AStreamingCallerThatLeavesFreesTheTarget)
+{
+    auto reply = harness.serve(PathHarness::chat());
+    harness.engineCalls[0]->token(1, "a");
+    reply->leave();
+    CHECK(harness.engineCalls[0]->cancelled);
+    CHECK_EQUAL(0U, harness.path->active());
+}
+
+TEST(RequestPath, ATicketOfAnotherNodeIsForwardedToItsOwner)
+{
+    auto request = PathHarness::chat();
+    request.headers.emplace_back("Guavapond-Ticket", ticketText({ { "n2", 9 }, 4, false }));
+    auto reply = harness.serve(request);
+    harness.runTasks();
+    CHECK_EQUAL(200, reply->status);
+    CHECK_EQUAL(1U, harness.forwarded.size());
+    CHECK_EQUAL(0U, harness.engineCalls.size());
+}
+
+// P5: nothing is known when the owner does not answer, so "not run" must not be said.
+TEST(RequestPath, AnUnreachableOwnerIsNotReportedAsNotRun)
+{
+    harness.peerFailure = Failure { FailureKind::OwnerUnreachable, Disposition::Unknown, "down", std::chrono::seconds(1) };
+    auto request = PathHarness::chat();
+    request.headers.emplace_back("Guavapond-Ticket", ticketText({ { "n2", 9 }, 4, false }));
+    auto reply = harness.serve(request);
+    harness.runTasks();
+    CHECK(reply->disposition() == "unknown");
+}
+
+TEST(RequestPath, ATicketOfAnEarlierIncarnationIsUnknownAndNeverRuns)
+{
+    auto request = PathHarness::chat();
+    request.headers.emplace_back("Guavapond-Ticket", ticketText({ { "n1", 6 }, 4, false }));
+    auto reply = harness.serve(request);
+    CHECK(reply->disposition() == "unknown");
+    CHECK_EQUAL(0U, harness.engineCalls.size());
+}
+
+// P8: work that was admitted goes on; new work is refused as not run.
+TEST(RequestPath, AStoppingNodeFinishesWhatItHas)
+{
+    auto reply = harness.serve(PathHarness::chat());
+    harness.engineCalls[0]->token(1, "a");
+    harness.path->stopAdmitting();
+    auto refused = harness.serve(PathHarness::chat());
+    CHECK_EQUAL(503, refused->status);
+    CHECK(refused->errorType() == "stopping");
+    CHECK(refused->disposition() == "not_run");
+    CHECK_EQUAL(1U, harness.path->active());
+    harness.engineCalls[0]->done();
+    CHECK(reply->finished);
+    CHECK_EQUAL(0U, harness.path->active());
+}
+
+// A request that is given up on is answered at once, with the time to come back.
+TEST(RequestPath, AQueuedRequestPastItsDeadlineIsAnsweredAsNotRun)
+{
+    std::vector<std::shared_ptr<FakeReply>> replies;
+    for (int i = 0; i < 60; ++i) {
+        auto request = PathHarness::chat(true, "question " + std::to_string(i));
+        request.headers.emplace_back("Guavapond-Deadline-Ms", "60000");
+        replies.push_back(harness.serve(request));
+    }
+    auto running = harness.engineCalls.size();
+    CHECK(running < replies.size());
+    harness.pass(std::chrono::seconds(61));
+    size_t notRun = 0;
+    for (const auto& reply : replies) {
+        if (reply->status >= 400 && reply->disposition() == "not_run")
+            ++notRun;
+    }
+    CHECK_EQUAL(replies.size() - running, notRun);
+    CHECK_EQUAL(running, harness.engineCalls.size());
+}
+
+struct BadInput {
+    const char* name;
+    HttpRequest request;
+    int status;
+};
+
+TEST(RequestPath, BadInputGetsATypedRefusalAndNothingRuns)
+{
+    auto with = [](HttpRequest request, const char* name, const char* value) {
+        std::erase_if(request.headers, [name](const HttpHeader& header) { return header.first == name; });
+        request.headers.emplace_back(name, value);
+        return request;
+    };
+    auto body = [](const std::string& text) {
+        auto request = PathHarness::chat();
+        request.body = text;
+        return request;
+    };
+    const std::vector<BadInput> cases {
+        { "malformed JSON", body("{\"model\":"), 400 },
+        { "not an object", body("[1]"), 422 },
+        { "deep nesting", body(std::string(100000, '[')), 400 },
+        { "no model", body("{\"messages\":[]}"), 422 },
+        { "no messages", body("{\"model\":\"drafts\",\"messages\":[]}"), 422 },
+        { "wrong type", body(R"({"model":"drafts","messages":[{"role":"user","content":"a"}],"max_tokens":"many"})"), 422 },
+        { "several choices", body(R"({"model":"drafts","n":3,"messages":[{"role":"user","content":"a"}]})"), 422 },
+        { "unknown model", body(R"({"model":"none","messages":[{"role":"user","content":"a"}]})"), 404 },
+        { "a service as model", body(R"({"model":"register","messages":[{"role":"user","content":"a"}]})"), 404 },
+        { "unknown workspace", with(PathHarness::chat(), "Guavapond-Workspace", "nobody"), 403 },
+        { "missing token", with(PathHarness::chat(), "Guavapond-Workspace", "secret"), 401 },
+        { "unknown tier", with(PathHarness::chat(), "Guavapond-Tier", "gold"), 400 },
+        { "expired deadline", with(PathHarness::chat(), "Guavapond-Deadline-Ms", "0"), 504 },
+        { "deadline that is no number", with(PathHarness::chat(), "Guavapond-Deadline-Ms", "soon"), 400 },
+        { "bad ticket", with(PathHarness::chat(), "Guavapond-Ticket", "gp9"), 400 },
+        { "unknown path", { "POST", "/v1/unknown", { { "Guavapond-Workspace", "labs" } }, "{}", "" }, 404 },
+    };
+    for (const auto& input : cases) {
+        auto reply = harness.serve(input.request);
+        CHECK_EQUAL_TEXT(input.status, reply->status, input.name);
+        CHECK_TEXT(reply->disposition() == "not_run", input.name);
+    }
+    CHECK_EQUAL(0U, harness.engineCalls.size());
+}
