--- a/cmake/Programs.cmake
+++ b/cmake/Programs.cmake
@@ -34,7 +34,7 @@
 # One program for each entry: name, then its sources.
 function(addProgram name)
     add_executable(${name} ${ARGN})
-    target_link_libraries(${name} PRIVATE guavapondAdapters guavapondWarnings CLI11::CLI11)
+    target_link_libraries(${name} PRIVATE guavapondCore $<TARGET_NAME_IF_EXISTS:guavapondAdapters> guavapondWarnings CLI11::CLI11)
 endfunction()
 file(GLOB DAEMON_SOURCES CONFIGURE_DEPENDS src/daemon/*.cpp)
 if(DAEMON_SOURCES)
