Add the scheduler: admission, dispatch, strict shedding by tier

Engines have no priorities, so the node decides what runs. A request whose deadline can't be met given the work ahead of it in the fair order is refused at once with a retry hint. Before a request is refused for want of capacity, lower tiers of its model give way, the lowest first and in each tier the queued work before the running; a non-idempotent call that runs is not displaced. A check beside the shedding code counts inversions. A model is looked at only when an event or a timer concerns it.

--- /dev/null
+++ b/src/core/Scheduler.cpp
@@ -0,0 +1,611 @@
+// Decides what is admitted, what runs next, and what gives way.
+#include "core/Scheduler.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace guavapond {
+
+namespace {
+
+constexpr size_t urgentLooked = 8; // urgent requests looked at for each event; the others follow at the next one
+constexpr size_t maxPassedOver = 4; // requests passed over in one round because the free target is too slow for their deadline
+constexpr Duration noTargetRetry = std::chrono::seconds(1);
+constexpr double minWaitFactor = 0.5;
+constexpr double maxWaitFactor = 3;
+constexpr Duration minLearnedWait = std::chrono::milliseconds(50); // shorter waits are dominated by the retry interval
+
+Failure refusal(FailureKind kind, std::string message, Duration retryAfter = Duration::zero())
+{
+    return { kind, Disposition::NotRun, std::move(message), retryAfter };
+}
+
+} // namespace
+
+Scheduler::Scheduler(const SchedulerSettings& initial, TargetSet& targetSet, Router& targetRouter, CostModel& costModel)
+    : settings(initial)
+    , targets(targetSet)
+    , router(targetRouter)
+    , costs(costModel)
+    , limits(initial.limits)
+    , queue(initial.queue)
+{
+}
+
+void Scheduler::applyTable(const TableIndex& table, TimePoint now)
+{
+    this->limits.applyTable(table, now);
+    for (auto& [key, held] : this->heldBack) {
+        for (ModelId model : held)
+            this->queue.unblock(model, key.second, key.first);
+    }
+    this->heldBack.clear();
+    this->bucketTimers.clear();
+    for (size_t m = 0; m < std::max<size_t>(table.modelCount(), this->models.size()); ++m) {
+        auto model = static_cast<ModelId>(m);
+        this->stateOf(model).capacityRead.reset();
+        this->markDirty(model);
+    }
+}
+
+// ---- Admission
+std::optional<Failure> Scheduler::submit(const RequestSpec& request, TimePoint now)
+{
+    assert(!this->entries.contains(request.id) && "a request is submitted once");
+    if (auto failure = this->checkRequest(request, now)) {
+        this->noteRefusal(request, *failure);
+        return failure;
+    }
+    if (request.onlyTarget) {
+        this->entries.emplace(request.id, Entry { .spec = request });
+        this->limits.onQueued(request.workspace, request.tier);
+        this->pinned.push_back(request.id);
+        return std::nullopt;
+    }
+    auto best = this->router.estimate(request, now);
+    if (!best) {
+        auto failure = refusal(FailureKind::NoTarget, "no usable target", noTargetRetry);
+        this->noteRefusal(request, failure);
+        return failure;
+    }
+    QueuedItem item { .id = request.id,
+        .workspace = request.workspace,
+        .tier = request.tier,
+        .model = request.model,
+        .cost = best->engineTime,
+        .shortWork = best->engineTime <= this->targets.settingsInUse().shortWork,
+        .arrival = request.arrival,
+        .latestStart = request.deadline - best->engineTime,
+        .weight = this->limits.weight(request.workspace, request.tier) };
+    auto tolerated = fromSeconds(toSeconds(best->engineTime) * this->settings.deadlineTolerance);
+    std::optional<Failure> failure;
+    if (item.latestStart + tolerated < now)
+        failure = refusal(FailureKind::DeadlineUnreachable, "the request takes longer than the time to its deadline");
+    if (!failure)
+        failure = this->limits.checkQueue(item.workspace, item.tier, item.latestStart, now);
+    Duration wait = this->expectedWait(item, now);
+    auto& state = this->stateOf(item.model);
+    Duration factored = fromSeconds(toSeconds(wait) * state.waitFactor[raw(item.tier)]);
+    if (!failure && now + factored > std::max(item.latestStart, now) && !this->reclaimSlot(item.model, item.tier)) {
+        Duration late = now + factored - item.latestStart;
+        failure
+            = refusal(FailureKind::DeadlineUnreachable, "the work ahead takes longer than the time to the deadline", this->retryHint(late));
+        this->noteCapacityRefusal(item.model, item.tier, now);
+    }
+    if (!failure && this->isHeldByHigherTier(item.model, item.tier, now)) {
+        failure = refusal(FailureKind::Shed, "higher tiers need all slots", this->retryHint(this->settings.overloadHold));
+        this->shedAllBelow(item.model, item.tier);
+        this->noteCapacityRefusal(item.model, item.tier, now);
+    }
+    if (!failure)
+        failure = this->makeRoom(request, now);
+    if (failure) {
+        this->noteRefusal(request, *failure);
+        return failure;
+    }
+    item.latestStart = std::max(item.latestStart, now);
+    this->queue.push(item);
+    this->limits.onQueued(item.workspace, item.tier);
+    this->entries.emplace(request.id, Entry { .spec = request, .cost = item.cost, .predictedWait = wait });
+    bool isFull = item.shortWork ? state.isFullForShort : state.isFullForLong;
+    if (!isFull)
+        this->markDirty(item.model);
+    else if (!state.retry || item.latestStart < *state.retry)
+        this->scheduleRetry(item.model, now);
+    return std::nullopt;
+}
+
+std::optional<Failure> Scheduler::checkRequest(const RequestSpec& request, TimePoint now) const
+{
+    if (!this->limits.isKnown(request.workspace))
+        return refusal(FailureKind::WorkspaceForbidden, "unknown workspace");
+    if (request.deadline <= now)
+        return refusal(FailureKind::DeadlineExceeded, "the deadline has passed");
+    return std::nullopt;
+}
+
+// Makes room in a full queue by refusing the last of a lower tier.
+std::optional<Failure> Scheduler::makeRoom(const RequestSpec& request, TimePoint now)
+{
+    if (!this->queue.isFull(request.model))
+        return std::nullopt;
+    if (const auto* victim = this->queue.victimBelow(request.model, request.tier)) {
+        this->shedAllBelow(request.model, victim->tier);
+        this->refuseQueued(
+            victim->id, refusal(FailureKind::Shed, "displaced by a higher tier", this->retryHint(this->settings.overloadHold)));
+        return std::nullopt;
+    }
+    this->shedAllBelow(request.model, request.tier);
+    this->noteCapacityRefusal(request.model, request.tier, now);
+    return refusal(FailureKind::QueueFull, "the queue of the model is full", this->retryHint(this->settings.overloadHold));
+}
+
+// Time until a slot is free for the request, from the work that is served before it; without later arrivals.
+Duration Scheduler::expectedWait(const QueuedItem& item, TimePoint now)
+{
+    auto& state = this->stateOf(item.model);
+    auto ahead = this->queue.workAhead(item.model, item.tier, item.workspace, item.weight, item.cost, item.shortWork);
+    for (size_t t = 0; t < raw(item.tier); ++t) {
+        auto higher = this->queue.work(item.model, static_cast<Tier>(t));
+        ahead.all += higher.all;
+        ahead.shortWork += higher.shortWork;
+    }
+    bool isFull = item.shortWork ? state.isFullForShort : state.isFullForLong;
+    if (!isFull && ahead.all <= 0)
+        return Duration::zero();
+    double slots = std::max<double>(1, this->capacityOf(item.model, now));
+    double reserved = slots * this->targets.settingsInUse().shortWorkFraction;
+    double meanCost = state.running > 0 ? toSeconds(state.runningCost) / static_cast<double>(state.running) : 0;
+    double untilNextSlot = isFull ? meanCost / slots : 0;
+    double all = ahead.all / slots + untilNextSlot;
+    if (!item.shortWork)
+        return fromSeconds(std::max(all, (ahead.all - ahead.shortWork) / std::max(1.0, slots - reserved)));
+    return fromSeconds(reserved >= 1 ? std::min(all, ahead.shortWork / reserved) : all);
+}
+
+uint32_t Scheduler::capacityOf(ModelId model, TimePoint now)
+{
+    auto& state = this->stateOf(model);
+    if (!state.capacityRead || now - *state.capacityRead >= this->settings.capacityLifetime) {
+        state.capacity = this->router.capacity(model, now);
+        state.capacityRead = now;
+    }
+    return state.capacity;
+}
+
+// Before a request is refused for want of capacity: lower tiers give way, the lowest first, and in each the queued work before the
+// running. True if a slot is becoming free, so that the request may wait for it.
+bool Scheduler::reclaimSlot(ModelId model, Tier tier)
+{
+    for (size_t t = tierCount - 1; t > raw(tier); --t) {
+        this->shedQueued(model, static_cast<Tier>(t));
+        if (this->cancelOne(model, static_cast<Tier>(t)))
+            return true;
+    }
+    return false;
+}
+
+Duration Scheduler::retryHint(Duration wait) const { return std::clamp(wait, this->settings.minRetryAfter, this->settings.maxRetryAfter); }
+
+// ---- Dispatch
+std::vector<Action> Scheduler::advance(TimePoint now)
+{
+    this->targets.refresh(now);
+    this->expireRunning(now);
+    while (!this->bucketTimers.empty() && this->bucketTimers.begin()->first <= now) {
+        auto key = this->bucketTimers.begin()->second;
+        this->bucketTimers.erase(this->bucketTimers.begin());
+        this->release(key.first, key.second);
+    }
+    while (!this->retries.empty() && this->retries.begin()->first <= now) {
+        ModelId model = this->retries.begin()->second;
+        this->retries.erase(this->retries.begin());
+        this->stateOf(model).retry.reset();
+        this->markDirty(model);
+    }
+    this->startPinned(now);
+    for (ModelId model : std::exchange(this->dirtyModels, {})) {
+        this->stateOf(model).dirty = false;
+        this->advanceModel(model, now);
+    }
+    return std::exchange(this->actions, {});
+}
+
+void Scheduler::advanceModel(ModelId model, TimePoint now)
+{
+    this->expireQueued(model, now);
+    this->dispatchModel(model, now);
+    this->preemptForUrgent(model, now);
+    this->scheduleRetry(model, now);
+}
+
+void Scheduler::dispatchModel(ModelId model, TimePoint now)
+{
+    auto& state = this->stateOf(model);
+    state.isFullForLong = false;
+    state.isFullForShort = false;
+    std::vector<QueuedItem> passedOver;
+    for (size_t t = 0; t < tierCount && !state.isFullForShort; ++t) {
+        auto tier = static_cast<Tier>(t);
+        if (this->isHeldByHigherTier(model, tier, now))
+            break;
+        while (!state.isFullForShort && passedOver.size() < maxPassedOver) {
+            const auto* next = this->nextItem(model, tier, state.isFullForLong ? QueueClass::ShortOnly : QueueClass::Any, now);
+            if (!next)
+                break;
+            QueuedItem item = *next;
+            if (!this->limits.mayRun(item.workspace, item.tier, now)) {
+                this->holdBack(item, now);
+                continue;
+            }
+            auto choice = this->router.pick(this->entries.at(item.id).spec, now);
+            if (!choice) {
+                state.isFullForLong = true;
+                state.isFullForShort = item.shortWork;
+                continue;
+            }
+            Duration needed = fromSeconds(toSeconds(choice->engineTime) * (1 - this->settings.deadlineTolerance));
+            if (now + needed > this->entries.at(item.id).spec.deadline) {
+                passedOver.push_back(this->queue.remove(item.id));
+                continue;
+            }
+            this->queue.take(item.id);
+            this->learnWait(this->entries.at(item.id), now);
+            this->start(item.id, *choice, now);
+        }
+    }
+    for (const auto& item : passedOver)
+        this->queue.push(item);
+}
+
+const QueuedItem* Scheduler::nextItem(ModelId model, Tier tier, QueueClass which, TimePoint now) const
+{
+    // A request that is about to miss its latest start goes first, unless the tier is overloaded: then this order would let all miss it.
+    const auto* urgent = this->queue.earliest(model, tier);
+    bool isOverloaded = raw(model) < this->models.size() && now < this->models[raw(model)].refusedUntil[raw(tier)];
+    if (urgent && !isOverloaded && urgent->latestStart < now + this->settings.preemptLead && (which == QueueClass::Any || urgent->shortWork)
+        && this->limits.mayRun(urgent->workspace, tier, now))
+        return urgent;
+    return this->queue.peek(model, tier, which);
+}
+
+void Scheduler::start(RequestId id, const Choice& choice, TimePoint now)
+{
+    auto& entry = this->entries.at(id);
+    const auto& spec = entry.spec;
+    this->limits.onUnqueued(spec.workspace, spec.tier);
+    this->limits.onStarted(spec.workspace, spec.tier, entry.cost, now);
+    this->targets.onDispatched(choice.target, spec, choice.cachedTokens, choice.engineTime, now);
+    entry.state = State::Running;
+    entry.target = choice.target;
+    entry.dispatched = now;
+    auto& state = this->stateOf(spec.model);
+    ++state.running;
+    state.runningCost += entry.cost;
+    if (spec.idempotent) {
+        state.cancellable[raw(spec.tier)].emplace(now, id);
+        this->runningDeadlines.emplace(spec.deadline, id);
+    }
+    ++this->counters.running[raw(spec.tier)];
+    ++this->counters.dispatched;
+    this->actions.push_back({ .kind = Action::Kind::Dispatch,
+        .request = id,
+        .target = choice.target,
+        .failure = std::nullopt,
+        .cachedTokens = choice.cachedTokens,
+        .cost = choice.engineTime });
+}
+
+// A resumed stream continues work that its target already holds, so it needs no slot.
+void Scheduler::startPinned(TimePoint now)
+{
+    for (RequestId id : std::exchange(this->pinned, {})) {
+        auto position = this->entries.find(id);
+        if (position != this->entries.end()) // else it was abandoned
+            this->start(id, Choice { .target = *position->second.spec.onlyTarget }, now);
+    }
+}
+
+void Scheduler::holdBack(const QueuedItem& item, TimePoint now)
+{
+    WorkspaceTier key { item.workspace, item.tier };
+    this->queue.block(item.model, item.tier, item.workspace);
+    auto& held = this->heldBack[key];
+    if (std::find(held.begin(), held.end(), item.model) == held.end())
+        held.push_back(item.model);
+    if (auto allowed = this->limits.nextAllowed(item.workspace, item.tier, now))
+        this->bucketTimers.emplace(*allowed, key);
+}
+
+void Scheduler::release(WorkspaceId workspace, Tier tier)
+{
+    auto position = this->heldBack.find({ workspace, tier });
+    if (position == this->heldBack.end())
+        return;
+    for (ModelId model : position->second) {
+        this->queue.unblock(model, tier, workspace);
+        this->markDirty(model);
+    }
+    this->heldBack.erase(position);
+}
+
+void Scheduler::learnWait(const Entry& entry, TimePoint now)
+{
+    Duration observed = now - entry.spec.arrival;
+    if (observed < minLearnedWait && entry.predictedWait < minLearnedWait)
+        return;
+    double ratio = toSeconds(observed) / toSeconds(std::max(entry.predictedWait, minLearnedWait));
+    double& factor = this->stateOf(entry.spec.model).waitFactor[raw(entry.spec.tier)];
+    factor += this->settings.waitLearningRate * (std::clamp(ratio, minWaitFactor, maxWaitFactor) - factor);
+}
+
+// ---- Events of running requests
+void Scheduler::onFirstToken(RequestId request, TimePoint now) { this->targets.onFirstToken(request, now); }
+
+void Scheduler::onTokens(RequestId request, uint32_t count, TimePoint now)
+{
+    auto position = this->entries.find(request);
+    if (position == this->entries.end())
+        return;
+    position->second.tokens += count;
+    this->targets.onTokens(request, count, now);
+}
+
+void Scheduler::onFinished(RequestId request, RunOutcome outcome, TimePoint now)
+{
+    auto position = this->entries.find(request);
+    if (position == this->entries.end() || position->second.state == State::Queued)
+        return;
+    this->withdrawCancellation(request, position->second);
+    Entry entry = std::move(position->second);
+    this->entries.erase(position);
+    const auto& spec = entry.spec;
+    auto& state = this->stateOf(spec.model);
+    Duration actual = now - entry.dispatched;
+    this->targets.onFinished(request, entry.state == State::Cancelling ? RunOutcome::Cancelled : outcome, now);
+    this->limits.onFinished(spec.workspace, spec.tier, entry.cost, actual, now);
+    double weight = this->limits.weight(spec.workspace, spec.tier);
+    this->queue.correctCharge(spec.model, spec.tier, spec.workspace, weight, actual - entry.cost);
+    if (outcome == RunOutcome::Completed && spec.kind == RequestKind::Engine && entry.tokens > 0)
+        this->costs.learn(spec.workspace, spec.model, spec.tier, entry.tokens);
+    --state.running;
+    state.runningCost -= entry.cost;
+    if (entry.state == State::Cancelling) {
+        --state.cancelling;
+    } else {
+        --this->counters.running[raw(spec.tier)];
+        state.cancellable[raw(spec.tier)].erase({ entry.dispatched, request });
+        this->runningDeadlines.erase({ spec.deadline, request });
+    }
+    this->release(spec.workspace, spec.tier);
+    this->markDirty(spec.model);
+}
+
+// A request that finished before its cancellation was handed out has its answer already.
+void Scheduler::withdrawCancellation(RequestId request, const Entry& entry)
+{
+    if (entry.state != State::Cancelling)
+        return;
+    auto isIts = [&](const Action& action) { return action.request == request && action.kind == Action::Kind::CancelRunning; };
+    auto position = std::find_if(this->actions.begin(), this->actions.end(), isIts);
+    if (position == this->actions.end())
+        return;
+    --this->counters.refused[raw(entry.spec.tier)][static_cast<size_t>(position->failure->kind)];
+    this->actions.erase(position);
+}
+
+void Scheduler::abandon(RequestId request, TimePoint)
+{
+    auto position = this->entries.find(request);
+    if (position == this->entries.end())
+        return;
+    auto& entry = position->second;
+    if (entry.state == State::Running && entry.spec.idempotent)
+        this->cancel(request, entry, { FailureKind::CallerGone, Disposition::Unknown, "the caller went away", Duration::zero() });
+    if (entry.state != State::Queued)
+        return;
+    if (this->queue.find(request))
+        this->queue.remove(request);
+    this->limits.onUnqueued(entry.spec.workspace, entry.spec.tier);
+    this->entries.erase(position);
+}
+
+// ---- Shedding
+void Scheduler::expireQueued(ModelId model, TimePoint now)
+{
+    for (size_t t = 0; t < tierCount; ++t) {
+        auto tier = static_cast<Tier>(t);
+        while (const auto* item = this->queue.earliest(model, tier)) {
+            if (item->latestStart >= now)
+                break;
+            RequestId id = item->id;
+            const auto& entry = this->entries.at(id);
+            if (!this->limits.mayRun(item->workspace, tier, now)) {
+                this->refuseQueued(id,
+                    refusal(FailureKind::LimitReached, "the workspace's limit left no time to start before the deadline",
+                        this->retryHint(Duration::zero())));
+                continue;
+            }
+            this->learnWait(entry, now);
+            this->shedAllBelow(model, tier);
+            this->noteCapacityRefusal(model, tier, now);
+            this->refuseQueued(id,
+                refusal(FailureKind::DeadlineUnreachable, "no slot was free in time to meet the deadline",
+                    this->retryHint(fromSeconds(this->queue.work(model, tier).all / std::max<double>(1, this->capacityOf(model, now))))));
+        }
+    }
+}
+
+void Scheduler::expireRunning(TimePoint now)
+{
+    while (!this->runningDeadlines.empty() && this->runningDeadlines.begin()->first <= now) {
+        RequestId id = this->runningDeadlines.begin()->second;
+        this->cancel(id, this->entries.at(id),
+            { FailureKind::DeadlineExceeded, Disposition::Unknown, "the deadline passed while the request ran", Duration::zero() });
+    }
+}
+
+// Requests that are about to miss their latest start take slots from lower tiers, one each.
+void Scheduler::preemptForUrgent(ModelId model, TimePoint now)
+{
+    auto& state = this->stateOf(model);
+    for (size_t t = 0; t + 1 < tierCount; ++t) {
+        auto tier = static_cast<Tier>(t);
+        const auto* first = this->queue.earliest(model, tier);
+        if (!first || !this->limits.mayRun(first->workspace, tier, now))
+            continue;
+        size_t urgent = this->queue.countStartingBefore(model, tier, now + this->settings.preemptLead, urgentLooked);
+        for (size_t lower = tierCount - 1; lower > t; --lower) {
+            while (state.cancelling < urgent && this->cancelOne(model, static_cast<Tier>(lower))) { }
+        }
+    }
+}
+
+void Scheduler::shedQueued(ModelId model, Tier tier)
+{
+    while (const auto* item = this->queue.earliest(model, tier))
+        this->refuseQueued(
+            item->id, refusal(FailureKind::Shed, "displaced by a higher tier", this->retryHint(this->settings.overloadHold)));
+}
+
+void Scheduler::shedAllBelow(ModelId model, Tier tier)
+{
+    for (size_t t = tierCount - 1; t > raw(tier); --t) {
+        this->shedQueued(model, static_cast<Tier>(t));
+        while (this->cancelOne(model, static_cast<Tier>(t))) { }
+    }
+}
+
+// Cancels the running request of the tier that started last: the least work is lost with it.
+bool Scheduler::cancelOne(ModelId model, Tier tier)
+{
+    auto& running = this->stateOf(model).cancellable[raw(tier)];
+    if (running.empty())
+        return false;
+    RequestId id = running.rbegin()->second;
+    ++this->counters.cancelled[raw(tier)];
+    this->cancel(id, this->entries.at(id),
+        { FailureKind::Shed, Disposition::Unknown, "cancelled in favour of a higher tier", this->retryHint(this->settings.overloadHold) });
+    return true;
+}
+
+// While a higher tier is being refused, a lower one gets no slot: it would be cancelled at the next refusal.
+bool Scheduler::isHeldByHigherTier(ModelId model, Tier tier, TimePoint now) const
+{
+    if (raw(model) >= this->models.size())
+        return false;
+    const auto& state = this->models[raw(model)];
+    for (size_t t = 0; t < raw(tier); ++t) {
+        if (now < state.refusedUntil[t] && this->queue.size(model, static_cast<Tier>(t)) > 0)
+            return true;
+    }
+    return false;
+}
+
+void Scheduler::cancel(RequestId request, Entry& entry, Failure failure)
+{
+    assert(entry.state == State::Running && entry.spec.idempotent);
+    auto& state = this->stateOf(entry.spec.model);
+    state.cancellable[raw(entry.spec.tier)].erase({ entry.dispatched, request });
+    this->runningDeadlines.erase({ entry.spec.deadline, request });
+    entry.state = State::Cancelling;
+    ++state.cancelling;
+    --this->counters.running[raw(entry.spec.tier)];
+    this->noteRefusal(entry.spec, failure);
+    this->actions.push_back(
+        { .kind = Action::Kind::CancelRunning, .request = request, .target = entry.target, .failure = std::move(failure) });
+}
+
+void Scheduler::refuseQueued(RequestId request, Failure failure)
+{
+    QueuedItem item = this->queue.remove(request);
+    if (failure.kind == FailureKind::Shed)
+        this->checkInversion(item.model, item.tier);
+    this->limits.onUnqueued(item.workspace, item.tier);
+    this->noteRefusal(this->entries.at(request).spec, failure);
+    this->entries.erase(request);
+    this->actions.push_back({ .kind = Action::Kind::Refuse, .request = request, .target = {}, .failure = std::move(failure) });
+}
+
+void Scheduler::noteRefusal(const RequestSpec& request, const Failure& failure)
+{
+    ++this->counters.refused[raw(request.tier)][static_cast<size_t>(failure.kind)];
+}
+
+// Starts the overload hold of the tier.
+void Scheduler::noteCapacityRefusal(ModelId model, Tier tier, TimePoint now)
+{
+    this->checkInversion(model, tier);
+    this->stateOf(model).refusedUntil[raw(tier)] = now + this->settings.overloadHold;
+}
+
+// Checks the shedding rule independently of the code that keeps it.
+void Scheduler::checkInversion(ModelId model, Tier tier)
+{
+    bool isInverted = this->queue.victimBelow(model, tier) != nullptr;
+    for (size_t t = raw(tier) + 1; t < tierCount; ++t)
+        isInverted = isInverted || !this->stateOf(model).cancellable[t].empty();
+    this->counters.tierInversions += isInverted ? 1 : 0;
+}
+
+// ---- Upkeep
+Scheduler::ModelState& Scheduler::stateOf(ModelId model)
+{
+    if (raw(model) >= this->models.size())
+        this->models.resize(static_cast<size_t>(raw(model)) + 1);
+    return this->models[raw(model)];
+}
+
+void Scheduler::markDirty(ModelId model)
+{
+    auto& state = this->stateOf(model);
+    if (std::exchange(state.dirty, true))
+        return;
+    this->dirtyModels.push_back(model);
+}
+
+// The next time at which the model has to be looked at without an event: an expiry, or another attempt to place what waits.
+void Scheduler::scheduleRetry(ModelId model, TimePoint now)
+{
+    auto& state = this->stateOf(model);
+    std::optional<TimePoint> next;
+    for (size_t t = 0; t < tierCount; ++t) {
+        const auto* item = this->queue.earliest(model, static_cast<Tier>(t));
+        if (item)
+            next = std::min({ next.value_or(TimePoint::max()), item->latestStart + Duration(1), now + this->settings.retryInterval });
+    }
+    if (state.retry == next)
+        return;
+    if (state.retry)
+        this->retries.erase({ *state.retry, model });
+    state.retry = next;
+    if (next)
+        this->retries.emplace(*next, model);
+}
+
+std::optional<TimePoint> Scheduler::nextWake(TimePoint now) const
+{
+    if (!this->actions.empty() || !this->dirtyModels.empty() || !this->pinned.empty())
+        return now;
+    std::optional<TimePoint> next;
+    auto consider = [&](const auto& timers) {
+        if (!timers.empty())
+            next = std::min(next.value_or(TimePoint::max()), timers.begin()->first);
+    };
+    consider(this->retries);
+    consider(this->runningDeadlines);
+    consider(this->bucketTimers);
+    return next;
+}
+
+SchedulerStats Scheduler::stats() const
+{
+    auto result = this->counters;
+    for (size_t m = 0; m < this->models.size(); ++m) {
+        for (size_t t = 0; t < tierCount; ++t)
+            result.queued[t] += this->queue.size(static_cast<ModelId>(m), static_cast<Tier>(t));
+    }
+    return result;
+}
+
+} // namespace guavapond
