--- a/standins/PlatformServer.cpp
+++ b/standins/PlatformServer.cpp
@@ -210,7 +210,8 @@
     void accept(const http_request& request)
     {
         // Without the body's content type, so that any bytes are taken as the value.
-        request.extract_string(true).then([this, request](const pplx::task<std::string>& body) {
+        http_request reader(request);
+        reader.extract_string(true).then([this, request](const pplx::task<std::string>& body) {
             try {
                 handle(request, body.get());
             } catch (const std::exception& error) {
