Add the target stand-ins and the HTTP adapters for engines and services

The request path needs something to call. standin-engine and standin-service speak the target protocol, keep a dispatch log and inject faults; HttpEngine and HttpService fill the ports of src/ports/Target.h over cpprestsdk's client, with deadlines of their own.

--- /dev/null
+++ b/src/adapters/HttpExchange.cpp
@@ -0,0 +1,326 @@
+// One HTTP request with its own deadlines; written at most once.
+#include "adapters/HttpExchange.h"
+
+#include <cpprest/producerconsumerstream.h>
+
+#include <algorithm>
+#include <cstring>
+
+namespace guavapond {
+
+namespace {
+
+constexpr size_t readBytes = 64 * 1024; // bytes read at once
+constexpr auto libraryTimeout = std::chrono::hours(24); // the library's own timeout is not used; HttpExchange has its own
+constexpr Duration busyDelay = std::chrono::milliseconds(1); // until the next look at an exchange whose hook is running
+
+using ByteBuffer = concurrency::streams::details::basic_producer_consumer_buffer<uint8_t>;
+
+web::http::client::http_client_config configOf(const HttpClientSettings& settings)
+{
+    web::http::client::http_client_config config;
+    config.set_timeout(std::chrono::duration_cast<std::chrono::microseconds>(libraryTimeout));
+    config.set_chunksize(readBytes);
+    if (!settings.caFile.empty())
+        config.set_ssl_context_callback([file = settings.caFile](boost::asio::ssl::context& context) { context.load_verify_file(file); });
+    return config;
+}
+
+} // namespace
+
+TimePoint presentTime() { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
+
+// ---- ClientPool
+
+ClientPool::ClientPool(HttpClientSettings initial)
+    : settings(std::move(initial))
+{
+}
+
+ClientPool::Client ClientPool::fresh(const std::string& url) const
+{
+    return std::make_shared<web::http::client::http_client>(url, configOf(this->settings));
+}
+
+ClientPool::Client ClientPool::get(const std::string& url, TimePoint now)
+{
+    std::lock_guard lock(this->mutex);
+    Entry& entry = this->clients[url];
+    if (!entry.client || now - entry.lastUse > this->settings.maxIdle)
+        entry.client = this->fresh(url);
+    entry.lastUse = now;
+    return entry.client;
+}
+
+void ClientPool::discard(const std::string& url, const Client& client)
+{
+    std::lock_guard lock(this->mutex);
+    auto found = this->clients.find(url);
+    if (found != this->clients.end() && found->second.client == client)
+        this->clients.erase(found);
+}
+
+// ---- DeadlineTimer
+
+DeadlineTimer::DeadlineTimer()
+    : thread([this] { this->run(); })
+{
+}
+
+DeadlineTimer::~DeadlineTimer()
+{
+    {
+        std::lock_guard lock(this->mutex);
+        this->stopping = true;
+    }
+    this->changed.notify_all();
+    this->thread.join();
+}
+
+void DeadlineTimer::wakeAt(TimePoint when, std::weak_ptr<HttpExchange> exchange)
+{
+    bool earliest = false;
+    {
+        std::lock_guard lock(this->mutex);
+        earliest = this->entries.empty() || when < this->entries.top().when;
+        this->entries.push({ when, std::move(exchange) });
+    }
+    if (earliest)
+        this->changed.notify_one();
+}
+
+void DeadlineTimer::run()
+{
+    std::unique_lock lock(this->mutex);
+    while (!this->stopping) {
+        if (this->entries.empty()) {
+            this->changed.wait(lock);
+            continue;
+        }
+        const auto when = this->entries.top().when;
+        if (presentTime() < when) {
+            this->changed.wait_until(lock, when);
+            continue;
+        }
+        auto due = this->entries.top().exchange;
+        this->entries.pop();
+        lock.unlock();
+        if (auto exchange = due.lock()) {
+            if (auto next = exchange->checkDeadlines(presentTime()))
+                this->wakeAt(*next, due);
+        }
+        lock.lock();
+    }
+}
+
+// ---- Request and response bodies
+
+// Hands out the request body once. After withdraw() it hands out nothing.
+class HttpExchange::Body : public ByteBuffer {
+public:
+    explicit Body(std::string bytes)
+        : ByteBuffer(1)
+        , content(std::move(bytes))
+    {
+    }
+
+    bool withdraw()
+    {
+        int expected = untouched;
+        return this->state.compare_exchange_strong(expected, withdrawn) || expected == withdrawn;
+    }
+    bool isHandedOut() const { return this->state.load() == handedOut; }
+    bool isProof() const { return !this->content.empty(); } // an empty body is never asked for, so it proves nothing
+
+protected:
+    pplx::task<size_t> _getn(uint8_t* target, size_t count) override
+    {
+        int expected = untouched;
+        if (!this->state.compare_exchange_strong(expected, handedOut) && expected == withdrawn)
+            return pplx::task_from_exception<size_t>(std::runtime_error("request withdrawn"));
+        const size_t size = std::min(count, this->content.size() - this->position);
+        std::memcpy(target, this->content.data() + this->position, size);
+        this->position += size;
+        return pplx::task_from_result(size);
+    }
+
+private:
+    static constexpr int untouched = 0;
+    static constexpr int handedOut = 1;
+    static constexpr int withdrawn = 2;
+
+    const std::string content;
+    size_t position = 0;
+    std::atomic<int> state = untouched;
+};
+
+// Receives the response body as the client reads it, without a task for each read.
+class HttpExchange::Sink : public ByteBuffer {
+public:
+    explicit Sink(std::weak_ptr<HttpExchange> receiver)
+        : ByteBuffer(1)
+        , exchange(std::move(receiver))
+    {
+    }
+
+protected:
+    uint8_t* _alloc(size_t) override { return nullptr; }
+    pplx::task<size_t> _putn(const uint8_t* bytes, size_t count) override
+    {
+        if (auto receiver = this->exchange.lock())
+            receiver->onBytes({ reinterpret_cast<const char*>(bytes), count });
+        return pplx::task_from_result(count);
+    }
+    pplx::task<bool> _sync() override { return pplx::task_from_result(true); }
+
+private:
+    std::weak_ptr<HttpExchange> exchange;
+};
+
+// ---- HttpExchange
+
+HttpExchange::HttpExchange(ClientPool& clients, ExchangeRequest what, ExchangeHooks receiver)
+    : pool(clients)
+    , request(std::move(what))
+    , hooks(std::move(receiver))
+    , body(std::make_shared<Body>(this->request.body))
+{
+}
+
+HttpExchange::~HttpExchange() = default;
+
+std::shared_ptr<HttpExchange> HttpExchange::start(ClientPool& pool, DeadlineTimer& timer, ExchangeRequest request, ExchangeHooks hooks)
+{
+    std::shared_ptr<HttpExchange> exchange(new HttpExchange(pool, std::move(request), std::move(hooks)));
+    const auto now = presentTime();
+    exchange->startedAt = now.time_since_epoch().count();
+    exchange->send(now);
+    if (auto first = exchange->checkDeadlines(now))
+        timer.wakeAt(*first, exchange);
+    return exchange;
+}
+
+void HttpExchange::send(TimePoint now)
+{
+    auto self = this->shared_from_this();
+    try {
+        this->client = this->request.freshConnection ? this->pool.fresh(this->request.url) : this->pool.get(this->request.url, now);
+        web::http::http_request message(this->request.method);
+        message.set_request_uri(web::uri(this->request.path));
+        for (const auto& [name, value] : this->request.headers)
+            message.headers().add(name, value);
+        concurrency::streams::streambuf<uint8_t> source(this->body);
+        const bool hasBody = !this->request.body.empty() || (this->request.method != "GET" && this->request.method != "HEAD");
+        if (hasBody)
+            message.set_body(source.create_istream(), this->request.body.size(), this->request.contentType);
+        concurrency::streams::streambuf<uint8_t> sink(std::make_shared<Sink>(self));
+        message.set_response_stream(sink.create_ostream());
+        this->client->request(message, this->cancellation.get_token())
+            .then([self](const web::http::http_response& response) {
+                self->onHead(response);
+                return response.content_ready();
+            })
+            .then([self](const pplx::task<web::http::http_response>& done) {
+                try {
+                    done.get();
+                    self->end(std::unique_lock(self->mutex), std::nullopt);
+                } catch (const std::exception& error) {
+                    self->onError(error);
+                }
+            });
+    } catch (const std::exception& error) { // a malformed address or header
+        this->withdraw();
+        this->end(std::unique_lock(this->mutex), ExchangeFailure { ExchangeFailure::Kind::Unsent, false, error.what() });
+    }
+}
+
+void HttpExchange::cancel()
+{
+    if (!this->cancelled.exchange(true))
+        this->cancellation.cancel();
+}
+
+void HttpExchange::onProgress() { this->progressAt = presentTime().time_since_epoch().count(); }
+
+bool HttpExchange::withdraw() { return this->body->withdraw() && this->body->isProof(); }
+
+void HttpExchange::onHead(const web::http::http_response& response)
+{
+    std::lock_guard lock(this->mutex);
+    if (this->ended)
+        return;
+    this->headSeen = true;
+    this->hooks.onHead(response.status_code(), response.headers().content_type());
+    if (!this->early.empty())
+        this->hooks.onBytes(this->early);
+    this->early.clear();
+}
+
+void HttpExchange::onBytes(std::string_view bytes)
+{
+    std::lock_guard lock(this->mutex);
+    if (this->ended)
+        return;
+    if (this->headSeen)
+        this->hooks.onBytes(bytes);
+    else
+        this->early += bytes;
+}
+
+void HttpExchange::onError(const std::exception& error)
+{
+    ExchangeFailure failure;
+    failure.message = error.what();
+    // The two texts are the library's, whose error codes don't tell a failed connect from a failed write. If they change, such a
+    // failure counts as sent, which is the safe side.
+    const bool connectFailed = failure.message.starts_with("Failed to connect") || failure.message.starts_with("Error resolving");
+    failure.sent = !this->withdraw() && !connectFailed;
+    if (this->cancelled)
+        failure.kind = ExchangeFailure::Kind::Cancelled;
+    else if (!failure.sent)
+        failure.kind = ExchangeFailure::Kind::Unsent;
+    this->end(std::unique_lock(this->mutex), failure);
+}
+
+void HttpExchange::end(std::unique_lock<std::mutex> lock, const std::optional<ExchangeFailure>& failure)
+{
+    if (this->ended)
+        return;
+    this->ended = true;
+    this->hooks.onEnd(failure);
+    this->hooks = {}; // breaks cycles through captured owners
+    lock.unlock();
+}
+
+std::optional<TimePoint> HttpExchange::checkDeadlines(TimePoint now)
+{
+    std::unique_lock lock(this->mutex, std::try_to_lock);
+    if (!lock)
+        return now + busyDelay;
+    if (this->ended)
+        return std::nullopt;
+    const TimePoint started { Duration(this->startedAt.load()) };
+    const TimePoint progress { Duration(this->progressAt.load()) };
+    ExchangeFailure failure;
+    if (this->progressAt == 0) {
+        const bool connecting = this->body->isProof() && !this->body->isHandedOut();
+        if (connecting && now < started + this->request.connectTimeout)
+            return std::min(started + this->request.connectTimeout, started + this->request.firstByteTimeout);
+        const bool unsent = connecting && this->withdraw();
+        if (!unsent && now < started + this->request.firstByteTimeout)
+            return std::min(started + this->request.firstByteTimeout, now + this->request.progressTimeout);
+        failure = unsent ? ExchangeFailure { ExchangeFailure::Kind::Unsent, false, "no connection before the connect timeout" }
+                         : ExchangeFailure { ExchangeFailure::Kind::FirstByteTimeout, true, "no answer before the first-byte timeout" };
+    } else {
+        if (now < progress + this->request.progressTimeout)
+            return progress + this->request.progressTimeout;
+        failure = { ExchangeFailure::Kind::ProgressTimeout, true, "silent for longer than the between-token timeout" };
+    }
+    // The connection may be one of several that went silent together, so none of the client's connections is used again.
+    this->pool.discard(this->request.url, this->client);
+    this->end(std::move(lock), failure);
+    this->cancellation.cancel();
+    return std::nullopt;
+}
+
+} // namespace guavapond
--- /dev/null
+++ b/standins/LoopbackListener.cpp
@@ -0,0 +1,131 @@
+// Port choice, routing and silencing for the stand-ins' listeners.
+#include "LoopbackListener.h"
+
+#include <arpa/inet.h>
+#include <dirent.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <optional>
+#include <stdexcept>
+
+namespace guavapond::standins {
+
+namespace {
+
+constexpr int openAttempts = 20; // another process may take the port between the choice and the bind
+
+uint16_t freePort()
+{
+    int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof address;
+    bool bound = fd >= 0 && ::bind(fd, reinterpret_cast<sockaddr*>(&address), length) == 0
+        && ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length) == 0;
+    if (fd >= 0)
+        ::close(fd);
+    if (!bound)
+        throw std::runtime_error("no free loopback port");
+    return ntohs(address.sin_port);
+}
+
+// The local port of an accepted or connected TCP socket; nothing for any other descriptor.
+std::optional<uint16_t> connectedLocalPort(int fd)
+{
+    sockaddr_in local {};
+    sockaddr_in peer {};
+    socklen_t localLength = sizeof local;
+    socklen_t peerLength = sizeof peer;
+    if (::getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &peerLength) != 0 || peer.sin_family != AF_INET)
+        return std::nullopt;
+    if (::getsockname(fd, reinterpret_cast<sockaddr*>(&local), &localLength) != 0)
+        return std::nullopt;
+    return ntohs(local.sin_port);
+}
+
+std::vector<int> openDescriptors()
+{
+    std::vector<int> descriptors;
+    DIR* directory = ::opendir("/proc/self/fd");
+    if (!directory)
+        return descriptors;
+    while (const dirent* entry = ::readdir(directory)) { // NOLINT(concurrency-mt-unsafe)
+        int fd = std::atoi(entry->d_name);
+        if (fd > 2)
+            descriptors.push_back(fd);
+    }
+    ::closedir(directory);
+    return descriptors;
+}
+
+} // namespace
+
+LoopbackListener::LoopbackListener(uint16_t port, Handler handler)
+{
+    for (int attempt = 1;; ++attempt) {
+        try {
+            this->open(port == 0 ? freePort() : port, handler);
+            return;
+        } catch (const std::exception&) {
+            if (port != 0 || attempt == openAttempts)
+                throw;
+        }
+    }
+}
+
+LoopbackListener::~LoopbackListener() { this->close(); }
+
+void LoopbackListener::open(uint16_t port, const Handler& handler)
+{
+    this->listener = std::make_unique<web::http::experimental::listener::http_listener>("http://127.0.0.1:" + std::to_string(port));
+    this->listener->support(handler);
+    this->listener->open().get();
+    this->boundPort = port;
+}
+
+void LoopbackListener::silenceOpenConnections()
+{
+    std::lock_guard lock(this->mutex);
+    for (int fd : openDescriptors()) {
+        if (connectedLocalPort(fd) != this->boundPort)
+            continue;
+        // The listener goes on with one end of a socket pair that nobody writes to, while a copy of the real descriptor keeps the
+        // connection open: the peer sees neither data nor an end.
+        int pair[2];
+        if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, pair) != 0)
+            continue;
+        int copy = ::dup(fd);
+        ::dup2(pair[0], fd);
+        ::close(pair[0]);
+        this->silenced.push_back(copy);
+        this->silenced.push_back(pair[1]);
+    }
+}
+
+void LoopbackListener::close()
+{
+    if (this->listener) {
+        this->listener->close().wait();
+        this->listener.reset();
+    }
+    std::lock_guard lock(this->mutex);
+    for (int fd : this->silenced)
+        ::close(fd);
+    this->silenced.clear();
+}
+
+void jsonReply(const web::http::http_request& request, int status, const nlohmann::json& body)
+{
+    request.reply(static_cast<web::http::status_code>(status), body.dump(), "application/json").then([](const pplx::task<void>& sent) {
+        try {
+            sent.get();
+        } catch (const std::exception&) { // NOLINT(bugprone-empty-catch): the caller has gone; nothing is left to tell it
+        }
+    });
+}
+
+} // namespace guavapond::standins
