--- a/bench/Bench.h
+++ b/bench/Bench.h
@@ -21,7 +21,7 @@
 struct BenchOptions {
     std::string deployment = "himal"; // himal | consorzio
     uint64_t seed = 1;
-    double seconds = 0; // length of the measurement; 0: the scenario's own default
+    double seconds = 0;                       // length of the measurement; 0: the scenario's own default
     std::map<std::string, std::string> extra; // --set name=value; each scenario documents its names
 };
 
--- a/src/adapters/HttpExchange.cpp
+++ b/src/adapters/HttpExchange.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr size_t readBytes = 64 * 1024; // bytes read at once
-constexpr auto libraryTimeout = std::chrono::hours(24); // the library's own timeout is not used; HttpExchange has its own
+constexpr size_t readBytes = 64 * 1024;                      // bytes read at once
+constexpr auto libraryTimeout = std::chrono::hours(24);      // the library's own timeout is not used; HttpExchange has its own
 constexpr Duration busyDelay = std::chrono::milliseconds(1); // until the next look at an exchange whose hook is running
 
 using ByteBuffer = concurrency::streams::details::basic_producer_consumer_buffer<uint8_t>;
--- a/src/adapters/HttpPlatform.cpp
+++ b/src/adapters/HttpPlatform.cpp
@@ -161,8 +161,8 @@
     std::vector<std::unique_ptr<http_client>> writers;
     std::mutex mutex;
     std::vector<std::shared_ptr<http_client>> watchers; // guarded by mutex
-    Duration watcherWait {}; // guarded by mutex
-    std::atomic<size_t> preferred { 0 }; // address that answered last
+    Duration watcherWait {};                            // guarded by mutex
+    std::atomic<size_t> preferred { 0 };                // address that answered last
 };
 
 // A read has no effect, whatever became of it.
--- a/src/adapters/HttpPlatform.h
+++ b/src/adapters/HttpPlatform.h
@@ -11,9 +11,9 @@
 namespace guavapond {
 
 struct HttpPlatformSettings {
-    std::vector<std::string> urls; // base URLs; a read tries each in turn, a write goes to one
+    std::vector<std::string> urls;              // base URLs; a read tries each in turn, a write goes to one
     Duration timeout = std::chrono::seconds(2); // of a call; a watch has it in addition to its wait
-    std::string caFile; // PEM; empty: the system's certificates
+    std::string caFile;                         // PEM; empty: the system's certificates
 };
 
 // The hooks are thread-safe and block; don't call them from a cpprestsdk handler.
--- a/src/core/FairQueue.h
+++ b/src/core/FairQueue.h
@@ -20,7 +20,7 @@
 namespace guavapond {
 
 struct FairQueueSettings {
-    double ageing = 0.5; // engine seconds of advantage for each second of waiting
+    double ageing = 0.5;        // engine seconds of advantage for each second of waiting
     size_t maxPerModel = 32768; // requests waiting in all tiers of a model
 };
 
@@ -29,11 +29,11 @@
     WorkspaceId workspace {};
     Tier tier = Tier::Standard;
     ModelId model {};
-    Duration cost {}; // µs of engine time
+    Duration cost {};       // µs of engine time
     bool shortWork = false; // may use the slots that are kept for short work
     TimePoint arrival {};
     TimePoint latestStart {}; // past it the deadline can't be met
-    double weight = 1; // of the workspace in this tier
+    double weight = 1;        // of the workspace in this tier
 };
 
 enum class QueueClass : uint8_t {
@@ -43,7 +43,7 @@
 
 // Engine time that is served before a request of a given workspace and cost.
 struct WorkAhead {
-    double all = 0; // engine seconds
+    double all = 0;       // engine seconds
     double shortWork = 0; // engine seconds; the part of it that is short
 };
 
@@ -56,8 +56,8 @@
     void push(const QueuedItem& item); // the model must not be full, the id not queued
     const QueuedItem* find(RequestId id) const;
     const QueuedItem* peek(ModelId model, Tier tier, QueueClass which) const; // next to serve; null: none
-    QueuedItem take(RequestId id); // removes it and charges its cost to the workspace
-    QueuedItem remove(RequestId id); // removes it without a charge
+    QueuedItem take(RequestId id);                                            // removes it and charges its cost to the workspace
+    QueuedItem remove(RequestId id);                                          // removes it without a charge
     void correctCharge(ModelId model, Tier tier, WorkspaceId workspace, double weight, Duration difference); // actual minus estimate
 
     // ---- Workspaces that must not run more now: peek passes over them. A block ends when the workspace has nothing waiting.
@@ -67,7 +67,7 @@
     // ---- Shedding and expiry
     // Of the lowest tier below `tier` that has requests waiting: the last to be served. Null: none.
     const QueuedItem* victimBelow(ModelId model, Tier tier) const;
-    const QueuedItem* earliest(ModelId model, Tier tier) const; // smallest latestStart; null: empty
+    const QueuedItem* earliest(ModelId model, Tier tier) const;                              // smallest latestStart; null: empty
     size_t countStartingBefore(ModelId model, Tier tier, TimePoint time, size_t most) const; // latestStart < time; counts up to `most`
 
     // ---- Figures
@@ -103,9 +103,9 @@
         std::set<Tag> idle;
         std::set<std::pair<TimePoint, RequestId>> byLatestStart;
         WorkBySize work {};
-        double shortWork = 0; // engine seconds
+        double shortWork = 0;    // engine seconds
         double activeWeight = 0; // of the flows in `order`
-        double virtualTime = 0; // engine seconds per unit of weight
+        double virtualTime = 0;  // engine seconds per unit of weight
         double largestTag = 0;
     };
 
--- a/src/core/Limits.h
+++ b/src/core/Limits.h
@@ -15,7 +15,7 @@
 
 struct LimitsSettings {
     Duration minRetryAfter = std::chrono::milliseconds(100); // lower bound of the hint given with a refusal
-    Duration maxRetryAfter = std::chrono::seconds(60); // upper bound of the hint
+    Duration maxRetryAfter = std::chrono::seconds(60);       // upper bound of the hint
 };
 
 class Limits {
@@ -36,7 +36,7 @@
     bool mayRun(WorkspaceId workspace, Tier tier, TimePoint now) const;
     // When the bucket allows the next request; none: it waits for one of its own requests to finish, not for the bucket.
     std::optional<TimePoint> nextAllowed(WorkspaceId workspace, Tier tier, TimePoint now) const;
-    void onStarted(WorkspaceId workspace, Tier tier, Duration estimatedCost, TimePoint now); // charges the estimate
+    void onStarted(WorkspaceId workspace, Tier tier, Duration estimatedCost, TimePoint now);                       // charges the estimate
     void onFinished(WorkspaceId workspace, Tier tier, Duration estimatedCost, Duration actualCost, TimePoint now); // corrects the charge
 
     uint32_t running(WorkspaceId workspace, Tier tier) const;
@@ -50,7 +50,7 @@
         double engineSeconds = 0; // saved up, as of `refilled`
         TimePoint refilled {};
         uint32_t running = 0; // requests
-        uint32_t queued = 0; // requests
+        uint32_t queued = 0;  // requests
         bool known = false;
     };
 
--- a/src/core/Scheduler.cpp
+++ b/src/core/Scheduler.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr size_t urgentLooked = 8; // urgent requests looked at for each event; the others follow at the next one
+constexpr size_t urgentLooked = 8;  // urgent requests looked at for each event; the others follow at the next one
 constexpr size_t maxPassedOver = 4; // requests passed over in one round because the free target is too slow for their deadline
 constexpr Duration noTargetRetry = std::chrono::seconds(1);
 constexpr double minWaitFactor = 0.5;
--- a/src/node/NodeApi.h
+++ b/src/node/NodeApi.h
@@ -14,11 +14,11 @@
 
 struct NodeApiPorts {
     std::function<TimePoint()> clock;
-    std::function<std::string()> metrics;        // the page of GET /metrics
-    std::function<bool()> hasTable;              // a revision of the table is in force
+    std::function<std::string()> metrics; // the page of GET /metrics
+    std::function<bool()> hasTable;       // a revision of the table is in force
     std::string nodeName;
     std::string failureDomain;
-    std::string adminToken;                      // for /v1/admin/; empty: no check
+    std::string adminToken; // for /v1/admin/; empty: no check
 };
 
 class NodeApi {
--- a/standins/EngineModel.cpp
+++ b/standins/EngineModel.cpp
@@ -16,8 +16,8 @@
 using Buffer = concurrency::streams::producer_consumer_buffer<uint8_t>;
 
 constexpr size_t maxBufferedBytes = 256 * 1024; // bytes per connection; a slow reader holds its stream back
-constexpr uint32_t maxTokensPerWrite = 256; // tokens
-constexpr size_t finishedKept = 20000; // finished streams that can still be resumed
+constexpr uint32_t maxTokensPerWrite = 256;     // tokens
+constexpr size_t finishedKept = 20000;          // finished streams that can still be resumed
 constexpr size_t cacheEventsKept = 65536;
 constexpr Duration minPause = std::chrono::microseconds(200); // between two passes of an emitter
 constexpr Duration maxPause = std::chrono::milliseconds(50);
@@ -118,7 +118,7 @@
 
 struct EngineModel::Output {
     Buffer buffer;
-    uint32_t sent = 0; // tokens
+    uint32_t sent = 0;              // tokens
     std::atomic<bool> gone = false; // the caller closed its connection
     bool closed = false;
 };
@@ -131,8 +131,8 @@
     bool chat = true;
     uint32_t total = 0; // tokens of the whole answer
     TimePoint firstDue {};
-    double decodeRate = 0; // tokens/s
-    EngineFaults faults; // as they were at dispatch
+    double decodeRate = 0;     // tokens/s
+    EngineFaults faults;       // as they were at dispatch
     Dispatch* entry = nullptr; // guarded by EngineModel::mutex
     Shard* shard = nullptr;
 
--- a/standins/PlatformModel.h
+++ b/standins/PlatformModel.h
@@ -18,15 +18,15 @@
 enum class Outage : uint8_t {
     None,
     Refusing, // every call is answered with an error and has no effect
-    Silent, // no call is answered or has an effect
+    Silent,   // no call is answered or has an effect
 };
 
 struct PlatformFaults {
     Outage outage = Outage::None;
-    Duration delay {}; // before each answer
-    Duration watchDelay {}; // before each answer of a watch, in addition
+    Duration delay {};             // before each answer
+    Duration watchDelay {};        // before each answer of a watch, in addition
     uint32_t loseWriteAnswers = 0; // writes still to come that take effect without an answer
-    double writesPerSecond = 0; // 0: no limit; one second's worth may be saved up
+    double writesPerSecond = 0;    // 0: no limit; one second's worth may be saved up
     double readsPerSecond = 0;
 };
 
--- a/tests/adapters/HttpPlatformTest.cpp
+++ b/tests/adapters/HttpPlatformTest.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr Duration longTimeout = std::chrono::seconds(20); // far above what an answer takes on a busy machine
+constexpr Duration longTimeout = std::chrono::seconds(20);        // far above what an answer takes on a busy machine
 constexpr Duration shortTimeout = std::chrono::milliseconds(300); // for answers that never come
 
 struct Fixture {
--- /dev/null
+++ b/tests/adapters/HttpServerTest.cpp
@@ -0,0 +1,241 @@
+// Guards the entry against input that would take memory or connections without end, and against callers that leave unnoticed.
+#include "adapters/HttpServer.h"
+#include "core/CallerRequest.h"
+
+#include <CppUTest/TestHarness.h>
+#include <boost/asio.hpp>
+#include <condition_variable>
+#include <mutex>
+
+using namespace guavapond;
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+// Waits for events of the server's threads; the bound is only reached when the test fails.
+class Signal {
+public:
+    void raise()
+    {
+        std::lock_guard lock(this->mutex);
+        ++this->count;
+        this->changed.notify_all();
+    }
+    bool wait(int times = 1)
+    {
+        std::unique_lock lock(this->mutex);
+        return this->changed.wait_for(lock, std::chrono::seconds(20), [&] { return this->count >= times; });
+    }
+
+private:
+    std::mutex mutex;
+    std::condition_variable changed;
+    int count = 0;
+};
+
+HttpServerSettings smallSettings()
+{
+    HttpServerSettings settings;
+    settings.threads = 2;
+    settings.maxHeaderBytes = 4096;
+    settings.maxHeaders = 10;
+    settings.maxBodyBytes = 10000;
+    settings.maxPendingBytes = 100000;
+    settings.receiveTimeout = std::chrono::milliseconds(200);
+    return settings;
+}
+
+class Client {
+public:
+    explicit Client(uint16_t port) { this->socket.connect({ asio::ip::make_address("127.0.0.1"), port }); }
+    void send(const std::string& text)
+    {
+        boost::system::error_code ec;
+        asio::write(this->socket, asio::buffer(text), ec);
+    }
+    std::string receiveAll()
+    {
+        std::string text;
+        boost::system::error_code ec;
+        asio::read(this->socket, asio::dynamic_buffer(text), ec);
+        return text;
+    }
+    std::string receiveUntil(const std::string& end)
+    {
+        std::string text;
+        boost::system::error_code ec;
+        asio::read_until(this->socket, asio::dynamic_buffer(text), end, ec);
+        return text;
+    }
+    void close() { this->socket.close(); }
+
+private:
+    asio::io_context context;
+    tcp::socket socket { this->context };
+};
+
+int statusOf(const std::string& response) { return response.size() < 12 ? 0 : std::stoi(response.substr(9, 3)); }
+
+} // namespace
+
+TEST_GROUP(HttpServer)
+{
+    HttpHandler handler
+        = [](const HttpRequest& request, const std::shared_ptr<HttpReply>& reply) { reply->send(200, {}, request.method + request.body); };
+    std::unique_ptr<HttpServer> server;
+
+    void start(const HttpServerSettings& settings = smallSettings())
+    {
+        server = std::make_unique<HttpServer>(
+            settings, [this](HttpRequest request, std::shared_ptr<HttpReply> reply) { handler(std::move(request), std::move(reply)); },
+            [](const Failure& failure) { return errorBody(failure, {}); });
+        CHECK(!server->start());
+    }
+};
+
+TEST(HttpServer, ServesSeveralRequestsOnOneConnection)
+{
+    start();
+    Client client(server->port());
+    client.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc");
+    CHECK(client.receiveUntil("POSTabc").find("200 OK") != std::string::npos);
+    client.send("GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    CHECK(client.receiveAll().ends_with("GET"));
+}
+
+struct BadInput {
+    const char* name;
+    std::string text;
+    int status;
+};
+
+TEST(HttpServer, BadInputGetsATypedAnswerAndAClosedConnection)
+{
+    start();
+    std::string manyHeaders;
+    for (int i = 0; i < 40; ++i)
+        manyHeaders += "H" + std::to_string(i) + ": v\r\n";
+    const std::vector<BadInput> cases {
+        { "malformed request line", "NONSENSE\r\n\r\n", 400 },
+        { "declared body too large", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999\r\n\r\n", 413 },
+        { "chunked body too large",
+            "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4e20\r\n" + std::string(20000, 'x') + "\r\n0\r\n\r\n", 413 },
+        { "header block too large", "GET / HTTP/1.1\r\nHost: h\r\nA: " + std::string(9000, 'x') + "\r\n\r\n", 431 },
+        { "too many headers", "GET / HTTP/1.1\r\nHost: h\r\n" + manyHeaders + "\r\n", 431 },
+        { "slow header", "GET / HTTP/1.1\r\nHo", 408 },
+        { "slow body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc", 408 },
+        { "two content lengths", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabc", 400 },
+    };
+    for (const auto& input : cases) {
+        Client client(server->port());
+        client.send(input.text);
+        auto response = client.receiveAll();
+        CHECK_EQUAL_TEXT(input.status, statusOf(response), input.name);
+        CHECK_TEXT(response.find("\"disposition\":\"not_run\"") != std::string::npos, input.name);
+    }
+}
+
+TEST(HttpServer, ABadSenderDoesNotStopOthers)
+{
+    start();
+    Client slow(server->port());
+    slow.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc");
+    Client good(server->port());
+    good.send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    CHECK_EQUAL(200, statusOf(good.receiveAll()));
+    CHECK_EQUAL(408, statusOf(slow.receiveAll()));
+}
+
+TEST(HttpServer, StreamsPiecesAsTheyAreWritten)
+{
+    std::shared_ptr<HttpReply> held;
+    Signal arrived;
+    handler = [&](const HttpRequest&, const std::shared_ptr<HttpReply>& reply) {
+        held = reply;
+        arrived.raise();
+    };
+    start();
+    Client client(server->port());
+    client.send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    CHECK(arrived.wait());
+    held->start(200, {});
+    held->write("first\n\n");
+    CHECK(client.receiveUntil("first\n\n").find("chunked") != std::string::npos);
+    held->write("second");
+    held->finish();
+    auto rest = client.receiveAll();
+    CHECK(rest.find("second") != std::string::npos);
+    CHECK(rest.ends_with("0\r\n\r\n"));
+}
+
+TEST(HttpServer, NoticesACallerThatLeavesWhileItsRequestWaits)
+{
+    Signal gone;
+    std::shared_ptr<HttpReply> held;
+    Signal arrived;
+    handler = [&](const HttpRequest&, const std::shared_ptr<HttpReply>& reply) {
+        held = reply;
+        reply->onGone([&] { gone.raise(); });
+        arrived.raise();
+    };
+    start();
+    Client client(server->port());
+    client.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(arrived.wait());
+    client.close();
+    CHECK(gone.wait());
+    CHECK(held->isGone());
+}
+
+// A reader that takes nothing must not make the node buffer a whole stream.
+TEST(HttpServer, AReaderThatStopsIsDisconnectedBeforeItsBufferGrowsWithoutBound)
+{
+    Signal gone;
+    std::shared_ptr<HttpReply> held;
+    Signal arrived;
+    handler = [&](const HttpRequest&, const std::shared_ptr<HttpReply>& reply) {
+        held = reply;
+        reply->onGone([&] { gone.raise(); });
+        reply->start(200, {});
+        arrived.raise();
+    };
+    start();
+    Client client(server->port());
+    client.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(arrived.wait());
+    const std::string piece(50000, 'x');
+    constexpr int enough = 2000; // 100 MB, far above the kernel's buffers and the limit
+    for (int i = 0; i < enough && !held->isGone(); ++i)
+        held->write(piece);
+    CHECK(gone.wait());
+}
+
+TEST(HttpServer, AnAbortedAnswerEndsWithoutItsLastChunk)
+{
+    std::shared_ptr<HttpReply> held;
+    Signal arrived;
+    handler = [&](const HttpRequest&, const std::shared_ptr<HttpReply>& reply) {
+        held = reply;
+        arrived.raise();
+    };
+    start();
+    Client client(server->port());
+    client.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(arrived.wait());
+    held->start(200, {});
+    held->write("part");
+    client.receiveUntil("part");
+    held->abort();
+    CHECK(client.receiveAll().find("0\r\n\r\n") == std::string::npos);
+}
+
+TEST(HttpServer, APortInUseIsReported)
+{
+    start();
+    auto settings = smallSettings();
+    settings.port = server->port();
+    HttpServer second(
+        settings, [](HttpRequest, std::shared_ptr<HttpReply>) {}, [](const Failure&) { return std::string(); });
+    CHECK(second.start().has_value());
+}
