--- a/src/core/PrefixIndex.cpp
+++ b/src/core/PrefixIndex.cpp
@@ -108,8 +108,8 @@
 {
     this->expire(now);
     // The deepest block goes first: eviction from the other end then shortens chains and leaves no holes in them.
-    for (auto block = chain.rbegin(); block != chain.rend(); ++block)
-        this->confirm(target, *block, true, now);
+    for (size_t depth = chain.size(); depth > 0; --depth)
+        this->confirm(target, chain[depth - 1], true, now);
 }
 
 void PrefixIndex::onCacheEvent(TargetId target, uint64_t seq, uint64_t block, bool added, TimePoint now)
--- a/src/core/PrefixIndex.h
+++ b/src/core/PrefixIndex.h
@@ -53,7 +53,7 @@
         ByUse, // all entries, the last used first: eviction and expiry
         ByTarget, // entries of one target, the last confirmed first: lost trust, forget()
         ByBlock, // entries of one block, the last inserted first: find()
-        listKinds,
+        ListKinds,
     };
     struct List {
         Slot head = none;
@@ -70,7 +70,7 @@
         std::optional<TimePoint> lastDispatch {}; // by this node
         TargetId target {};
         uint32_t gapsAtConfirm = 0; // the target's gap count when a dispatch or an event last confirmed the entry
-        std::array<Links, listKinds> links {};
+        std::array<Links, ListKinds> links {};
     };
     struct TargetEvents {
         List entries;
--- a/src/core/TargetSet.cpp
+++ b/src/core/TargetSet.cpp
@@ -5,6 +5,7 @@
 #include <cassert>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace guavapond {
 
@@ -85,6 +86,7 @@
     this->forgetLearned(id);
     target.health = TargetHealth::Healthy;
     target.consecutiveFailures = target.pendingLost = target.pendingTimeouts = 0;
+    target.wasDown = false;
     target.probeInterval = this->settings.firstProbe;
     target.readmitted = now;
 }
@@ -269,7 +271,7 @@
         target.wake.reset();
         bool slow = target.health == TargetHealth::Ejected && target.reason == EjectReason::Slowness;
         if (slow && target.nextProbe <= now)
-            this->startProbing(target);
+            this->startProbing(due.target);
         else if (slow)
             this->wakeAt(due.target, target.nextProbe);
         this->reindex(due.target, now);
@@ -459,6 +461,7 @@
             this->decreaseWindow(target, now);
     }
     target.consecutiveFailures = 0;
+    target.wasDown = false;
     if (!missed)
         this->increaseWindow(target);
     if (target.health == TargetHealth::Probing) {
@@ -504,9 +507,10 @@
     Target& target = this->at(id);
     uint32_t lost = std::exchange(target.pendingLost, 0);
     uint32_t timeouts = std::exchange(target.pendingTimeouts, 0);
+    target.wasDown = target.wasDown || !healthy;
     if (target.health == TargetHealth::Ejected) {
         if (healthy && target.reason == EjectReason::Failures)
-            this->startProbing(target);
+            this->startProbing(id);
     } else if (!healthy) {
         // A broken connection and a refused fresh one are two independent signs that the target is down.
         target.consecutiveFailures += lost + timeouts + 1;
@@ -535,8 +539,12 @@
         this->wakeAt(TargetId { static_cast<uint32_t>(&target - this->targets.data()) }, target.nextProbe);
 }
 
-void TargetSet::startProbing(Target& target)
+void TargetSet::startProbing(TargetId id)
 {
+    Target& target = this->at(id);
+    // What refused a fresh connection and answers again is most likely a new process with an empty cache.
+    if (std::exchange(target.wasDown, false))
+        this->forgetLearned(id);
     target.health = TargetHealth::Probing;
     target.probePassed = 0;
     target.consecutiveFailures = 0;
--- a/src/core/TargetSet.h
+++ b/src/core/TargetSet.h
@@ -140,7 +140,7 @@
         UsableList,
         FreeShortList,
         FreeLongList,
-        listNames,
+        ListNames,
     };
     static constexpr uint32_t unlisted = UINT32_MAX;
     struct Target {
@@ -169,6 +169,7 @@
         uint32_t consecutiveFailures = 0;
         uint32_t pendingLost = 0; // connections lost, to be judged by the next health check
         uint32_t pendingTimeouts = 0; // requests timed out, to be judged by the next health check
+        bool wasDown = false; // a health check failed since the target last served
         uint32_t probePassed = 0; // successes in sequence while Probing
         Duration probeInterval {};
         TimePoint nextProbe {};
@@ -176,7 +177,7 @@
 
         uint32_t group = 0; // position in groups
         uint32_t countedWindow = 0; // part of the group's windowSum
-        std::array<uint32_t, listNames> position { unlisted, unlisted, unlisted };
+        std::array<uint32_t, ListNames> position { unlisted, unlisted, unlisted };
         std::optional<TimePoint> wake; // earliest entry in wakes
     };
     struct Run {
@@ -237,7 +238,7 @@
     void evaluate(ModelId model, TimePoint now);
     void judgeSpeed(TargetId id, TimePoint now);
     void eject(Target& target, EjectReason reason, TimePoint now);
-    void startProbing(Target& target);
+    void startProbing(TargetId id);
     void readmit(Target& target, TimePoint now);
 
     TargetSettings settings;
