--- a/src/adapters/GrpcPeer.cpp
+++ b/src/adapters/GrpcPeer.cpp
@@ -118,9 +118,7 @@
         return std::optional<TableVersion> {};
     TableVersion version;
     version.revision = reply.revision();
-    version.head = reply.head();
-    for (const auto& page : reply.pages())
-        version.pages.emplace_back(page.key(), page.value());
+    version.snapshot = reply.snapshot();
     return std::optional<TableVersion>(std::move(version));
 }
 
@@ -169,12 +167,7 @@
         if (!version)
             return grpc::Status::OK;
         reply->set_revision(version->revision);
-        reply->set_head(version->head);
-        for (const auto& [key, value] : version->pages) {
-            auto* page = reply->add_pages();
-            page->set_key(key);
-            page->set_value(value);
-        }
+        reply->set_snapshot(std::move(version->snapshot));
         return grpc::Status::OK;
     }
 
--- a/src/node/Snapshot.h
+++ b/src/node/Snapshot.h
@@ -25,11 +25,13 @@
     RcuThread& operator=(const RcuThread&) = delete;
 };
 
-// Invariant: `current` is never null, and a version is deleted only after every reader that may hold it has left read().
+// Invariant: `current` is never null, and a version is released only after every reader that may hold it has left read().
 template <typename T> class Snapshot {
 public:
-    explicit Snapshot(std::unique_ptr<const T> first)
-        : current(first.release())
+    using Version = std::shared_ptr<const T>;
+
+    explicit Snapshot(Version first)
+        : current(new Version(std::move(first)))
     {
     }
     ~Snapshot() { delete this->current.load(); }
@@ -44,20 +46,20 @@
         struct Unlock {
             ~Unlock() { urcu_memb_read_unlock(); }
         } unlock;
-        return reader(*this->current.load(std::memory_order_acquire));
+        return reader(**this->current.load(std::memory_order_acquire));
     }
 
-    // Waits for readers of the replaced version; not on the path of a request.
-    void publish(std::unique_ptr<const T> next)
+    // Waits for readers of the replaced version; not on the path of a request, and not inside read().
+    void publish(Version next)
     {
         std::lock_guard lock(this->writer);
-        const T* previous = this->current.exchange(next.release(), std::memory_order_acq_rel);
+        const Version* previous = this->current.exchange(new Version(std::move(next)), std::memory_order_acq_rel);
         urcu_memb_synchronize_rcu();
         delete previous;
     }
 
 private:
-    std::atomic<const T*> current;
+    std::atomic<const Version*> current;
     std::mutex writer;
 };
 
--- a/src/ports/Peer.h
+++ b/src/ports/Peer.h
@@ -27,9 +27,8 @@
 };
 
 struct TableVersion {
-    uint64_t revision = 0; // of the table's head
-    std::string head;
-    std::vector<std::pair<std::string, std::string>> pages; // key, value
+    uint64_t revision = 0; // of the table
+    std::string snapshot;  // as from TableStore::snapshot()
 };
 
 struct Peer {
--- a/tests/node/PathHarness.h
+++ b/tests/node/PathHarness.h
@@ -96,7 +96,7 @@
 // One node with two engines of one model and one plain service.
 struct PathHarness {
     PathHarness()
-        : table(std::make_unique<TableIndex>(makeTable(), 1))
+        : table(std::make_shared<TableIndex>(makeTable(), 1))
         , decisions({ "n1", 7 }, "lalitpur", {}, [this](uint64_t bound) { return this->random++ % bound; })
     {
         this->table.read([this](const TableIndex& rows) { this->decisions.applyTable(rows, this->now); });
