--- a/src/core/PrefixIndex.h
+++ b/src/core/PrefixIndex.h
@@ -52,13 +52,8 @@
     enum ListKind : uint8_t {
         ByUse,    // all entries, the last used first: eviction and expiry
         ByTarget, // entries of one target, the last confirmed first: lost trust, forget()
-<<<<<<< HEAD
         ByBlock,  // entries of one block, the last inserted first: find()
-        listKinds,
-=======
-        ByBlock, // entries of one block, the last inserted first: find()
         ListKinds,
->>>>>>> targets
     };
     struct List {
         Slot head = none;
