--- a/src/core/Router.cpp
+++ b/src/core/Router.cpp
@@ -30,6 +30,9 @@
     , random(std::move(randomBelow))
 {
     this->targets.setForgetHook([&prefixIndex](TargetId target) { prefixIndex.forget(target); });
+    this->targets.setDispatchHook([&prefixIndex](TargetId target, const RequestSpec& request, TimePoint now) {
+        prefixIndex.onDispatched(target, request.prefixBlocks, now);
+    });
 }
 
 // ---- Shares
@@ -161,6 +164,8 @@
 
 std::optional<Choice> Router::only(const Draw& draw, TargetId target, bool needsSlot) const
 {
+    if (!this->targets.contains(target))
+        return std::nullopt;
     Choice choice = this->cost(draw, target, this->prefixes.cachedTokens(target, draw.request.prefixBlocks, draw.now));
     if (needsSlot && !this->targets.acceptsResume(target))
         return std::nullopt;
--- a/src/core/Router.h
+++ b/src/core/Router.h
@@ -31,6 +31,7 @@
 
 class Router {
 public:
+    // Keeps the prefix index in step with the target set through its hooks: dispatches add entries, restarts forget them.
     // `random` returns a uniform number below its argument.
     Router(const RouterSettings& settings, TargetSet& targets, PrefixIndex& prefixes, CostModel& costs,
         std::function<uint64_t(uint64_t)> random);
--- a/src/core/TargetSet.cpp
+++ b/src/core/TargetSet.cpp
@@ -146,7 +146,7 @@
 
 void TargetSet::onRestarted(TargetId id, TimePoint now)
 {
-    if (raw(id) >= this->targets.size() || !this->at(id).present)
+    if (!this->contains(id))
         return;
     this->forgetLearned(id);
     this->reindex(id, now);
@@ -295,6 +295,7 @@
 
 void TargetSet::onDispatched(TargetId id, const RequestSpec& request, uint32_t cachedTokens, Duration cost, TimePoint now)
 {
+    assert(raw(id) < this->targets.size());
     Target& target = this->at(id);
     uint32_t uncached = request.promptTokens - std::min(cachedTokens, request.promptTokens);
     Run run {
@@ -316,6 +317,8 @@
     target.pendingPrefill += run.prefill;
     this->notePeak(target, now);
     this->reindex(id, now);
+    if (this->dispatchHook)
+        this->dispatchHook(id, request, now);
 }
 
 void TargetSet::onFirstToken(RequestId request, TimePoint now)
@@ -502,7 +505,7 @@
 
 void TargetSet::onHealthCheck(TargetId id, bool healthy, TimePoint now)
 {
-    if (raw(id) >= this->targets.size() || !this->at(id).present)
+    if (!this->contains(id))
         return;
     Target& target = this->at(id);
     uint32_t lost = std::exchange(target.pendingLost, 0);
@@ -653,6 +656,8 @@
     return static_cast<size_t>(std::count_if(this->targets.begin(), this->targets.end(), [](const Target& t) { return t.present; }));
 }
 
+bool TargetSet::contains(TargetId id) const { return raw(id) < this->targets.size() && this->at(id).present; }
+
 TargetView TargetSet::view(TargetId id, TimePoint now) const
 {
     const Target& target = this->at(id);
@@ -698,17 +703,15 @@
 
 bool TargetSet::acceptsResume(TargetId id) const
 {
-    if (raw(id) >= this->targets.size())
+    if (!this->contains(id))
         return false;
     const Target& target = this->at(id);
-    return target.present && target.running < std::max(static_cast<uint32_t>(target.learned.window), this->settings.minWindow);
+    return target.running < std::max(static_cast<uint32_t>(target.learned.window), this->settings.minWindow);
 }
 
 bool TargetSet::isIn(const VersionGroup& group, TargetId id) const
 {
-    if (raw(id) >= this->targets.size() || !this->at(id).present)
-        return false;
-    return &this->groups[this->at(id).group] == &group;
+    return this->contains(id) && &this->groups[this->at(id).group] == &group;
 }
 
 std::optional<TargetId> TargetSet::targetOf(RequestId request) const
--- a/src/core/TargetSet.h
+++ b/src/core/TargetSet.h
@@ -95,9 +95,12 @@
     void refresh(TimePoint now); // applies what changes with time alone: load reports that faded, probes that are due
     // Called with each target whose cache and speed are void: restarted, readdressed or removed.
     void setForgetHook(std::function<void(TargetId)> hook) { this->forgetHook = std::move(hook); }
+    using DispatchHook = std::function<void(TargetId, const RequestSpec&, TimePoint)>;
+    void setDispatchHook(DispatchHook hook) { this->dispatchHook = std::move(hook); } // called by onDispatched
 
     // ---- Reading
     size_t size() const;
+    bool contains(TargetId target) const; // false: a hole, or not in any table yet
     TargetView view(TargetId target, TimePoint now) const;
     const TokenRates& rates(TargetId target) const;
     std::span<const TargetId> targetsOf(ModelId model) const;
@@ -249,6 +252,7 @@
     std::unordered_map<uint64_t, Run> runs; // by request id
     std::priority_queue<Wake, std::vector<Wake>, std::greater<>> wakes; // may hold entries that were overtaken
     std::function<void(TargetId)> forgetHook;
+    DispatchHook dispatchHook;
 };
 
 } // namespace guavapond
--- a/tests/core/TargetSetTest.cpp
+++ b/tests/core/TargetSetTest.cpp
@@ -183,6 +183,7 @@
 {
     Fleet fleet(engines(1));
     std::vector<RequestId> running;
+    running.reserve(4);
     for (int i = 0; i < 4; ++i)
         running.push_back(fleet.dispatch(first, at(0s)));
     for (size_t i = 0; i < 3; ++i)
