Add the table watcher, the retry budget on the request path and the daemon's composition

Cause: accepted changes have to reach every node, also from its peers, and refused callers must not return together. A reader that takes a mutex inside read() could have waited for a publication that held the same mutex: such readers now take a reference.

--- /dev/null
+++ b/src/daemon/NodeProcess.cpp
@@ -0,0 +1,178 @@
+// Composition of a node.
+#include "daemon/NodeProcess.h"
+
+#include "adapters/HttpEngine.h"
+#include "adapters/HttpPlatform.h"
+#include "adapters/HttpService.h"
+#include "adapters/Logging.h"
+
+#include <boost/asio/post.hpp>
+#include <random>
+
+namespace guavapond {
+
+namespace {
+
+constexpr unsigned requestTaskThreads = 64;
+constexpr unsigned monitorTaskThreads = 8;
+
+TimePoint presentTimeOfProcess() { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
+
+uint64_t randomBelow(uint64_t bound)
+{
+    thread_local std::mt19937_64 generator(std::random_device {}());
+    return std::uniform_int_distribution<uint64_t>(0, bound - 1)(generator);
+}
+
+double randomUnit()
+{
+    thread_local std::mt19937_64 generator(std::random_device {}());
+    return std::uniform_real_distribution<double>(0, 1)(generator);
+}
+
+} // namespace
+
+NodeProcess::NodeProcess(const Settings& s, uint64_t incarnation)
+    : settings(s)
+    , engine(makeHttpEngine(s.engine))
+    , service(makeHttpService(s.service))
+    , peer(makeGrpcPeer(s.peerCalls))
+    , keyValue(httpKeyValue(s.platform))
+    , vms(httpVmList(s.platform))
+    , table(std::make_shared<const TableIndex>())
+    , decisions({ s.name, incarnation }, s.failureDomain, s.decisions, randomBelow)
+    , requestTasks(requestTaskThreads)
+    , monitorTasks(monitorTaskThreads)
+{
+    this->path = std::make_unique<RequestPath>(s.requestPath, this->requestPathPorts(), this->table, this->decisions);
+    this->monitor = std::make_unique<TargetMonitor>(s.monitor, this->monitorPorts(), this->table, this->decisions);
+    this->watcher = std::make_unique<TableWatcher>(s.name, s.failureDomain, s.tableWatcher, this->watcherPorts());
+    NodeApiPorts apiPorts;
+    apiPorts.clock = presentTimeOfProcess;
+    apiPorts.metrics = [this] { return this->metrics.page(this->decisions, *this->table.get(), presentTimeOfProcess()); };
+    apiPorts.hasTable = [this] { return this->watcher->revision() > 0; };
+    apiPorts.nodeName = s.name;
+    apiPorts.failureDomain = s.failureDomain;
+    apiPorts.adminToken = s.adminToken;
+    this->api = std::make_unique<NodeApi>(std::move(apiPorts), *this->path, this->table, this->decisions);
+    this->server = std::make_unique<HttpServer>(
+        s.callers, [this](const HttpRequest& request, const std::shared_ptr<HttpReply>& reply) { this->api->handle(request, reply); },
+        [](const Failure& failure) { return errorBody(failure, {}); });
+    PeerHandler handler;
+    handler.forward = [this](const ForwardedRequest& request, const auto& onChunk) { this->path->forwarded(request, onChunk); };
+    handler.outcome = [this](std::string_view ticket) { return this->path->outcomeJson(ticket); };
+    handler.table = [this](uint64_t revision) { return this->watcher->versionAbove(revision); };
+    this->peerServer = std::make_unique<GrpcPeerServer>(s.peerAddress, s.peerPort, s.peerCalls, std::move(handler));
+}
+
+NodeProcess::~NodeProcess()
+{
+    this->stop = true;
+    this->path->wakeTimer();
+    this->monitor->wake();
+    this->watcher->wake();
+    for (auto& thread : this->threads)
+        thread.join();
+    this->server->stop();
+    this->peerServer->stop(std::chrono::seconds(1));
+    this->requestTasks.join();
+    this->monitorTasks.join();
+}
+
+std::optional<Failure> NodeProcess::start()
+{
+    if (auto failure = this->peerServer->start())
+        return failure;
+    if (auto failure = this->server->start())
+        return failure;
+    this->threads.emplace_back([this] { this->path->runTimer(this->stop); });
+    this->threads.emplace_back([this] { this->monitor->run(this->stop); });
+    this->threads.emplace_back([this] { this->watcher->watchPlatform(this->stop); });
+    this->threads.emplace_back([this] { this->watcher->askPeers(this->stop); });
+    return std::nullopt;
+}
+
+void NodeProcess::stopGracefully()
+{
+    constexpr Duration step = std::chrono::milliseconds(50);
+    this->path->stopAdmitting();
+    logInfo("stopping", { { "active", this->path->active() } });
+    auto until = presentTimeOfProcess() + this->settings.shutdownTime;
+    while (this->path->active() > 0 && presentTimeOfProcess() < until)
+        std::this_thread::sleep_for(step);
+    // Time for the last bytes of answers that ended just now.
+    std::this_thread::sleep_for(step * 2);
+    this->server->stopAccepting();
+    logInfo("stopped", { { "active", this->path->active() } });
+}
+
+std::function<void(std::function<void()>)> NodeProcess::runOn(boost::asio::thread_pool& pool)
+{
+    return [&pool](std::function<void()> task) { boost::asio::post(pool, std::move(task)); };
+}
+
+RequestPathPorts NodeProcess::requestPathPorts()
+{
+    RequestPathPorts ports;
+    ports.engine = this->engine;
+    ports.service = this->service;
+    ports.peer = this->peer;
+    ports.clock = presentTimeOfProcess;
+    ports.background = this->runOn(this->requestTasks);
+    ports.peerAddress = [this](std::string_view node) -> std::optional<std::string> {
+        for (const auto& known : this->settings.peers) {
+            if (known.name == node)
+                return known.address;
+        }
+        return std::nullopt;
+    };
+    ports.observer = this->metrics.observer();
+    auto count = ports.observer.ended;
+    ports.observer.ended = [this, count](const RequestSummary& summary) {
+        count(summary);
+        this->logEnded(summary);
+    };
+    return ports;
+}
+
+TargetMonitorPorts NodeProcess::monitorPorts()
+{
+    return { this->engine, this->vms, presentTimeOfProcess, this->runOn(this->monitorTasks), [this] { this->path->poke(); } };
+}
+
+TableWatcherPorts NodeProcess::watcherPorts()
+{
+    TableWatcherPorts ports;
+    ports.keyValue = this->keyValue;
+    ports.peer = this->peer;
+    ports.peers = this->settings.peers;
+    ports.random = randomUnit;
+    ports.adopted = [this](const std::shared_ptr<const TableIndex>& next) { this->adopt(next); };
+    ports.failed = [](const Failure& failure) { logWarning("platform call failed", { { "reason", failure.message } }); };
+    return ports;
+}
+
+void NodeProcess::adopt(const std::shared_ptr<const TableIndex>& next)
+{
+    auto now = presentTimeOfProcess();
+    // Targets first: a request that is parsed against the new revision has to find its targets known. The publication waits for
+    // readers, some of which hold the mutex, so it comes after the mutex is released.
+    {
+        std::lock_guard lock(this->decisions.mutex);
+        this->decisions.applyTable(*next, now);
+    }
+    this->table.publish(next);
+    logInfo("table revision in force", { { "revision", next->revision() } });
+    this->path->poke();
+}
+
+void NodeProcess::logEnded(const RequestSummary& summary)
+{
+    logInfo("request ended",
+        { { "ticket", summary.ticket }, { "workspace", summary.workspace }, { "model", summary.model }, { "target", summary.target },
+            { "tier", tierName(summary.tier) }, { "queueMs", toMilliseconds(summary.queueTime) }, { "totalMs", toMilliseconds(summary.total) },
+            { "outputTokens", summary.outputTokens }, { "result", summary.failure ? failureKindName(summary.failure->kind) : "whole" },
+            { "disposition", summary.failure ? dispositionName(summary.failure->disposition) : "ran" } });
+}
+
+} // namespace guavapond
--- a/src/node/Decisions.h
+++ b/src/node/Decisions.h
@@ -3,6 +3,7 @@
 
 #include "core/CostModel.h"
 #include "core/PrefixIndex.h"
+#include "core/RetryBudget.h"
 #include "core/Router.h"
 #include "core/Scheduler.h"
 #include "core/TargetSet.h"
@@ -19,6 +20,7 @@
     RouterSettings router;
     SchedulerSettings scheduler;
     LedgerSettings ledger;
+    RetrySettings retries;
 };
 
 // Invariant: every member but the mutex is used under the mutex only.
@@ -28,9 +30,10 @@
         : targets(settings.targets, failureDomain)
         , prefixes(settings.prefixes)
         , costs(settings.costs)
-        , router(settings.router, this->targets, this->prefixes, this->costs, std::move(random))
+        , router(settings.router, this->targets, this->prefixes, this->costs, random)
         , scheduler(settings.scheduler, this->targets, this->router, this->costs)
         , ledger(identity, settings.ledger)
+        , retries(settings.retries, random)
     {
     }
 
@@ -48,6 +51,7 @@
     Router router;
     Scheduler scheduler;
     TicketLedger ledger;
+    RetryBudget retries;
 };
 
 } // namespace guavapond
--- a/src/node/NodeApi.cpp
+++ b/src/node/NodeApi.cpp
@@ -79,32 +79,40 @@
         return sendFailure(reply, { FailureKind::Unauthorized, Disposition::NotRun, "the administrator's token is missing or wrong", {} });
     auto now = this->ports.clock();
     auto active = this->path.active();
-    auto json = this->table.read([&](const TableIndex& rows) {
+    auto rows = this->table.get();
+    Json page;
+    {
         std::lock_guard lock(this->decisions.mutex);
-        auto stats = this->decisions.scheduler.stats();
-        Json page {
-            { "node", this->ports.nodeName },
-            { "failureDomain", this->ports.failureDomain },
-            { "incarnation", this->decisions.ledger.identity().incarnation },
-            { "revision", rows.revision() },
-            { "stopping", this->path.isStopping() },
-            { "active", active },
-            { "dispatched", stats.dispatched },
-            { "tierInversions", stats.tierInversions },
-            { "tickets", this->decisions.ledger.retained() },
-        };
-        for (size_t i = 0; i < tierCount; ++i) {
-            std::string name(tierName(static_cast<Tier>(i)));
-            page["queued"][name] = stats.queued.at(i);
-            page["running"][name] = stats.running.at(i);
-            page["cancelled"][name] = stats.cancelled.at(i);
-        }
-        page["targets"] = Json::array();
-        for (const auto& row : rows.table().targets)
-            page["targets"].push_back(this->targetStatus(rows, row, now));
-        return page;
-    });
-    sendText(reply, 200, "application/json", json.dump(-1, ' ', false, Json::error_handler_t::replace));
+        page = this->statusPage(*rows, now);
+    }
+    page["active"] = active;
+    sendText(reply, 200, "application/json", page.dump(-1, ' ', false, Json::error_handler_t::replace));
+}
+
+// Under the decision mutex.
+Json NodeApi::statusPage(const TableIndex& rows, TimePoint now)
+{
+    auto stats = this->decisions.scheduler.stats();
+    Json page {
+        { "node", this->ports.nodeName },
+        { "failureDomain", this->ports.failureDomain },
+        { "incarnation", this->decisions.ledger.identity().incarnation },
+        { "revision", rows.revision() },
+        { "stopping", this->path.isStopping() },
+        { "dispatched", stats.dispatched },
+        { "tierInversions", stats.tierInversions },
+        { "tickets", this->decisions.ledger.retained() },
+        { "targets", Json::array() },
+    };
+    for (size_t i = 0; i < tierCount; ++i) {
+        std::string name(tierName(static_cast<Tier>(i)));
+        page["queued"][name] = stats.queued.at(i);
+        page["running"][name] = stats.running.at(i);
+        page["cancelled"][name] = stats.cancelled.at(i);
+    }
+    for (const auto& row : rows.table().targets)
+        page["targets"].push_back(this->targetStatus(rows, row, now));
+    return page;
 }
 
 Json NodeApi::targetStatus(const TableIndex& rows, const TargetRow& row, TimePoint now)
--- a/src/node/NodeApi.h
+++ b/src/node/NodeApi.h
@@ -30,6 +30,7 @@
 private:
     void ready(HttpReply& reply) const;
     void status(const HttpRequest& request, HttpReply& reply);
+    nlohmann::json statusPage(const TableIndex& rows, TimePoint now);
     nlohmann::json targetStatus(const TableIndex& rows, const TargetRow& row, TimePoint now);
 
     NodeApiPorts ports;
--- a/src/node/RequestPath.cpp
+++ b/src/node/RequestPath.cpp
@@ -268,6 +268,7 @@
             else
                 refused = this->decisions.scheduler.submit(flight->request.spec, now);
             if (refused) {
+                this->spreadReturn(*refused, now);
                 ledger.giveUp(ticket, *refused, now);
             } else {
                 this->flights[request.spec.id] = flight;
@@ -413,7 +414,6 @@
                 const auto* row = rows.row(action.target);
                 return row ? *row : TargetRow {};
             });
-            this->decisions.prefixes.onDispatched(action.target, flight->request.spec.prefixBlocks, now);
         }
         steps.push_back({ std::move(action), std::move(flight) });
     }
@@ -624,6 +624,8 @@
             this->decisions.ledger.finish(flight->ticket, std::move(tooLarge), now);
         }
         this->decisions.scheduler.onFinished(flight->request.spec.id, outcome, now);
+        if (outcome == RunOutcome::Completed)
+            this->decisions.retries.onSuccess(now);
         steps = this->takeSteps(now);
     }
     this->settle(*flight, result);
@@ -642,6 +644,7 @@
         if (this->flights.erase(flight->request.spec.id) == 0)
             return; // it has ended another way
         this->flightsByTicket.erase(flight->ticketText);
+        this->spreadReturn(*result.failure, now);
         // The ledger decides whether "not run" can be said: it can't once the dispatch has started, unless the adapter proved that
         // nothing was sent.
         if (!this->decisions.ledger.giveUp(flight->ticket, failure, now)) {
@@ -682,7 +685,7 @@
         auto id = flight->request.spec.id;
         if (this->flights.find(id) == this->flights.end())
             return true; // it has ended another way
-        if (now >= flight->request.spec.deadline || !this->decisions.ledger.revertUnsent(flight->ticket))
+        if (now >= flight->request.spec.deadline || !this->decisions.retries.takeRetry(now) || !this->decisions.ledger.revertUnsent(flight->ticket))
             return false;
         if (auto ran = this->decisions.targets.targetOf(id))
             target = *ran;
@@ -702,6 +705,13 @@
     return queued;
 }
 
+// Callers that are refused together must not come back together: each gets a return time of its own.
+void RequestPath::spreadReturn(Failure& failure, TimePoint now)
+{
+    if (failure.retryAfter > Duration::zero())
+        failure.retryAfter = std::max(failure.retryAfter, this->decisions.retries.retryAfter(failure.retryAfter, now));
+}
+
 // Ends the flight for all its listeners.
 void RequestPath::settle(Flight& flight, const FinalResult& result)
 {
--- a/src/node/RequestPath.h
+++ b/src/node/RequestPath.h
@@ -97,6 +97,7 @@
     void complete(const FlightPtr& flight, StoredAnswer answer, RunOutcome outcome, TimePoint now);
     void fail(const FlightPtr& flight, const Failure& failure, RunOutcome outcome, TimePoint now);
     bool requeueUnsent(const FlightPtr& flight, TimePoint now);
+    void spreadReturn(Failure& failure, TimePoint now); // under the decision mutex
     void settle(Flight& flight, const FinalResult& result);
     void deliver(const Flight& flight, Listener& listener, const FinalResult& result);
     void onCallerGone(const FlightPtr& flight, const HttpReply* reply);
--- a/src/node/Snapshot.h
+++ b/src/node/Snapshot.h
@@ -49,6 +49,16 @@
         return reader(**this->current.load(std::memory_order_acquire));
     }
 
+    // For readers that block or keep the version: one reference count more.
+    Version get() const
+    {
+        RcuThread::ensure();
+        urcu_memb_read_lock();
+        Version version = *this->current.load(std::memory_order_acquire);
+        urcu_memb_read_unlock();
+        return version;
+    }
+
     // Waits for readers of the replaced version; not on the path of a request, and not inside read().
     void publish(Version next)
     {
