--- a/standins/PlatformServer.cpp
+++ b/standins/PlatformServer.cpp
@@ -173,9 +173,8 @@
         this->listener->close().wait();
     }
 
-    static void send(const http_request& handle, const Answer& answer)
+    static void send(const http_request& request, const Answer& answer)
     {
-        http_request request(handle);
         web::http::http_response response(static_cast<web::http::status_code>(answer.status));
         if (answer.status != 304)
             response.set_body(answer.body.dump(), "application/json");
@@ -223,7 +222,7 @@
     void handle(const http_request& request, const std::string& body)
     {
         const std::string path = web::uri::decode(request.request_uri().path());
-        const std::string method = request.method();
+        const std::string& method = request.method();
         Query query;
         for (const auto& [name, value] : web::uri::split_query(request.request_uri().query()))
             query[name] = web::uri::decode(value);
