--- a/src/adapters/HttpEngine.cpp
+++ b/src/adapters/HttpEngine.cpp
@@ -333,6 +333,7 @@
 {
     auto adapter = std::make_shared<HttpEngine>(settings);
     Engine engine;
+    engine.streamIdOf = [](std::string_view requestId) { return "cmpl-" + std::string(requestId); };
     engine.generate = [adapter](const EngineRequest& request, std::function<void(EngineEvent)> receive) {
         return adapter->generate(request, std::move(receive));
     };
--- a/src/adapters/Settings.cpp
+++ b/src/adapters/Settings.cpp
@@ -94,8 +94,7 @@
     v.duration("limits.bodyTimeoutMs", s.bodyTimeout, 10, 600000);
     v.duration("limits.defaultDeadlineMs", s.defaultDeadline, 10, dayMs);
     v.duration("limits.maxDeadlineMs", s.maxDeadline, 1000, 7 * dayMs);
-    v.number("queue.maxPerTier", s.maxQueuedPerTier, 1, 1000000);
-    v.number("queue.maxPerWorkspace", s.maxQueuedPerWorkspace, 1, 1000000);
+    v.number("queue.maxPerModel", s.maxQueuedPerModel, 1, 1000000);
     v.number("scheduler.initialWindow", s.target.initialWindow, 1, 10000);
     v.number("scheduler.minWindow", s.target.minWindow, 1, 10000);
     v.real("scheduler.shortWorkFraction", s.target.shortWorkFraction, 0, 0.9);
--- a/src/adapters/Settings.h
+++ b/src/adapters/Settings.h
@@ -21,69 +21,68 @@
 
 struct Settings {
     // [node]
-    std::string name; // required
+    std::string name;          // required
     std::string failureDomain; // required
     // [callers]: HTTP
     std::string callersAddress = "127.0.0.1"; // IP address to listen on
-    uint16_t callersPort = 8080; // 0: chosen by the kernel
-    std::string callersTlsCert; // PEM file; empty: no TLS
-    std::string callersTlsKey; // PEM file
+    uint16_t callersPort = 8080;              // 0: chosen by the kernel
+    std::string callersTlsCert;               // PEM file; empty: no TLS
+    std::string callersTlsKey;                // PEM file
     // [nodes]: gRPC
     std::string nodesAddress = "127.0.0.1"; // IP address to listen on
-    uint16_t nodesPort = 8081; // 0: chosen by the kernel
+    uint16_t nodesPort = 8081;              // 0: chosen by the kernel
     // [[peers]]
     std::vector<PeerSettings> peers;
     // [platform]
-    std::vector<std::string> platformUrls; // required
-    std::string platformCaFile; // PEM file; empty: the system's certificates
+    std::vector<std::string> platformUrls;              // required
+    std::string platformCaFile;                         // PEM file; empty: the system's certificates
     Duration platformTimeout = std::chrono::seconds(2); // of a call
-    Duration platformWatch = std::chrono::seconds(30); // of a watch of the table's head
+    Duration platformWatch = std::chrono::seconds(30);  // of a watch of the table's head
     // [targets]
-    std::string targetsCaFile; // PEM file; empty: the system's certificates
-    Duration firstByteTimeout = std::chrono::seconds(30); // from dispatch to the first byte
+    std::string targetsCaFile;                                // PEM file; empty: the system's certificates
+    Duration firstByteTimeout = std::chrono::seconds(30);     // from dispatch to the first byte
     Duration betweenTokensTimeout = std::chrono::seconds(10); // silence inside a stream
-    Duration healthTimeout = std::chrono::seconds(2); // of a health check
-    Duration loadPeriod = std::chrono::milliseconds(500); // between load reports of a target
+    Duration healthTimeout = std::chrono::seconds(2);         // of a health check
+    Duration loadPeriod = std::chrono::milliseconds(500);     // between load reports of a target
     // [limits]: per request
     uint64_t maxBodyBytes = 8 * 1024 * 1024; // bytes
     uint32_t maxHeaders = 64;
-    uint32_t maxHeaderBytes = 16 * 1024; // bytes, all headers together
-    Duration bodyTimeout = std::chrono::seconds(10); // to receive the body
+    uint32_t maxHeaderBytes = 16 * 1024;                // bytes, all headers together
+    Duration bodyTimeout = std::chrono::seconds(10);    // to receive the body
     Duration defaultDeadline = std::chrono::minutes(2); // of a request that names none
-    Duration maxDeadline = std::chrono::hours(24); // longest that a request may name
+    Duration maxDeadline = std::chrono::hours(24);      // longest that a request may name
     // [queue]
-    uint32_t maxQueuedPerTier = 20000; // requests
-    uint32_t maxQueuedPerWorkspace = 5000; // requests of a workspace in a tier
+    uint32_t maxQueuedPerModel = 32768; // requests waiting in all tiers of a model
     // [scheduler]: windows, health and learned speeds of targets, cost of requests, prefix index; [router]
     TargetSettings target;
     CostSettings cost;
     PrefixSettings prefix;
     RouterSettings router;
     // [log]
-    std::string logFile; // empty: standard output
-    std::string logLevel = "info"; // error, warn, info or debug
+    std::string logFile;                      // empty: standard output
+    std::string logLevel = "info";            // error, warn, info or debug
     uint64_t logFileBytes = 64 * 1024 * 1024; // bytes before the file is rotated
-    uint32_t logFiles = 4; // rotated files that are kept
+    uint32_t logFiles = 4;                    // rotated files that are kept
     // [audit]
-    std::string auditFile; // empty: none
+    std::string auditFile;                      // empty: none
     uint64_t auditFileBytes = 16 * 1024 * 1024; // bytes before the file is rotated
-    uint32_t auditFiles = 4; // rotated files that are kept
+    uint32_t auditFiles = 4;                    // rotated files that are kept
     // [shutdown]
     Duration shutdownTime = std::chrono::minutes(5); // for running and queued work after SIGTERM
 };
 
 struct SettingsError {
     std::string file;
-    size_t line = 0; // from 1; 0: the file as a whole
-    std::string key; // "limits.maxBodyBytes"
-    std::string value; // as written; empty: missing
+    size_t line = 0;     // from 1; 0: the file as a whole
+    std::string key;     // "limits.maxBodyBytes"
+    std::string value;   // as written; empty: missing
     std::string allowed; // range or rule
 };
 
 std::string describe(const SettingsError& error); // "FILE:LINE: KEY = VALUE: allowed: ..."
 
 struct SettingsResult {
-    std::optional<Settings> settings; // only without errors
+    std::optional<Settings> settings;  // only without errors
     std::vector<SettingsError> errors; // in the order of their lines
 };
 
--- a/src/core/TableCodec.h
+++ b/src/core/TableCodec.h
@@ -18,15 +18,15 @@
 
 constexpr size_t maxPageBytes = 900 * 1000; // bytes; the platform takes values up to 1 MB
 constexpr size_t maxHeadBytes = 256 * 1000; // bytes; every node reads the head on every change
-constexpr size_t maxRecentEdits = 200; // kept in the head
-constexpr size_t maxAuditCells = 100; // per entry; the rest is counted
+constexpr size_t maxRecentEdits = 200;      // kept in the head
+constexpr size_t maxAuditCells = 100;       // per entry; the rest is counted
 constexpr std::string_view headKey = "guavapond/table/head";
 
 // ---- Audit
 struct CellChange {
     std::string cell;
     std::string before; // empty: the row did not exist
-    std::string after; // tokens are masked
+    std::string after;  // tokens are masked
 
     bool operator==(const CellChange&) const = default;
 };
@@ -39,7 +39,7 @@
     std::string where; // address or host that the edit came from
     std::string reason;
     std::vector<CellChange> cells; // at most maxAuditCells
-    uint64_t omittedCells = 0; // changed as well, but not listed
+    uint64_t omittedCells = 0;     // changed as well, but not listed
 
     bool operator==(const AuditEntry&) const = default;
 };
@@ -48,8 +48,8 @@
 
 // ---- Head
 struct PageRef {
-    std::string name; // "workspaces-3"
-    std::string revision; // "<table revision>-<edit id>-<hash>": of one content only, so attempts never overwrite each other's pages
+    std::string name;           // "workspaces-3"
+    std::string revision;       // "<table revision>-<edit id>-<hash>": of one content only, so attempts never overwrite each other's pages
     uint64_t storeRevision = 0; // of the page's key
 
     std::string key() const { return "guavapond/table/page/" + this->name + "/" + this->revision; }
@@ -68,7 +68,7 @@
     uint64_t revision = 0; // of the table; grows by 1 with each edit; 0: no table yet
     std::vector<PageRef> pages;
     std::vector<RetiredPage> retired; // still readable, for nodes that are reading an earlier head
-    std::vector<AuditEntry> edits; // newest last
+    std::vector<AuditEntry> edits;    // newest last
 
     bool operator==(const TableHead&) const = default;
 };
@@ -102,7 +102,7 @@
     std::string value; // of Set
 };
 
-void sortRows(Table& table); // canonical order: by key
+void sortRows(Table& table);                                                      // canonical order: by key
 std::vector<CellFault> applyEdits(Table& table, std::span<const CellEdit> edits); // on a fault the table is left half edited
 std::optional<std::string> readCell(const Table& table, std::string_view cell);
 std::vector<CellChange> diffTables(const Table& before, const Table& after); // tokens are masked
--- a/src/core/TableStore.h
+++ b/src/core/TableStore.h
@@ -17,7 +17,7 @@
 namespace guavapond {
 
 struct TableEdit {
-    std::string id; // unique; the same id again is the same edit: letters, digits, '-' and '_', at most 64
+    std::string id;            // unique; the same id again is the same edit: letters, digits, '-' and '_', at most 64
     uint64_t seenRevision = 0; // table revision that the operator saw
     std::string who;
     std::string where;
@@ -28,19 +28,19 @@
 };
 
 struct EditOutcome {
-    std::optional<uint64_t> revision; // set: the edit is in effect with this table revision
-    bool repeated = false; // it already was in effect when this call began
-    bool unchanged = false; // it changed nothing, so nothing was written
-    std::optional<Failure> reason; // Conflict, InvalidEdit, PlatformUnavailable; NotRun: proved not in effect; Unknown: may be
+    std::optional<uint64_t> revision;     // set: the edit is in effect with this table revision
+    bool repeated = false;                // it already was in effect when this call began
+    bool unchanged = false;               // it changed nothing, so nothing was written
+    std::optional<Failure> reason;        // Conflict, InvalidEdit, PlatformUnavailable; NotRun: proved not in effect; Unknown: may be
     std::vector<AuditEntry> changedSince; // on Conflict: who changed what after seenRevision
-    bool changesComplete = true; // false: older changes have left the head's list
-    std::vector<CellFault> faults; // on InvalidEdit
+    bool changesComplete = true;          // false: older changes have left the head's list
+    std::vector<CellFault> faults;        // on InvalidEdit
 };
 
 struct TableStoreSettings {
-    int editAttempts = 5; // rounds of reading, writing and reading back
-    uint64_t keepRetired = 8; // table revisions for which a replaced page stays readable
-    std::function<void(Duration)> pause; // between attempts; empty: none
+    int editAttempts = 5;                               // rounds of reading, writing and reading back
+    uint64_t keepRetired = 8;                           // table revisions for which a replaced page stays readable
+    std::function<void(Duration)> pause;                // between attempts; empty: none
     Duration pauseStep = std::chrono::milliseconds(50); // times the number of the attempt
 };
 
@@ -52,7 +52,7 @@
     Result<bool> refresh();
     Result<bool> watch(Duration wait);
     Result<bool> offer(std::string_view snapshot); // from a peer
-    std::string snapshot() const; // for peers; empty at revision 0
+    std::string snapshot() const;                  // for peers; empty at revision 0
 
     std::shared_ptr<const TableIndex> current() const { return this->index; } // never null; revision 0: no table yet
     const TableHead& head() const { return this->adopted; }
@@ -66,7 +66,7 @@
     struct Loaded {
         TableHead head;
         std::map<std::string, Fragment> pages; // by page name
-        Revision headRevision = 0; // of the head's key
+        Revision headRevision = 0;             // of the head's key
     };
 
     struct Progress {
--- a/src/core/Witness.h
+++ b/src/core/Witness.h
@@ -40,7 +40,7 @@
 struct IncarnationRecord {
     std::string node; // the owner's name
     IncarnationEntry current;
-    bool fenced = false; // set by the witness: no later epoch of this incarnation follows
+    bool fenced = false;                    // set by the witness: no later epoch of this incarnation follows
     std::vector<IncarnationEntry> previous; // incarnations that were replaced, newest first; fenced by that
 
     bool operator==(const IncarnationRecord&) const = default;
@@ -55,16 +55,16 @@
 
 struct OwnerMessage {
     enum class Kind : uint8_t {
-        Install, // what may have been dispatched before the epoch begins
+        Install,       // what may have been dispatched before the epoch begins
         RequestGrants, // `sequences` wait for dispatch
-        Handover, // the owner dispatches nothing any more; `sequences` were granted but never dispatched
+        Handover,      // the owner dispatches nothing any more; `sequences` were granted but never dispatched
     };
     Kind kind = Kind::Install;
     NodeIdentity owner;
     NodeIdentity witness; // addressee; another incarnation of it ignores the message
     uint64_t epoch = 0;
-    uint64_t token = 0; // of the answered Install; RequestGrants and Handover
-    uint64_t mark = 0; // Install: sequence numbers from here on were not minted yet
+    uint64_t token = 0;              // of the answered Install; RequestGrants and Handover
+    uint64_t mark = 0;               // Install: sequence numbers from here on were not minted yet
     std::vector<uint64_t> sequences; // Install: below the mark, never dispatched
 };
 
@@ -77,7 +77,7 @@
     };
     Kind kind = Kind::Refused;
     NodeIdentity witness; // sender
-    NodeIdentity owner; // addressee
+    NodeIdentity owner;   // addressee
     uint64_t epoch = 0;
     uint64_t token = 0; // Installed
     std::vector<uint64_t> sequences;
@@ -87,28 +87,28 @@
 struct RecordAccess {
     bool write = false;
     IncarnationRecord record; // write: the new value
-    Revision expected = 0; // write
+    Revision expected = 0;    // write
 };
 
 // ---- Owner
 
 struct OwnerSettings {
-    Duration resend = std::chrono::milliseconds(50); // until a message is answered
-    Duration platformRetry = std::chrono::milliseconds(200); // after a failed access to the record
+    Duration resend = std::chrono::milliseconds(50);          // until a message is answered
+    Duration platformRetry = std::chrono::milliseconds(200);  // after a failed access to the record
     Duration witnessTimeout = std::chrono::milliseconds(500); // without any answer: the witness counts as lost
-    size_t maxOutstanding = 4'096; // tickets that ask for a grant or hold an unused one
-    size_t batch = 512; // sequence numbers per message
-    size_t installList = 20'000; // sequence numbers in an Install; the rest answers unknown
+    size_t maxOutstanding = 4'096;                            // tickets that ask for a grant or hold an unused one
+    size_t batch = 512;                                       // sequence numbers per message
+    size_t installList = 20'000;                              // sequence numbers in an Install; the rest answers unknown
 };
 
 enum class OwnerState : uint8_t {
     Unwitnessed, // no witness yet, or it was lost: no witnessed ticket is dispatched
-    Installing, // waits for the new witness's acknowledgement
-    Reading, // reads the record
-    Writing, // advances the record
-    Active, // may ask for grants
+    Installing,  // waits for the new witness's acknowledgement
+    Reading,     // reads the record
+    Writing,     // advances the record
+    Active,      // may ask for grants
     HandingOver, // planned stop: waits for the witness's acknowledgement
-    Stopped, // handed over, fenced, or replaced by another incarnation: for good
+    Stopped,     // handed over, fenced, or replaced by another incarnation: for good
 };
 
 struct OwnerOutput {
@@ -126,10 +126,10 @@
     bool wantsWitness(TimePoint now) const; // none, lost or refusing
 
     // ---- Grants
-    bool ask(uint64_t sequence); // false: not Active, or too many outstanding
-    void withdraw(uint64_t sequence); // given up before dispatch
+    bool ask(uint64_t sequence);               // false: not Active, or too many outstanding
+    void withdraw(uint64_t sequence);          // given up before dispatch
     bool mayDispatch(uint64_t sequence) const; // granted and unused; read in the same critical section as useGrant
-    bool useGrant(uint64_t sequence); // true once per grant
+    bool useGrant(uint64_t sequence);          // true once per grant
 
     // ---- Planned stop: dispatches nothing any more, and lets the witness prove that unused grants were not run
     void handOver(TimePoint now);
@@ -163,18 +163,18 @@
     OwnerState phase = OwnerState::Unwitnessed;
     NodeIdentity currentWitness;
     uint64_t currentEpoch = 0; // highest number used by any attempt
-    uint64_t token = 0; // from the witness's acknowledgement
+    uint64_t token = 0;        // from the witness's acknowledgement
     uint64_t installMark = 0;
     std::vector<uint64_t> installQueued;
     std::optional<IncarnationRecord> lastRecord; // as last read; none: the key is absent
-    Revision revision = 0; // of lastRecord
-    bool registered = false; // a write of this incarnation has taken effect
+    Revision revision = 0;                       // of lastRecord
+    bool registered = false;                     // a write of this incarnation has taken effect
     bool accessOutstanding = false;
-    TimePoint due {}; // next message or access
+    TimePoint due {};                      // next message or access
     std::optional<TimePoint> waitingSince; // for the witness's next message
     std::set<uint64_t> asked;
     std::vector<uint64_t> fresh; // asked and not sent yet
-    std::set<uint64_t> granted; // unused; only of currentEpoch, only while Active
+    std::set<uint64_t> granted;  // unused; only of currentEpoch, only while Active
 };
 
 // ---- Witness
@@ -197,10 +197,10 @@
 };
 
 struct WitnessSettings {
-    size_t maxOwners = 64; // beyond it the owner unheard for longest is dropped: unknown, and it has to install again
-    size_t maxRanges = 1'024; // per owner, of granted sequence numbers
+    size_t maxOwners = 64;          // beyond it the owner unheard for longest is dropped: unknown, and it has to install again
+    size_t maxRanges = 1'024;       // per owner, of granted sequence numbers
     size_t maxInstallList = 20'000; // sequence numbers taken from one Install
-    size_t maxBatch = 4'096; // sequence numbers taken from one request
+    size_t maxBatch = 4'096;        // sequence numbers taken from one request
     Duration platformRetry = std::chrono::milliseconds(200); // after a failed access to the record
 };
 
@@ -231,7 +231,7 @@
     enum class Phase : uint8_t {
         Granting,
         HandedOver, // the owner has stopped by itself; nothing is granted
-        Reading, // takeover: nothing is granted from here on
+        Reading,    // takeover: nothing is granted from here on
         Writing,
         Fenced, // may answer
     };
--- a/src/daemon/Main.cpp
+++ b/src/daemon/Main.cpp
@@ -1,9 +1,9 @@
 // guavapondd: one node.
-#include "adapters/Logging.h"
 #include "daemon/NodeProcess.h"
 
 #include <CLI/CLI.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <random>
 
@@ -34,16 +34,21 @@
 {
     auto signals = stopSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    NodeProcess node(settings, drawIncarnation());
+    NodeProcess node(settings, drawIncarnation(), [](std::string_view level, std::string_view event, const nlohmann::json& fields) {
+        std::cerr << nlohmann::json { { "level", level }, { "event", event }, { "fields", fields } }.dump() + "\n";
+    });
     if (auto failure = node.start()) {
         std::cerr << failure->message << "\n";
         return exitStartFailed;
     }
-    std::cout << nlohmann::json { { "node", settings.name }, { "port", node.callerPort() }, { "peerPort", node.peerPort() } }.dump() << std::endl;
+    std::cout << nlohmann::json { { "node", settings.name }, { "port", node.callerPort() }, { "peerPort", node.peerPort() } }.dump()
+              << std::endl;
     int signal = 0;
     sigwait(&signals, &signal);
     node.stopGracefully();
-    return 0;
+    // All answers are out. A watch of the platform that is under way can't be cancelled, so the process ends without waiting for it.
+    std::cout.flush();
+    std::_Exit(0);
 }
 
 } // namespace
@@ -55,12 +60,10 @@
     std::string file;
     app.add_option("--settings", file, "settings file (TOML); guavapond check FILE explains its faults")->required();
     CLI11_PARSE(app, argc, argv);
-    auto loaded = loadSettings(file);
-    if (!loaded.faults.empty()) {
-        for (const auto& fault : loaded.faults)
-            std::cerr << describe(fault) << "\n";
+    auto loaded = readSettings(file);
+    for (const auto& error : loaded.errors)
+        std::cerr << describe(error) << "\n";
+    if (!loaded.settings)
         return exitBadSettings;
-    }
-    startLogging(loaded.settings);
-    return run(loaded.settings);
+    return run(*loaded.settings);
 }
--- a/src/daemon/NodeProcess.cpp
+++ b/src/daemon/NodeProcess.cpp
@@ -4,7 +4,6 @@
 #include "adapters/HttpEngine.h"
 #include "adapters/HttpPlatform.h"
 #include "adapters/HttpService.h"
-#include "adapters/Logging.h"
 
 #include <boost/asio/post.hpp>
 #include <random>
@@ -32,37 +31,38 @@
 
 } // namespace
 
-NodeProcess::NodeProcess(const Settings& s, uint64_t incarnation)
+NodeProcess::NodeProcess(const Settings& s, uint64_t incarnation, LogHook l)
     : settings(s)
-    , engine(makeHttpEngine(s.engine))
-    , service(makeHttpService(s.service))
-    , peer(makeGrpcPeer(s.peerCalls))
-    , keyValue(httpKeyValue(s.platform))
-    , vms(httpVmList(s.platform))
+    , log(std::move(l))
+    , engine(makeHttpEngine(engineSettings(s)))
+    , service(makeHttpService(serviceSettings(s)))
+    , peer(makeGrpcPeer({}))
+    , keyValue(httpKeyValue(platformSettings(s)))
+    , vms(httpVmList(platformSettings(s)))
     , table(std::make_shared<const TableIndex>())
-    , decisions({ s.name, incarnation }, s.failureDomain, s.decisions, randomBelow)
+    , decisions({ s.name, incarnation }, s.failureDomain, decisionSettings(s), randomBelow)
     , requestTasks(requestTaskThreads)
     , monitorTasks(monitorTaskThreads)
 {
-    this->path = std::make_unique<RequestPath>(s.requestPath, this->requestPathPorts(), this->table, this->decisions);
-    this->monitor = std::make_unique<TargetMonitor>(s.monitor, this->monitorPorts(), this->table, this->decisions);
-    this->watcher = std::make_unique<TableWatcher>(s.name, s.failureDomain, s.tableWatcher, this->watcherPorts());
+    this->path = std::make_unique<RequestPath>(requestPathSettings(s), this->requestPathPorts(), this->table, this->decisions);
+    this->monitor = std::make_unique<TargetMonitor>(monitorSettings(s), this->monitorPorts(), this->table, this->decisions);
+    this->watcher = std::make_unique<TableWatcher>(s.name, s.failureDomain, tableWatcherSettings(s), this->watcherPorts());
     NodeApiPorts apiPorts;
     apiPorts.clock = presentTimeOfProcess;
     apiPorts.metrics = [this] { return this->metrics.page(this->decisions, *this->table.get(), presentTimeOfProcess()); };
     apiPorts.hasTable = [this] { return this->watcher->revision() > 0; };
     apiPorts.nodeName = s.name;
     apiPorts.failureDomain = s.failureDomain;
-    apiPorts.adminToken = s.adminToken;
     this->api = std::make_unique<NodeApi>(std::move(apiPorts), *this->path, this->table, this->decisions);
     this->server = std::make_unique<HttpServer>(
-        s.callers, [this](const HttpRequest& request, const std::shared_ptr<HttpReply>& reply) { this->api->handle(request, reply); },
+        serverSettings(s),
+        [this](const HttpRequest& request, const std::shared_ptr<HttpReply>& reply) { this->api->handle(request, reply); },
         [](const Failure& failure) { return errorBody(failure, {}); });
     PeerHandler handler;
     handler.forward = [this](const ForwardedRequest& request, const auto& onChunk) { this->path->forwarded(request, onChunk); };
     handler.outcome = [this](std::string_view ticket) { return this->path->outcomeJson(ticket); };
     handler.table = [this](uint64_t revision) { return this->watcher->versionAbove(revision); };
-    this->peerServer = std::make_unique<GrpcPeerServer>(s.peerAddress, s.peerPort, s.peerCalls, std::move(handler));
+    this->peerServer = std::make_unique<GrpcPeerServer>(s.nodesAddress, s.nodesPort, GrpcPeerSettings {}, std::move(handler));
 }
 
 NodeProcess::~NodeProcess()
@@ -96,14 +96,14 @@
 {
     constexpr Duration step = std::chrono::milliseconds(50);
     this->path->stopAdmitting();
-    logInfo("stopping", { { "active", this->path->active() } });
+    this->log("info", "stopping", { { "active", this->path->active() } });
     auto until = presentTimeOfProcess() + this->settings.shutdownTime;
     while (this->path->active() > 0 && presentTimeOfProcess() < until)
         std::this_thread::sleep_for(step);
     // Time for the last bytes of answers that ended just now.
     std::this_thread::sleep_for(step * 2);
     this->server->stopAccepting();
-    logInfo("stopped", { { "active", this->path->active() } });
+    this->log("info", "stopped", { { "active", this->path->active() } });
 }
 
 std::function<void(std::function<void()>)> NodeProcess::runOn(boost::asio::thread_pool& pool)
@@ -145,10 +145,11 @@
     TableWatcherPorts ports;
     ports.keyValue = this->keyValue;
     ports.peer = this->peer;
-    ports.peers = this->settings.peers;
+    for (const auto& known : this->settings.peers)
+        ports.peers.push_back({ known.name, known.address, known.failureDomain });
     ports.random = randomUnit;
     ports.adopted = [this](const std::shared_ptr<const TableIndex>& next) { this->adopt(next); };
-    ports.failed = [](const Failure& failure) { logWarning("platform call failed", { { "reason", failure.message } }); };
+    ports.failed = [this](const Failure& failure) { this->log("warn", "platform call failed", { { "reason", failure.message } }); };
     return ports;
 }
 
@@ -162,16 +163,17 @@
         this->decisions.applyTable(*next, now);
     }
     this->table.publish(next);
-    logInfo("table revision in force", { { "revision", next->revision() } });
+    this->log("info", "table revision in force", { { "revision", next->revision() } });
     this->path->poke();
 }
 
 void NodeProcess::logEnded(const RequestSummary& summary)
 {
-    logInfo("request ended",
+    this->log("info", "request ended",
         { { "ticket", summary.ticket }, { "workspace", summary.workspace }, { "model", summary.model }, { "target", summary.target },
-            { "tier", tierName(summary.tier) }, { "queueMs", toMilliseconds(summary.queueTime) }, { "totalMs", toMilliseconds(summary.total) },
-            { "outputTokens", summary.outputTokens }, { "result", summary.failure ? failureKindName(summary.failure->kind) : "whole" },
+            { "tier", tierName(summary.tier) }, { "queueMs", toMilliseconds(summary.queueTime) },
+            { "totalMs", toMilliseconds(summary.total) }, { "outputTokens", summary.outputTokens },
+            { "result", summary.failure ? failureKindName(summary.failure->kind) : "whole" },
             { "disposition", summary.failure ? dispositionName(summary.failure->disposition) : "ran" } });
 }
 
--- a/src/daemon/NodeProcess.h
+++ b/src/daemon/NodeProcess.h
@@ -8,6 +8,7 @@
 #include "adapters/HttpServer.h"
 #include "adapters/Metrics.h"
 #include "adapters/Settings.h"
+#include "daemon/SettingsMap.h"
 #include "node/NodeApi.h"
 #include "node/TableWatcher.h"
 #include "node/TargetMonitor.h"
@@ -16,9 +17,12 @@
 
 namespace guavapond {
 
+// `event` is a fixed text; what varies is in `fields`. Never a request's body.
+using LogHook = std::function<void(std::string_view level, std::string_view event, const nlohmann::json& fields)>;
+
 class NodeProcess {
 public:
-    NodeProcess(const Settings& settings, uint64_t incarnation);
+    NodeProcess(const Settings& settings, uint64_t incarnation, LogHook log);
     ~NodeProcess();
     NodeProcess(const NodeProcess&) = delete;
     NodeProcess& operator=(const NodeProcess&) = delete;
@@ -37,6 +41,7 @@
     std::function<void(std::function<void()>)> runOn(boost::asio::thread_pool& pool);
 
     const Settings settings;
+    const LogHook log;
     Engine engine;
     Service service;
     Peer peer;
@@ -45,8 +50,8 @@
     Metrics metrics;
     Snapshot<TableIndex> table;
     Decisions decisions;
-    boost::asio::thread_pool requestTasks;  // forwards and outcomes of other nodes; each may last as long as its stream
-    boost::asio::thread_pool monitorTasks;  // short polls of targets and platform
+    boost::asio::thread_pool requestTasks; // forwards and outcomes of other nodes; each may last as long as its stream
+    boost::asio::thread_pool monitorTasks; // short polls of targets and platform
     std::unique_ptr<RequestPath> path;
     std::unique_ptr<NodeApi> api;
     std::unique_ptr<TargetMonitor> monitor;
--- a/src/node/RequestPath.cpp
+++ b/src/node/RequestPath.cpp
@@ -457,7 +457,7 @@
         return this->callService(flight);
     {
         std::lock_guard lock(flight->mutex);
-        flight->tracker.emplace(flight->ticketText, flight->target.resumes, this->settings.streams, now);
+        flight->tracker.emplace(this->ports.engine.streamIdOf(flight->ticketText), flight->target.resumes, this->settings.streams, now);
     }
     this->callEngine(flight, 0, 0);
 }
@@ -667,6 +667,9 @@
     }
     if (cancel)
         cancel();
+    // Where the connection is lost, only an explicit cancel ends the work at the engine.
+    if (wasSent && flight->request.spec.kind == RequestKind::Engine && outcome != RunOutcome::FailedByTarget)
+        this->ports.engine.cancel(flight->target.address, flight->ticketText);
     if (wasSent && outcome == RunOutcome::ConnectionLost)
         this->checkHealth(target, flight->target.address, flight->request.spec.kind);
     this->settle(*flight, result);
@@ -685,7 +688,8 @@
         auto id = flight->request.spec.id;
         if (this->flights.find(id) == this->flights.end())
             return true; // it has ended another way
-        if (now >= flight->request.spec.deadline || !this->decisions.retries.takeRetry(now) || !this->decisions.ledger.revertUnsent(flight->ticket))
+        if (now >= flight->request.spec.deadline || !this->decisions.retries.takeRetry(now)
+            || !this->decisions.ledger.revertUnsent(flight->ticket))
             return false;
         if (auto ran = this->decisions.targets.targetOf(id))
             target = *ran;
--- a/src/ports/Target.h
+++ b/src/ports/Target.h
@@ -54,6 +54,7 @@
 };
 
 struct Engine {
+    std::function<std::string(std::string_view requestId)> streamIdOf; // what the events of this request's answer name
     std::function<Cancellation(EngineRequest, std::function<void(EngineEvent)>)> generate;
     std::function<void(std::string_view url, std::string_view requestId)> cancel;
     std::function<Result<EngineLoad>(std::string_view url)> load;
--- a/tests/adapters/SettingsTest.cpp
+++ b/tests/adapters/SettingsTest.cpp
@@ -50,25 +50,25 @@
 // Guards against a start refused for one error at a time, and against errors that name no line or range.
 TEST(Settings, AllErrorsAreReportedWithLineKeyAndRange)
 {
-    const SettingsResult result = parseSettings("[node]\n" // 1
-                                                "name = \"n 1\"\n" // 2
-                                                "[platform]\n" // 3
-                                                "urls = [\"ftp://x\", 5]\n" // 4
-                                                "[limits]\n" // 5
-                                                "maxBodyByts = 5\n" // 6
-                                                "maxHeaders = 0\n" // 7
-                                                "bodyTimeoutMs = \"10 s\"\n" // 8
-                                                "[callers]\n" // 9
-                                                "tlsCert = \"cert.pem\"\n" // 10
-                                                "port = 70000\n" // 11
-                                                "[scheduler]\n" // 12
-                                                "windowDecrease = nan\n" // 13
-                                                "maxHeaderBytes = 4096\n" // 14
-                                                "[loging]\n" // 15
-                                                "level = \"info\"\n" // 16
-                                                "[[peers]]\n" // 17
-                                                "name = \"n2\"\n" // 18
-                                                "adress = \"127.0.0.1:1\"\n" // 19
+    const SettingsResult result = parseSettings("[node]\n"                       // 1
+                                                "name = \"n 1\"\n"               // 2
+                                                "[platform]\n"                   // 3
+                                                "urls = [\"ftp://x\", 5]\n"      // 4
+                                                "[limits]\n"                     // 5
+                                                "maxBodyByts = 5\n"              // 6
+                                                "maxHeaders = 0\n"               // 7
+                                                "bodyTimeoutMs = \"10 s\"\n"     // 8
+                                                "[callers]\n"                    // 9
+                                                "tlsCert = \"cert.pem\"\n"       // 10
+                                                "port = 70000\n"                 // 11
+                                                "[scheduler]\n"                  // 12
+                                                "windowDecrease = nan\n"         // 13
+                                                "maxHeaderBytes = 4096\n"        // 14
+                                                "[loging]\n"                     // 15
+                                                "level = \"info\"\n"             // 16
+                                                "[[peers]]\n"                    // 17
+                                                "name = \"n2\"\n"                // 18
+                                                "adress = \"127.0.0.1:1\"\n"     // 19
                                                 "failureDomain = \"catania\"\n", // 20
         "f.toml");
     CHECK(!result.settings);
--- a/tests/core/TableStoreTest.cpp
+++ b/tests/core/TableStoreTest.cpp
@@ -12,7 +12,7 @@
 
 enum class Fault : uint8_t {
     None,
-    AnswerLost, // the write takes effect
+    AnswerLost,  // the write takes effect
     RequestLost, // it doesn't, but the caller can't tell
     RateLimited,
     LateWrite, // it takes effect after the next call, if the revision still matches
--- a/tests/core/WitnessWorld.h
+++ b/tests/core/WitnessWorld.h
@@ -20,8 +20,8 @@
 
 enum class AccessFault : uint8_t {
     None,
-    NotApplied, // the request is lost
-    ResultLost, // applied, the result is lost
+    NotApplied,  // the request is lost
+    ResultLost,  // applied, the result is lost
     AppliedLate, // reported as lost, applied afterwards
 };
 
--- a/tests/node/PathHarness.h
+++ b/tests/node/PathHarness.h
@@ -125,6 +125,8 @@
             this->engineCalls.push_back(call);
             return [call] { call->cancelled = true; };
         };
+        ports.engine.streamIdOf = [](std::string_view requestId) { return std::string(requestId); };
+        ports.engine.cancel = [this](std::string_view, std::string_view requestId) { this->cancelled.emplace_back(requestId); };
         ports.engine.health = [this](std::string_view) -> Result<bool> { return this->healthy; };
         ports.service.call = [this](ServiceRequest request, std::function<void(ServiceAnswer)> answer) -> Cancellation {
             this->serviceCalls.emplace_back(std::move(request), std::move(answer));
@@ -194,6 +196,7 @@
     std::vector<std::shared_ptr<EngineCall>> engineCalls;
     std::vector<std::pair<ServiceRequest, std::function<void(ServiceAnswer)>>> serviceCalls;
     std::vector<ForwardedRequest> forwarded;
+    std::vector<std::string> cancelled; // at an engine, by request id
     std::vector<bool> inTime;
     Snapshot<TableIndex> table;
     Decisions decisions;
--- a/tests/node/RequestPathTest.cpp
+++ b/tests/node/RequestPathTest.cpp
@@ -139,6 +139,7 @@
     harness.engineCalls[0]->token(1, "a");
     reply->leave();
     CHECK(harness.engineCalls[0]->cancelled);
+    CHECK_EQUAL(1U, harness.cancelled.size());
     CHECK_EQUAL(0U, harness.path->active());
 }
 
--- a/tests/node/TableWatcherTest.cpp
+++ b/tests/node/TableWatcherTest.cpp
@@ -43,7 +43,7 @@
     void edit(const std::string& id, const std::string& cell, const std::string& value)
     {
         TableStore store(this->port(), {});
-        CHECK(store.refresh());
+        CHECK(store.refresh().value.has_value());
         TableEdit change;
         change.id = id;
         change.seenRevision = store.head().revision;
