--- a/src/core/PrefixIndex.cpp
+++ b/src/core/PrefixIndex.cpp
@@ -21,6 +21,29 @@
     return hashes;
 }
 
+namespace {
+
+// Hashes of blocks differ in all bits, ids of targets do not: the sum is mixed once more.
+uint64_t pairHash(uint64_t block, TargetId target)
+{
+    uint64_t hash = block + (raw(target) + 1) * 0x9e3779b97f4a7c15ULL;
+    hash = (hash ^ (hash >> 32)) * 0xd6e8feb86659fd93ULL;
+    return hash ^ (hash >> 32);
+}
+
+template <typename Item> uint32_t takeSlot(std::vector<Item>& pool, std::vector<uint32_t>& freeSlots)
+{
+    if (freeSlots.empty()) {
+        pool.emplace_back();
+        return static_cast<uint32_t>(pool.size() - 1);
+    }
+    uint32_t slot = freeSlots.back();
+    freeSlots.pop_back();
+    return slot;
+}
+
+} // namespace
+
 PrefixIndex::PrefixIndex(const PrefixSettings& s)
     : settings(s)
 {
@@ -53,29 +76,32 @@
     return this->events[raw(target)];
 }
 
+PrefixIndex::Block& PrefixIndex::blockFor(uint64_t hash)
+{
+    Slot slot = this->blockSlot(hash);
+    if (slot == none) {
+        slot = takeSlot(this->blocks, this->freeBlocks);
+        this->blocks[slot] = { .hash = hash, .holders = {} };
+        this->blockSlots.insert(hash, slot);
+    }
+    return this->blocks[slot];
+}
+
 void PrefixIndex::confirm(TargetId target, uint64_t block, bool dispatched, TimePoint now)
 {
     TargetEvents& owner = this->eventsOf(target);
-    auto [pair, inserted] = this->pairs.try_emplace(PairKey { block, target }, none);
-    if (inserted) {
-        if (this->pairs.size() > this->settings.maxEntries)
+    Slot slot = this->slotOf(target, block);
+    if (slot == none) {
+        if (this->pairs.size() >= this->settings.maxEntries)
             this->remove(this->useOrder.tail);
-        Slot slot = none;
-        if (this->freeSlots.empty()) {
-            slot = static_cast<Slot>(this->entries.size());
-            this->entries.emplace_back();
-        } else {
-            slot = this->freeSlots.back();
-            this->freeSlots.pop_back();
-        }
-        pair->second = slot;
+        slot = takeSlot(this->entries, this->freeEntries);
         this->entries[slot] = { .block = block, .target = target };
-        this->pushFront(this->blocks[block], ByBlock, slot);
+        this->pairs.insert(pairHash(block, target), slot);
+        this->pushFront(this->blockFor(block).holders, ByBlock, slot);
     } else {
-        this->unlink(this->useOrder, ByUse, pair->second);
-        this->unlink(owner.entries, ByTarget, pair->second);
+        this->unlink(this->useOrder, ByUse, slot);
+        this->unlink(owner.entries, ByTarget, slot);
     }
-    Slot slot = pair->second;
     this->pushFront(this->useOrder, ByUse, slot);
     this->pushFront(owner.entries, ByTarget, slot);
     Entry& entry = this->entries[slot];
@@ -87,15 +113,17 @@
 
 void PrefixIndex::remove(Slot slot)
 {
-    Entry& entry = this->entries[slot];
-    auto block = this->blocks.find(entry.block);
-    this->unlink(block->second, ByBlock, slot);
-    if (block->second.count == 0)
-        this->blocks.erase(block);
+    const Entry& entry = this->entries[slot];
+    Slot block = this->blockSlot(entry.block);
+    this->unlink(this->blocks[block].holders, ByBlock, slot);
+    if (this->blocks[block].holders.count == 0) {
+        this->blockSlots.erase(entry.block, block);
+        this->freeBlocks.push_back(block);
+    }
     this->unlink(this->useOrder, ByUse, slot);
     this->unlink(this->events[raw(entry.target)].entries, ByTarget, slot);
-    this->pairs.erase(PairKey { entry.block, entry.target });
-    this->freeSlots.push_back(slot);
+    this->pairs.erase(pairHash(entry.block, entry.target), slot);
+    this->freeEntries.push_back(slot);
 }
 
 void PrefixIndex::expire(TimePoint now)
@@ -169,14 +197,21 @@
 
 PrefixIndex::Slot PrefixIndex::slotOf(TargetId target, uint64_t block) const
 {
-    auto pair = this->pairs.find(PairKey { block, target });
-    return pair == this->pairs.end() ? none : pair->second;
+    return this->pairs.find(pairHash(block, target), [&](Slot slot) {
+        const Entry& entry = this->entries[slot];
+        return entry.block == block && entry.target == target;
+    });
+}
+
+PrefixIndex::Slot PrefixIndex::blockSlot(uint64_t block) const
+{
+    return this->blockSlots.find(block, [&](Slot slot) { return this->blocks[slot].hash == block; });
 }
 
 uint32_t PrefixIndex::holders(uint64_t block) const
 {
-    auto found = this->blocks.find(block);
-    return found == this->blocks.end() ? 0 : found->second.count;
+    Slot slot = this->blockSlot(block);
+    return slot == none ? 0 : this->blocks[slot].holders.count;
 }
 
 uint32_t PrefixIndex::tokensAt(const Entry& entry, size_t depth) const
@@ -196,7 +231,7 @@
         depth = static_cast<size_t>(end - begin);
         if (depth == 0)
             break;
-        const List& holding = this->blocks.find(chain[depth - 1])->second;
+        const List& holding = this->blocks[this->blockSlot(chain[depth - 1])].holders;
         seen = holding.count;
         uint32_t visited = 0;
         for (Slot slot = holding.head; slot != none && matches.size() < most; slot = this->entries[slot].links[ByBlock].next) {
--- a/src/core/PrefixIndex.h
+++ b/src/core/PrefixIndex.h
@@ -5,10 +5,10 @@
 //   PrefixIndex   own dispatches and cache events in, cached token counts out
 #pragma once
 
+#include "core/SlotTable.h"
 #include "core/Types.h"
 
 #include <array>
-#include <unordered_map>
 
 namespace guavapond {
 
@@ -78,13 +78,9 @@
         bool seenEvent = false;
         uint32_t gaps = 0;
     };
-    struct PairKey {
-        uint64_t block = 0;
-        TargetId target {};
-        bool operator==(const PairKey&) const = default;
-    };
-    struct PairHash {
-        size_t operator()(const PairKey& key) const { return key.block ^ (raw(key.target) * 0x9e3779b97f4a7c15ULL); }
+    struct Block {
+        uint64_t hash = 0;
+        List holders;
     };
 
     TargetEvents& eventsOf(TargetId target);
@@ -95,17 +91,21 @@
     double trust(const Entry& entry) const;
     bool isUsable(const Entry& entry, TimePoint now) const;
     Slot slotOf(TargetId target, uint64_t block) const;
+    Slot blockSlot(uint64_t block) const;
+    Block& blockFor(uint64_t block);
     uint32_t holders(uint64_t block) const;
     uint32_t tokensAt(const Entry& entry, size_t depth) const;
     void unlink(List& list, ListKind kind, Slot slot);
     void pushFront(List& list, ListKind kind, Slot slot);
 
     PrefixSettings settings;
-    std::vector<Entry> entries; // invariant: at most maxEntries; slots in freeSlots hold no entry
-    std::vector<Slot> freeSlots;
+    std::vector<Entry> entries; // invariant: at most maxEntries; slots in freeEntries are unused
+    std::vector<Slot> freeEntries;
+    SlotTable pairs; // block and target to slot of entries
+    std::vector<Block> blocks; // invariant: each has at least one holder; slots in freeBlocks are unused
+    std::vector<Slot> freeBlocks;
+    SlotTable blockSlots; // hash to slot of blocks
     List useOrder;
-    std::unordered_map<uint64_t, List> blocks;
-    std::unordered_map<PairKey, Slot, PairHash> pairs;
     std::vector<TargetEvents> events; // by target id
 };
 
--- a/src/core/Router.cpp
+++ b/src/core/Router.cpp
@@ -152,7 +152,7 @@
     double occupancy = view.window > 0 ? std::min(1.0, load / view.window) : 1;
 
     Choice choice { .target = id, .cachedTokens = cached, .engineTime = prefill + decode };
-    choice.free = this->targets.accepts(id, this->isShort(choice), draw.now);
+    choice.free = this->isShort(choice) ? view.freeShort : view.freeLong;
     Duration wait = view.local ? Duration::zero() : this->settings.remotePenalty;
     // With n running requests of equal cost whose remaining times are spread evenly, the first ends after cost / (n + 1).
     if (!choice.free && view.running > 0)
--- a/src/core/TargetSet.cpp
+++ b/src/core/TargetSet.cpp
@@ -175,6 +175,8 @@
 {
     if (!target.load)
         return 0;
+    if (target.load->reported < negligibleLoad)
+        return 0;
     double foreign = halved(target.load->reported, now - target.load->measured, this->settings.loadHalfLife);
     return foreign < negligibleLoad ? 0 : foreign;
 }
@@ -661,6 +663,7 @@
 TargetView TargetSet::view(TargetId id, TimePoint now) const
 {
     const Target& target = this->at(id);
+    double foreign = this->foreignAt(target, now);
     return {
         .id = id,
         .model = target.model,
@@ -669,9 +672,11 @@
         .local = target.local,
         .window = this->effectiveWindow(target),
         .running = target.running,
-        .foreignRunning = this->foreignAt(target, now),
+        .foreignRunning = foreign,
         .backlog = target.backlog,
         .pendingPrefill = target.pendingPrefill,
+        .freeShort = this->hasSlot(target, true, foreign),
+        .freeLong = this->hasSlot(target, false, foreign),
         .rates = target.learned.rates,
     };
 }
--- a/src/core/TargetSet.h
+++ b/src/core/TargetSet.h
@@ -59,6 +59,8 @@
     double foreignRunning = 0; // requests of other nodes, from load reports, discounted by age
     Duration backlog {}; // µs of engine time of what runs from this node
     Duration pendingPrefill {}; // µs of prefill of what this node sent and has no first token yet
+    bool freeShort = false; // a slot is free for short work
+    bool freeLong = false; // a slot is free for any work
     TokenRates rates;
 };
 
