Settle most lookups of cached tokens with one probe

Cause: the router asks six sampled targets of a popular prefix for their cached tokens, and a binary search costs four probes each. Change: a target that lacks the first block is answered at once.

--- a/src/core/PrefixIndex.cpp
+++ b/src/core/PrefixIndex.cpp
@@ -254,9 +254,10 @@
         Slot slot = this->slotOf(target, block);
         return slot != none && this->isUsable(this->entries[slot], now);
     };
-    auto end = std::partition_point(chain.begin(), chain.end(), held);
-    if (end == chain.begin())
+    // Most targets that are asked about hold nothing: one lookup settles it.
+    if (chain.empty() || !held(chain.front()))
         return 0;
+    auto end = std::partition_point(chain.begin() + 1, chain.end(), held);
     return this->tokensAt(this->entries[this->slotOf(target, *(end - 1))], static_cast<size_t>(end - chain.begin()));
 }
 
