Wait for open answers before the platform's stand-in closes its listener

Cause: cpprestsdk crashes (start_op on a closed socket) when a listener closes while an answer is being written; the stand-in answered withheld requests and closed at once. build/HttpPlatformTest ended with a segmentation fault in 1 of 26 and 1 of 33 runs. Change: the server counts accepted requests and closes once all answers have been written or have failed.

--- a/standins/PlatformServer.cpp
+++ b/standins/PlatformServer.cpp
@@ -137,6 +137,9 @@
     std::vector<Watch> watches;
     std::vector<Delayed> delayed;
     std::deque<http_request> withheld;
+    std::mutex openMutex; // innermost: taken with or without `mutex`
+    std::condition_variable allAnswered;
+    size_t openRequests = 0; // accepted and not answered yet; guarded by openMutex
     std::thread ticker;
 
     Impl(PlatformModel& m, uint16_t wanted)
@@ -170,10 +173,15 @@
             send(request, refused(503, "stopping"));
         // From here on handlers see `stopping` and answer at once.
         lock.unlock();
+        // cpprestsdk crashes when a listener closes its sockets while an answer is being written.
+        std::unique_lock open(this->openMutex);
+        this->allAnswered.wait(open, [this] { return this->openRequests == 0; });
+        open.unlock();
         this->listener->close().wait();
     }
 
-    static void send(const http_request& request, const Answer& answer)
+    // Each accepted request is sent exactly one answer.
+    void send(const http_request& request, const Answer& answer)
     {
         web::http::http_response response(static_cast<web::http::status_code>(answer.status));
         if (answer.status != 304)
@@ -181,11 +189,14 @@
         if (answer.retryAfter > Duration::zero())
             response.headers().add("Retry-After", std::to_string(1 + answer.retryAfter.count() / 1000000));
         // The caller may be gone; its failed write is of no interest here.
-        request.reply(response).then([](const pplx::task<void>& done) {
+        request.reply(response).then([this](const pplx::task<void>& done) {
             try {
                 done.get();
             } catch (const std::exception&) {
             }
+            const std::lock_guard lock(this->openMutex);
+            --this->openRequests;
+            this->allAnswered.notify_all();
         });
     }
 
@@ -208,6 +219,10 @@
 
     void accept(const http_request& request)
     {
+        {
+            const std::lock_guard lock(this->openMutex);
+            ++this->openRequests;
+        }
         // Without the body's content type, so that any bytes are taken as the value.
         http_request reader(request);
         reader.extract_string(true).then([this, request](const pplx::task<std::string>& body) {
