Add the guavapond command and a stand-in server that ends cleanly

Cause: operators edit the table while nodes are down, and callers need a client. The platform's stand-in still ended build/HttpPlatformTest with a segmentation fault in 1 of 150 runs: cpprestsdk closes its sockets while a connection is being finished, which its interface gives no way to await. LoopbackServer (Boost.Beast, a thread for each connection) replaces cpprestsdk's listener in the stand-in; a lost answer closes the connection after the write took effect.

--- /dev/null
+++ b/src/cli/NodeCommands.h
@@ -0,0 +1,35 @@
+// Commands that talk to nodes over the callers' interface.
+#pragma once
+
+#include "cli/Output.h"
+
+namespace guavapond::cli {
+
+struct NodeOptions {
+    std::vector<std::string> nodes; // base URLs
+    std::string caFile; // PEM; empty: the system's certificates
+    Duration timeout = std::chrono::seconds(10); // of silence
+    bool json = false;
+};
+
+struct RequestOptions {
+    std::string kind; // chat, completion or service
+    std::string workspace;
+    std::string tier = "standard";
+    std::string token;
+    std::string ticket;
+    std::optional<uint64_t> deadlineMs;
+    std::string model; // chat, completion
+    std::string prompt; // chat, completion
+    std::optional<uint64_t> maxTokens; // chat, completion
+    std::string method = "GET"; // service
+    std::string path; // service: SERVICE/PATH
+    std::string body; // service
+    std::string idempotent; // service: "", "true" or "false"
+};
+
+int showStatus(const NodeOptions& options); // GET /v1/admin/status of each node
+int showTicket(const NodeOptions& options, const std::string& id, const std::string& token);
+int sendRequest(const NodeOptions& options, const RequestOptions& request); // a stream is printed as it arrives
+
+} // namespace guavapond::cli
--- a/standins/PlatformServer.cpp
+++ b/standins/PlatformServer.cpp
@@ -1,26 +1,21 @@
-// HTTP listener of the platform's stand-in. A watch is held open without a thread; a ticker answers it when the key changes or its wait
-// is over. An answer that is to be lost is withheld, so that the caller runs into its own timeout.
+// The platform's protocol over LoopbackServer. A watch blocks its connection's thread. An answer that is to be lost is not sent: the
+// connection is closed after the write took effect.
 #include "PlatformServer.h"
 
-#include "adapters/PortReservation.h"
+#include "LoopbackServer.h"
 
 #include <charconv>
 #include <condition_variable>
-#include <cpprest/http_listener.h>
-#include <deque>
 #include <nlohmann/json.hpp>
-#include <thread>
 
 namespace guavapond::standin {
 
 namespace {
 
 using nlohmann::json;
-using web::http::http_request;
 
-constexpr std::chrono::milliseconds tickPeriod(10);
+constexpr std::chrono::milliseconds tickPeriod(10); // at which blocked calls look at leases and faults
 constexpr int64_t maxWatchMs = 120000;
-constexpr size_t maxWithheld = 1024; // requests; older ones are answered with 503, so that the list stays bounded
 constexpr std::string_view keyPrefix = "/v1/kv/";
 constexpr std::string_view watchPrefix = "/v1/watch/";
 constexpr std::string_view leasePrefix = "/v1/leases/";
@@ -116,44 +111,17 @@
 } // namespace
 
 struct PlatformServer::Impl {
-    struct Watch {
-        http_request request;
-        std::string key;
-        Revision after = 0;
-        TimePoint deadline {};
-    };
-    struct Delayed {
-        http_request request;
-        Answer answer;
-        TimePoint due {};
-    };
-
     PlatformModel& model;
-    uint16_t port = 0;
-    std::unique_ptr<web::http::experimental::listener::http_listener> listener;
     std::mutex mutex;
-    std::condition_variable wake;
-    bool stopping = false;
-    std::vector<Watch> watches;
-    std::vector<Delayed> delayed;
-    std::deque<http_request> withheld;
-    std::mutex openMutex; // innermost: taken with or without `mutex`
-    std::condition_variable allAnswered;
-    size_t openRequests = 0; // accepted and not answered yet; guarded by openMutex
-    std::thread ticker;
+    std::condition_variable wake; // after each write and on stop
+    bool stopping = false; // guarded by mutex
+    size_t pendingWatches = 0; // guarded by mutex
+    std::unique_ptr<LoopbackServer> server;
 
     Impl(PlatformModel& m, uint16_t wanted)
         : model(m)
-        , port(wanted)
+        , server(std::make_unique<LoopbackServer>(wanted, [this](const HttpCall& call) { return handle(call); }))
     {
-        std::optional<PortReservation> reservation;
-        if (wanted == 0)
-            this->port = reservation.emplace().port();
-        const std::string url = "http://127.0.0.1:" + std::to_string(this->port);
-        this->listener = std::make_unique<web::http::experimental::listener::http_listener>(url);
-        this->listener->support([this](const http_request& request) { accept(request); });
-        this->listener->open().get();
-        this->ticker = std::thread([this] { run(); });
     }
 
     ~Impl()
@@ -163,110 +131,71 @@
             this->stopping = true;
         }
         this->wake.notify_all();
-        this->ticker.join();
-        std::unique_lock lock(this->mutex);
-        for (const Watch& watch : this->watches)
-            send(watch.request, refused(503, "stopping"));
-        for (const Delayed& item : this->delayed)
-            send(item.request, item.answer);
-        for (const http_request& request : this->withheld)
-            send(request, refused(503, "stopping"));
-        // From here on handlers see `stopping` and answer at once.
-        lock.unlock();
-        // cpprestsdk crashes when a listener closes its sockets while an answer is being written.
-        std::unique_lock open(this->openMutex);
-        this->allAnswered.wait(open, [this] { return this->openRequests == 0; });
-        open.unlock();
-        this->listener->close().wait();
+        this->server.reset();
     }
 
-    // Each accepted request is sent exactly one answer.
-    void send(const http_request& request, const Answer& answer)
+    // Blocks until `done` holds or the server stops; returns whether it held.
+    bool blockUntil(const std::function<bool()>& done)
     {
-        web::http::http_response response(static_cast<web::http::status_code>(answer.status));
-        if (answer.status != 304)
-            response.set_body(answer.body.dump(), "application/json");
-        if (answer.retryAfter > Duration::zero())
-            response.headers().add("Retry-After", std::to_string(1 + answer.retryAfter.count() / 1000000));
-        // The caller may be gone; its failed write is of no interest here.
-        request.reply(response).then([this](const pplx::task<void>& done) {
-            try {
-                done.get();
-            } catch (const std::exception&) {
-            }
-            const std::lock_guard lock(this->openMutex);
-            --this->openRequests;
-            this->allAnswered.notify_all();
-        });
+        std::unique_lock lock(this->mutex);
+        while (!this->stopping) {
+            if (done())
+                return true;
+            this->wake.wait_for(lock, tickPeriod);
+        }
+        return false;
     }
 
-    void answerLater(const http_request& request, Answer answer, Duration delay)
+    HttpAnswer handle(const HttpCall& call)
     {
-        const std::lock_guard lock(this->mutex);
-        if (this->stopping)
-            send(request, refused(503, "stopping"));
-        else if (answer.withheld || this->model.faults().outage == Outage::Silent) {
-            this->withheld.push_back(request);
-            if (this->withheld.size() > maxWithheld) {
-                send(this->withheld.front(), refused(503, "withheld"));
-                this->withheld.pop_front();
-            }
-        } else if (delay > Duration::zero())
-            this->delayed.push_back({ request, std::move(answer), steadyNow() + delay });
-        else
-            send(request, answer);
+        Answer answer;
+        try {
+            if (call.path == "/faults" || call.path == "/stats" || (call.path == "/v1/vms" && call.method == "PUT"))
+                return encode(control(call));
+            answer = call.path.starts_with(watchPrefix) && call.method == "GET" ? watch(call) : serve(call);
+        } catch (const std::exception& error) {
+            answer = refused(400, error.what());
+        }
+        this->wake.notify_all();
+        HttpAnswer encoded = encode(answer);
+        if (this->model.faults().outage == Outage::Silent) {
+            blockUntil([this] { return this->model.faults().outage != Outage::Silent; });
+            encoded.cut = true;
+            return encoded;
+        }
+        delay(this->model.faults().delay);
+        return encoded;
     }
 
-    void accept(const http_request& request)
+    static HttpAnswer encode(const Answer& answer)
     {
-        {
-            const std::lock_guard lock(this->openMutex);
-            ++this->openRequests;
-        }
-        // Without the body's content type, so that any bytes are taken as the value.
-        http_request reader(request);
-        reader.extract_string(true).then([this, request](const pplx::task<std::string>& body) {
-            try {
-                handle(request, body.get());
-            } catch (const std::exception& error) {
-                send(request, refused(400, error.what()));
-            }
-        });
+        HttpAnswer result;
+        result.status = answer.status;
+        result.body = answer.body.dump();
+        result.cut = answer.withheld;
+        if (answer.retryAfter > Duration::zero())
+            result.headers.emplace_back("Retry-After", std::to_string(1 + answer.retryAfter.count() / 1000000));
+        return result;
     }
 
-    void handle(const http_request& request, const std::string& body)
+    void delay(Duration time)
     {
-        const std::string path = web::uri::decode(request.request_uri().path());
-        const std::string& method = request.method();
-        Query query;
-        for (const auto& [name, value] : web::uri::split_query(request.request_uri().query()))
-            query[name] = web::uri::decode(value);
-        if (path == "/faults" || path == "/stats" || (path == "/v1/vms" && method == "PUT")) {
-            send(request, control(path, method, body));
-            return;
-        }
-        if (path.starts_with(watchPrefix) && method == "GET") {
-            watch(request, path.substr(watchPrefix.size()), query);
-            return;
-        }
-        const Duration delay = this->model.faults().delay;
-        Answer answer = call(path, method, query, body);
-        answerLater(request, std::move(answer), delay);
-        this->wake.notify_all();
+        const TimePoint due = steadyNow() + time;
+        if (time > Duration::zero())
+            blockUntil([due] { return steadyNow() >= due; });
     }
 
-    Answer control(const std::string& path, const std::string& method, const std::string& body)
+    Answer control(const HttpCall& call)
     {
-        if (path == "/stats")
+        if (call.path == "/stats")
             return { 200, statsJson(), {}, false };
-        if (method != "PUT")
+        if (call.method != "PUT")
             return refused(405, "PUT only");
-        const json parsed = json::parse(body);
-        if (path == "/faults")
+        const json parsed = json::parse(call.body);
+        if (call.path == "/faults")
             this->model.setFaults(readFaults(parsed, this->model.faults()));
         else
             this->model.setVms(readVms(parsed));
-        this->wake.notify_all();
         return { 200, json::object(), {}, false };
     }
 
@@ -276,26 +205,28 @@
         const std::lock_guard lock(this->mutex);
         return { { "gets", s.gets }, { "puts", s.puts }, { "watches", s.watches }, { "leaseCalls", s.leaseCalls }, { "vmLists", s.vmLists },
             { "conflicts", s.conflicts }, { "rateLimited", s.rateLimited }, { "lostAnswers", s.lostAnswers },
-            { "unavailable", s.unavailable }, { "pendingWatches", this->watches.size() } };
+            { "unavailable", s.unavailable }, { "pendingWatches", this->pendingWatches } };
     }
 
-    Answer call(const std::string& path, const std::string& method, const Query& query, const std::string& body)
+    Answer serve(const HttpCall& call)
     {
         const TimePoint now = steadyNow();
-        if (path.starts_with(keyPrefix)) {
-            const std::string key = path.substr(keyPrefix.size());
-            return method == "PUT" ? putKey(key, query, body, now) : method == "GET" ? getKey(key, now) : refused(405, "GET or PUT");
+        if (call.path.starts_with(keyPrefix)) {
+            const std::string key = call.path.substr(keyPrefix.size());
+            if (call.method == "PUT")
+                return putKey(key, call, now);
+            return call.method == "GET" ? getKey(key, now) : refused(405, "GET or PUT");
         }
-        if (path == "/v1/leases" && method == "POST") {
-            const auto ttl = queryNumber(query, "ttlMs");
+        if (call.path == "/v1/leases" && call.method == "POST") {
+            const auto ttl = queryNumber(call.query, "ttlMs");
             if (!ttl || *ttl == 0)
                 return refused(400, "ttlMs is missing");
             const auto lease = this->model.grantLease(std::chrono::milliseconds(*ttl), now);
             return lease ? Answer { 200, { { "lease", static_cast<uint64_t>(*lease) } }, {}, false } : failed(*lease.reason);
         }
-        if (path.starts_with(leasePrefix))
-            return leaseCall(path.substr(leasePrefix.size()), method, now);
-        if (path == "/v1/vms" && method == "GET") {
+        if (call.path.starts_with(leasePrefix))
+            return leaseCall(call.path.substr(leasePrefix.size()), call.method, now);
+        if (call.path == "/v1/vms" && call.method == "GET") {
             const auto list = this->model.listVms(now);
             return list ? Answer { 200, vmsJson(*list), {}, false } : failed(*list.reason);
         }
@@ -308,15 +239,15 @@
         return pair ? pairAnswer(*pair) : failed(*pair.reason);
     }
 
-    Answer putKey(const std::string& key, const Query& query, const std::string& body, TimePoint now)
+    Answer putKey(const std::string& key, const HttpCall& call, TimePoint now)
     {
-        const auto expected = queryNumber(query, "expect");
+        const auto expected = queryNumber(call.query, "expect");
         if (!expected)
             return refused(400, "expect is missing");
         std::optional<LeaseId> lease;
-        if (const auto id = queryNumber(query, "lease"))
+        if (const auto id = queryNumber(call.query, "lease"))
             lease = static_cast<LeaseId>(*id);
-        const auto revision = this->model.put(key, body, *expected, lease, now);
+        const auto revision = this->model.put(key, call.body, *expected, lease, now);
         return revision ? Answer { 200, { { "revision", *revision } }, {}, false } : failed(*revision.reason);
     }
 
@@ -336,69 +267,42 @@
         return *renewed ? Answer { 200, json::object(), {}, false } : refused(404, "the lease has lapsed");
     }
 
-    void watch(const http_request& request, std::string key, const Query& query)
-    {
-        const TimePoint now = steadyNow();
-        const auto after = queryNumber(query, "after");
-        const auto waitMs = queryNumber(query, "waitMs");
-        if (!after || !waitMs) {
-            send(request, refused(400, "after or waitMs is missing"));
-            return;
-        }
-        if (const auto failure = this->model.startWatch(now)) {
-            answerLater(request, failed(*failure), {});
-            return;
-        }
-        const auto wait = std::chrono::milliseconds(std::min<uint64_t>(*waitMs, maxWatchMs));
-        {
-            const std::lock_guard lock(this->mutex);
-            if (this->stopping) {
-                send(request, refused(503, "stopping"));
-                return;
-            }
-            this->watches.push_back({ request, std::move(key), *after, now + wait });
-        }
-        this->wake.notify_all();
-    }
-
-    // Moves the watches that have an answer out of the list.
-    std::vector<Delayed> readyWatches(TimePoint now, const PlatformFaults& faults)
+    Answer watch(const HttpCall& call)
     {
-        std::vector<Delayed> ready;
-        std::erase_if(this->watches, [&](Watch& item) {
-            if (const auto pair = this->model.pollWatch(item.key, item.after, now))
-                ready.push_back({ item.request, pairAnswer(*pair), now + faults.delay + faults.watchDelay });
-            else if (now >= item.deadline)
-                ready.push_back({ item.request, Answer { 304, {}, {}, false }, now });
+        const auto after = queryNumber(call.query, "after");
+        const auto waitMs = queryNumber(call.query, "waitMs");
+        if (!after || !waitMs)
+            return refused(400, "after or waitMs is missing");
+        if (const auto failure = this->model.startWatch(steadyNow()))
+            return failed(*failure);
+        const TimePoint deadline = steadyNow() + std::chrono::milliseconds(std::min<uint64_t>(*waitMs, maxWatchMs));
+        const std::string key = call.path.substr(watchPrefix.size());
+        Answer answer = refused(503, "stopping");
+        countWatch(1);
+        blockUntil([&] {
+            const Outage outage = this->model.faults().outage;
+            if (outage == Outage::Refusing)
+                answer = refused(503, "outage");
+            else if (outage == Outage::Silent)
+                return false;
+            else if (const auto pair = this->model.pollWatch(key, *after, steadyNow()))
+                answer = pairAnswer(*pair);
+            else if (steadyNow() >= deadline)
+                answer = { 304, {}, {}, false };
             else
                 return false;
             return true;
         });
-        return ready;
+        countWatch(-1);
+        if (answer.status == 200)
+            delay(this->model.faults().watchDelay);
+        return answer;
     }
 
-    void run()
+    void countWatch(int change)
     {
-        std::unique_lock lock(this->mutex);
-        while (!this->stopping) {
-            const TimePoint now = steadyNow();
-            const PlatformFaults faults = this->model.faults();
-            if (faults.outage == Outage::None) {
-                for (Delayed& item : readyWatches(now, faults))
-                    this->delayed.push_back(std::move(item));
-            } else if (faults.outage == Outage::Refusing) {
-                for (Watch& item : this->watches)
-                    this->delayed.push_back({ item.request, refused(503, "outage"), now });
-                this->watches.clear();
-            }
-            std::erase_if(this->delayed, [&](const Delayed& item) {
-                if (item.due > now)
-                    return false;
-                send(item.request, item.answer);
-                return true;
-            });
-            this->wake.wait_for(lock, tickPeriod);
-        }
+        const std::lock_guard lock(this->mutex);
+        this->pendingWatches += static_cast<size_t>(change);
     }
 };
 
@@ -409,8 +313,8 @@
 
 PlatformServer::~PlatformServer() = default;
 
-uint16_t PlatformServer::port() const { return this->impl->port; }
+uint16_t PlatformServer::port() const { return this->impl->server->port(); }
 
-std::string PlatformServer::url() const { return "http://127.0.0.1:" + std::to_string(this->impl->port); }
+std::string PlatformServer::url() const { return this->impl->server->url(); }
 
 } // namespace guavapond::standin
--- a/standins/PlatformServer.h
+++ b/standins/PlatformServer.h
@@ -11,7 +11,7 @@
 public:
     // Port 0: chosen by the kernel. Throws std::exception if the port can't be bound.
     PlatformServer(PlatformModel& model, uint16_t port);
-    ~PlatformServer(); // answers what is still open with 503
+    ~PlatformServer(); // closes all connections
     PlatformServer(const PlatformServer&) = delete;
     PlatformServer& operator=(const PlatformServer&) = delete;
 
