--- a/bench/EngineModel.h
+++ b/bench/EngineModel.h
@@ -18,13 +18,13 @@
 namespace guavapond::bench {
 
 struct EngineSettings {
-    double speed = 1; // against the reference hardware
-    double iterationSeconds = 0.010; // base time of an iteration
-    double sequenceSeconds = 0.0005; // for each decoding sequence
+    double speed = 1;                      // against the reference hardware
+    double iterationSeconds = 0.010;       // base time of an iteration
+    double sequenceSeconds = 0.0005;       // for each decoding sequence
     double prefillTokenSeconds = 0.000025; // for each uncached prompt token
-    uint32_t prefillChunk = 384; // tokens in an iteration
-    uint32_t maxBatch = 64; // sequences
-    uint64_t memoryTokens = 500000; // tokens of KV memory, shared by sequences and prefix cache
+    uint32_t prefillChunk = 384;           // tokens in an iteration
+    uint32_t maxBatch = 64;                // sequences
+    uint64_t memoryTokens = 500000;        // tokens of KV memory, shared by sequences and prefix cache
 };
 
 struct EngineJob {
@@ -62,15 +62,15 @@
     uint32_t waiting() const { return static_cast<uint32_t>(this->queue.size()); }
     uint64_t prefilledTokens() const { return this->prefilledTotal; } // computed, not taken from the cache
     std::vector<CacheChange> takeCacheChanges() { return std::exchange(this->cacheChanges, {}); }
-    uint32_t takePrefilled(uint64_t id); // tokens computed for the request; forgets it
+    uint32_t takePrefilled(uint64_t id);                     // tokens computed for the request; forgets it
     double decodeTokensPerSecond(double tokenSeconds) const; // throughput at which a token takes this long
 
 private:
     struct Sequence {
         EngineJob job;
         uint32_t prefillLeft = 0; // tokens
-        uint32_t produced = 0; // tokens
-        uint64_t memory = 0; // tokens held
+        uint32_t produced = 0;    // tokens
+        uint64_t memory = 0;      // tokens held
     };
 
     void fillBatch();
@@ -85,8 +85,8 @@
     std::deque<EngineJob> queue;
     std::list<Sequence> batch;
     std::optional<TimePoint> iterationEnd;
-    uint32_t chunk = 0; // tokens prefilled in the present iteration
-    uint64_t usedMemory = 0; // tokens of sequences
+    uint32_t chunk = 0;               // tokens prefilled in the present iteration
+    uint64_t usedMemory = 0;          // tokens of sequences
     std::list<uint64_t> recentBlocks; // the last used first
     std::unordered_map<uint64_t, std::list<uint64_t>::iterator> cache;
     std::unordered_map<uint64_t, uint32_t> prefilled; // by request
--- a/bench/Surge.cpp
+++ b/bench/Surge.cpp
@@ -35,7 +35,7 @@
 constexpr Duration warmUp = 60s;
 constexpr Duration surgeLength = 180s;
 constexpr Duration coolDown = 60s;
-constexpr double normalLoad = 0.6; // of capacity
+constexpr double normalLoad = 0.6;  // of capacity
 constexpr double urgentLoad = 0.35; // of capacity, in normal load and in the surge alike
 constexpr Duration reportInterval = 500ms;
 constexpr Duration reportLag = 1s;
@@ -43,15 +43,15 @@
 constexpr Duration downAfter = 1500ms; // without a report the baseline takes a target for down
 constexpr double stragglerSlowdown = 5;
 constexpr uint64_t lostEventBatches = 50; // one batch of cache events in so many is lost
-constexpr uint32_t openLetters = 6; // of a workspace at a time
-constexpr Duration letterInterval = 20s; // between two new letters of a workspace
+constexpr uint32_t openLetters = 6;       // of a workspace at a time
+constexpr Duration letterInterval = 20s;  // between two new letters of a workspace
 
 struct Deployment {
     uint32_t engines;
     std::vector<std::string> domains;
     std::vector<double> workspaceShare; // of the submitted work
-    double longPromptTokens; // mean, of dossiers and briefs
-    double letterQuestions; // part of the questions that ask about an open letter or dossier
+    double longPromptTokens;            // mean, of dossiers and briefs
+    double letterQuestions;             // part of the questions that ask about an open letter or dossier
 };
 
 Deployment deploymentOf(const std::string& name)
@@ -169,7 +169,7 @@
 
     const Deployment& deployment;
     std::mt19937_64 random;
-    double capacity; // reference engines
+    double capacity;      // reference engines
     double outputSeconds; // engine seconds for each output token
     double promptSeconds; // engine seconds for each prompt token
     std::array<double, tierCount> budgets {};
--- a/src/adapters/AuditLog.h
+++ b/src/adapters/AuditLog.h
@@ -10,9 +10,9 @@
 namespace guavapond {
 
 struct AuditLogSettings {
-    std::string file; // empty: nothing is written
+    std::string file;                     // empty: nothing is written
     uint64_t maxBytes = 16 * 1024 * 1024; // bytes before the file is rotated
-    uint32_t files = 4; // rotated files that are kept: FILE.1 is the newest
+    uint32_t files = 4;                   // rotated files that are kept: FILE.1 is the newest
 };
 
 // Thread-safe.
--- a/src/adapters/Logging.h
+++ b/src/adapters/Logging.h
@@ -25,11 +25,11 @@
 };
 
 struct LogSettings {
-    std::string file; // empty: standard output
-    std::string level = "info"; // error, warn, info or debug
+    std::string file;                     // empty: standard output
+    std::string level = "info";           // error, warn, info or debug
     uint64_t maxBytes = 64 * 1024 * 1024; // bytes before the file is rotated
-    uint32_t files = 4; // rotated files that are kept
-    std::string node; // field "node" of each line
+    uint32_t files = 4;                   // rotated files that are kept
+    std::string node;                     // field "node" of each line
 };
 
 using LogValue = std::variant<std::string_view, int64_t, double, bool>;
--- a/src/cli/NodeCommands.h
+++ b/src/cli/NodeCommands.h
@@ -6,8 +6,8 @@
 namespace guavapond::cli {
 
 struct NodeOptions {
-    std::vector<std::string> nodes; // base URLs
-    std::string caFile; // PEM; empty: the system's certificates
+    std::vector<std::string> nodes;              // base URLs
+    std::string caFile;                          // PEM; empty: the system's certificates
     Duration timeout = std::chrono::seconds(10); // of silence
     bool json = false;
 };
@@ -19,13 +19,13 @@
     std::string token;
     std::string ticket;
     std::optional<uint64_t> deadlineMs;
-    std::string model; // chat, completion
-    std::string prompt; // chat, completion
+    std::string model;                 // chat, completion
+    std::string prompt;                // chat, completion
     std::optional<uint64_t> maxTokens; // chat, completion
-    std::string method = "GET"; // service
-    std::string path; // service: SERVICE/PATH
-    std::string body; // service
-    std::string idempotent; // service: "", "true" or "false"
+    std::string method = "GET";        // service
+    std::string path;                  // service: SERVICE/PATH
+    std::string body;                  // service
+    std::string idempotent;            // service: "", "true" or "false"
 };
 
 int showStatus(const NodeOptions& options); // GET /v1/admin/status of each node
--- a/src/cli/Output.h
+++ b/src/cli/Output.h
@@ -9,13 +9,13 @@
 
 enum ExitCode : int {
     Done = 0,
-    Usage = 1, // arguments
-    Invalid = 2, // a file or an edit with errors; nothing was changed
+    Usage = 1,       // arguments
+    Invalid = 2,     // a file or an edit with errors; nothing was changed
     Conflicting = 3, // someone else changed the table first; nothing was changed
     Unavailable = 4, // the platform or a node does not answer; nothing was changed
-    Uncertain = 5, // the outcome is not known
-    Absent = 6, // no such cell, target, ticket or table
-    Refused = 7, // a node refused or failed the request
+    Uncertain = 5,   // the outcome is not known
+    Absent = 6,      // no such cell, target, ticket or table
+    Refused = 7,     // a node refused or failed the request
 };
 
 using Lines = std::vector<std::vector<std::string>>;
--- a/src/cli/TableCommands.h
+++ b/src/cli/TableCommands.h
@@ -13,7 +13,7 @@
     std::string who;
     std::string where;
     std::string reason;
-    std::string editId; // empty: drawn at random
+    std::string editId;                   // empty: drawn at random
     std::optional<uint64_t> seenRevision; // empty: the revision that the command reads first
 };
 
@@ -22,8 +22,8 @@
 int editCells(const TableOptions& options, std::vector<CellEdit> edits);
 int exportTable(const TableOptions& options, const std::string& directory);
 int importTable(const TableOptions& options, const std::string& directory);
-int diffTable(const TableOptions& options, const std::string& directory); // what an import would change
-int showHistory(const TableOptions& options); // one line for each edit
+int diffTable(const TableOptions& options, const std::string& directory);                          // what an import would change
+int showHistory(const TableOptions& options);                                                      // one line for each edit
 int showAudit(const TableOptions& options, uint64_t afterRevision, const std::string& cellPrefix); // one line for each cell
 
 } // namespace guavapond::cli
--- a/src/core/PrefixIndex.h
+++ b/src/core/PrefixIndex.h
@@ -101,7 +101,7 @@
     PrefixSettings settings;
     std::vector<Entry> entries; // invariant: at most maxEntries; slots in freeEntries are unused
     std::vector<Slot> freeEntries;
-    SlotTable pairs; // block and target to slot of entries
+    SlotTable pairs;           // block and target to slot of entries
     std::vector<Block> blocks; // invariant: each has at least one holder; slots in freeBlocks are unused
     std::vector<Slot> freeBlocks;
     SlotTable blockSlots; // hash to slot of blocks
--- a/standins/LoopbackServer.cpp
+++ b/standins/LoopbackServer.cpp
@@ -21,7 +21,7 @@
 using asio::ip::tcp;
 
 constexpr uint64_t maxBodyBytes = 16 << 20; // bytes
-constexpr int acceptPollMs = 20; // ms; bound of the time to stop
+constexpr int acceptPollMs = 20;            // ms; bound of the time to stop
 
 int hexDigit(char c)
 {
--- a/standins/LoopbackServer.h
+++ b/standins/LoopbackServer.h
@@ -14,8 +14,8 @@
 
 struct HttpCall {
     std::string method;
-    std::string path; // decoded
-    std::map<std::string, std::string> query; // decoded
+    std::string path;                           // decoded
+    std::map<std::string, std::string> query;   // decoded
     std::map<std::string, std::string> headers; // names in lower case
     std::string body;
 };
@@ -26,7 +26,7 @@
     std::string contentType = "application/json";
     std::vector<std::pair<std::string, std::string>> headers;
     std::vector<std::string> chunks; // if any: a chunked body instead of `body`
-    bool cut = false; // the connection is closed without an answer
+    bool cut = false;                // the connection is closed without an answer
 };
 
 class LoopbackServer {
--- a/standins/PlatformServer.cpp
+++ b/standins/PlatformServer.cpp
@@ -114,8 +114,8 @@
     PlatformModel& model;
     std::mutex mutex;
     std::condition_variable wake; // after each write and on stop
-    bool stopping = false; // guarded by mutex
-    size_t pendingWatches = 0; // guarded by mutex
+    bool stopping = false;        // guarded by mutex
+    size_t pendingWatches = 0;    // guarded by mutex
     std::unique_ptr<LoopbackServer> server;
 
     Impl(PlatformModel& m, uint16_t wanted)
