--- a/src/core/TargetSet.h
+++ b/src/core/TargetSet.h
@@ -99,9 +99,12 @@
     void refresh(TimePoint now); // applies what changes with time alone: load reports that faded, probes that are due
     // Called with each target whose cache and speed are void: restarted, readdressed or removed.
     void setForgetHook(std::function<void(TargetId)> hook) { this->forgetHook = std::move(hook); }
+    using DispatchHook = std::function<void(TargetId, const RequestSpec&, TimePoint)>;
+    void setDispatchHook(DispatchHook hook) { this->dispatchHook = std::move(hook); } // called by onDispatched
 
     // ---- Reading
     size_t size() const;
+    bool contains(TargetId target) const; // false: a hole, or not in any table yet
     TargetView view(TargetId target, TimePoint now) const;
     const TokenRates& rates(TargetId target) const;
     std::span<const TargetId> targetsOf(ModelId model) const;
@@ -144,7 +147,7 @@
         UsableList,
         FreeShortList,
         FreeLongList,
-        listNames,
+        ListNames,
     };
     static constexpr uint32_t unlisted = UINT32_MAX;
     struct Target {
@@ -174,6 +177,7 @@
         uint32_t consecutiveFailures = 0;
         uint32_t pendingLost = 0;     // connections lost, to be judged by the next health check
         uint32_t pendingTimeouts = 0; // requests timed out, to be judged by the next health check
+        bool wasDown = false;         // a health check failed since the target last served
         uint32_t probePassed = 0;     // successes in sequence while Probing
         Duration probeInterval {};
         TimePoint nextProbe {};
@@ -181,7 +185,7 @@
 
         uint32_t group = 0;         // position in groups
         uint32_t countedWindow = 0; // part of the group's windowSum
-        std::array<uint32_t, listNames> position { unlisted, unlisted, unlisted };
+        std::array<uint32_t, ListNames> position { unlisted, unlisted, unlisted };
         std::optional<TimePoint> wake; // earliest entry in wakes
     };
     struct Run {
@@ -244,7 +248,7 @@
     void evaluate(ModelId model, TimePoint now);
     void judgeSpeed(TargetId id, TimePoint now);
     void eject(Target& target, EjectReason reason, TimePoint now);
-    void startProbing(Target& target);
+    void startProbing(TargetId id);
     void readmit(Target& target, TimePoint now);
 
     TargetSettings settings;
@@ -255,6 +259,7 @@
     std::unordered_map<uint64_t, Run> runs;                             // by request id
     std::priority_queue<Wake, std::vector<Wake>, std::greater<>> wakes; // may hold entries that were overtaken
     std::function<void(TargetId)> forgetHook;
+    DispatchHook dispatchHook;
 };
 
 } // namespace guavapond
