--- a/src/daemon/Main.cpp
+++ b/src/daemon/Main.cpp
@@ -1,4 +1,5 @@
 // guavapondd: one node.
+#include "adapters/Logging.h"
 #include "daemon/NodeProcess.h"
 
 #include <CLI/CLI.hpp>
@@ -34,9 +35,8 @@
 {
     auto signals = stopSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    NodeProcess node(settings, drawIncarnation(), [](std::string_view level, std::string_view event, const nlohmann::json& fields) {
-        std::cerr << nlohmann::json { { "level", level }, { "event", event }, { "fields", fields } }.dump() + "\n";
-    });
+    startLogging({ settings.logFile, settings.logLevel, settings.logFileBytes, settings.logFiles, settings.name });
+    NodeProcess node(settings, drawIncarnation());
     if (auto failure = node.start()) {
         std::cerr << failure->message << "\n";
         return exitStartFailed;
--- a/src/daemon/NodeProcess.cpp
+++ b/src/daemon/NodeProcess.cpp
@@ -4,6 +4,7 @@
 #include "adapters/HttpEngine.h"
 #include "adapters/HttpPlatform.h"
 #include "adapters/HttpService.h"
+#include "adapters/Logging.h"
 
 #include <boost/asio/post.hpp>
 #include <random>
@@ -31,14 +32,14 @@
 
 } // namespace
 
-NodeProcess::NodeProcess(const Settings& s, uint64_t incarnation, LogHook l)
+NodeProcess::NodeProcess(const Settings& s, uint64_t incarnation)
     : settings(s)
-    , log(std::move(l))
     , engine(makeHttpEngine(engineSettings(s)))
     , service(makeHttpService(serviceSettings(s)))
     , peer(makeGrpcPeer({}))
     , keyValue(httpKeyValue(platformSettings(s)))
     , vms(httpVmList(platformSettings(s)))
+    , audit({ s.auditFile, s.auditFileBytes, s.auditFiles })
     , table(std::make_shared<const TableIndex>())
     , decisions({ s.name, incarnation }, s.failureDomain, decisionSettings(s), randomBelow)
     , requestTasks(requestTaskThreads)
@@ -96,14 +97,14 @@
 {
     constexpr Duration step = std::chrono::milliseconds(50);
     this->path->stopAdmitting();
-    this->log("info", "stopping", { { "active", this->path->active() } });
+    log(LogLevel::Info, "stopping", { { "active", this->path->active() } });
     auto until = presentTimeOfProcess() + this->settings.shutdownTime;
     while (this->path->active() > 0 && presentTimeOfProcess() < until)
         std::this_thread::sleep_for(step);
     // Time for the last bytes of answers that ended just now.
     std::this_thread::sleep_for(step * 2);
     this->server->stopAccepting();
-    this->log("info", "stopped", { { "active", this->path->active() } });
+    log(LogLevel::Info, "stopped", { { "active", this->path->active() } });
 }
 
 std::function<void(std::function<void()>)> NodeProcess::runOn(boost::asio::thread_pool& pool)
@@ -148,12 +149,12 @@
     for (const auto& known : this->settings.peers)
         ports.peers.push_back({ known.name, known.address, known.failureDomain });
     ports.random = randomUnit;
-    ports.adopted = [this](const std::shared_ptr<const TableIndex>& next) { this->adopt(next); };
-    ports.failed = [this](const Failure& failure) { this->log("warn", "platform call failed", { { "reason", failure.message } }); };
+    ports.adopted = [this](const std::shared_ptr<const TableIndex>& next, const TableHead& head) { this->adopt(next, head); };
+    ports.failed = [](const Failure& failure) { log(LogLevel::Warn, "platform call failed", { { "reason", failure.message } }); };
     return ports;
 }
 
-void NodeProcess::adopt(const std::shared_ptr<const TableIndex>& next)
+void NodeProcess::adopt(const std::shared_ptr<const TableIndex>& next, const TableHead& head)
 {
     auto now = presentTimeOfProcess();
     // Targets first: a request that is parsed against the new revision has to find its targets known. The publication waits for
@@ -163,13 +164,15 @@
         this->decisions.applyTable(*next, now);
     }
     this->table.publish(next);
-    this->log("info", "table revision in force", { { "revision", next->revision() } });
+    log(LogLevel::Info, "table revision in force", { { "revision", next->revision() } });
+    if (!this->audit.record(head.edits))
+        log(LogLevel::Error, "audit trail can't be written", { { "file", this->settings.auditFile } });
     this->path->poke();
 }
 
 void NodeProcess::logEnded(const RequestSummary& summary)
 {
-    this->log("info", "request ended",
+    log(LogLevel::Info, "request ended",
         { { "ticket", summary.ticket }, { "workspace", summary.workspace }, { "model", summary.model }, { "target", summary.target },
             { "tier", tierName(summary.tier) }, { "queueMs", toMilliseconds(summary.queueTime) },
             { "totalMs", toMilliseconds(summary.total) }, { "outputTokens", summary.outputTokens },
--- a/src/daemon/NodeProcess.h
+++ b/src/daemon/NodeProcess.h
@@ -4,6 +4,7 @@
 //   NodeProcess    start, waitForStop, and what the threads do in between
 #pragma once
 
+#include "adapters/AuditLog.h"
 #include "adapters/GrpcPeer.h"
 #include "adapters/HttpServer.h"
 #include "adapters/Metrics.h"
@@ -17,12 +18,9 @@
 
 namespace guavapond {
 
-// `event` is a fixed text; what varies is in `fields`. Never a request's body.
-using LogHook = std::function<void(std::string_view level, std::string_view event, const nlohmann::json& fields)>;
-
 class NodeProcess {
 public:
-    NodeProcess(const Settings& settings, uint64_t incarnation, LogHook log);
+    NodeProcess(const Settings& settings, uint64_t incarnation);
     ~NodeProcess();
     NodeProcess(const NodeProcess&) = delete;
     NodeProcess& operator=(const NodeProcess&) = delete;
@@ -36,18 +34,18 @@
     RequestPathPorts requestPathPorts();
     TargetMonitorPorts monitorPorts();
     TableWatcherPorts watcherPorts();
-    void adopt(const std::shared_ptr<const TableIndex>& next);
+    void adopt(const std::shared_ptr<const TableIndex>& next, const TableHead& head);
     void logEnded(const RequestSummary& summary);
     std::function<void(std::function<void()>)> runOn(boost::asio::thread_pool& pool);
 
     const Settings settings;
-    const LogHook log;
     Engine engine;
     Service service;
     Peer peer;
     KeyValue keyValue;
     VmList vms;
     Metrics metrics;
+    AuditLog audit;
     Snapshot<TableIndex> table;
     Decisions decisions;
     boost::asio::thread_pool requestTasks; // forwards and outcomes of other nodes; each may last as long as its stream
--- a/src/node/TableWatcher.cpp
+++ b/src/node/TableWatcher.cpp
@@ -106,7 +106,7 @@
     if (!adopted || !*adopted)
         return;
     // Published under the store's mutex, so that revisions come into force in their order.
-    this->ports.adopted(this->store.current());
+    this->ports.adopted(this->store.current(), this->store.head());
     this->revisionInForce = this->store.current()->revision();
 }
 
--- a/src/node/TableWatcher.h
+++ b/src/node/TableWatcher.h
@@ -40,10 +40,10 @@
 struct TableWatcherPorts {
     KeyValue keyValue;
     Peer peer;
-    std::vector<PeerAddress> peers;                                        // all other nodes
-    std::function<double()> random;                                        // 0 to 1
-    std::function<void(const std::shared_ptr<const TableIndex>&)> adopted; // a higher revision is in force
-    std::function<void(const Failure&)> failed;                            // a call to the platform failed
+    std::vector<PeerAddress> peers;                                                          // all other nodes
+    std::function<double()> random;                                                          // 0 to 1
+    std::function<void(const std::shared_ptr<const TableIndex>&, const TableHead&)> adopted; // a higher revision is in force
+    std::function<void(const Failure&)> failed;                                              // a call to the platform failed
 };
 
 class TableWatcher {
--- a/tests/node/TableWatcherTest.cpp
+++ b/tests/node/TableWatcherTest.cpp
@@ -67,7 +67,8 @@
         ports.peer = peer;
         ports.peers = std::move(peers);
         ports.random = [] { return 0.0; };
-        ports.adopted = [this](const std::shared_ptr<const TableIndex>& next) { this->adopted.push_back(next->revision()); };
+        ports.adopted
+            = [this](const std::shared_ptr<const TableIndex>& next, const TableHead&) { this->adopted.push_back(next->revision()); };
         this->watcher = std::make_unique<TableWatcher>(name, "lalitpur", TableWatcherSettings {}, std::move(ports));
     }
 
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -63,7 +63,7 @@
     echo "register-1,service,http://127.0.0.1:$(portOf register),lalitpur,register,v1,active,false,false,64"
 } >"$work/table/targets.csv"
 echo "== the operators' table"
-build/guavapond table --platform "$platform" import "$work/table" --reason "first table"
+build/guavapond --platform "$platform" table import "$work/table" --reason "first table"
 
 freePort() { python3 -c 'import socket; s = socket.socket(); s.bind(("127.0.0.1", 0)); print(s.getsockname()[1])'; }
 peer1=$(freePort)
@@ -118,7 +118,7 @@
 [ "$runs" = 1 ]
 
 echo "== a change of one cell, in force on both nodes"
-build/guavapond table --platform "$platform" set workspaces/assessors/batch.weight 3 --reason "end of quarter"
+build/guavapond --platform "$platform" table set workspaces/assessors/batch.weight=3 --reason "end of quarter"
 revision=$(curl -s "$platform/v1/kv/guavapond/table/head" | jq -r '.value | fromjson | .revision')
 waitFor "guavapond_table_revision $revision" curl -s "$node1/metrics"
 waitFor "guavapond_table_revision $revision" curl -s "$node2/metrics"
