Dispatch witnessed tickets only on a grant, and answer for owners that are gone

Cause: after a node's crash its callers could only be told "outcome unknown". Change: WitnessLink carries grants, takeover and handover over gRPC; tickets from POST /v1/tickets are witnessed while the node has a witness; a request whose epoch ended waits for the next grant; without a witness it is given up as not run after 2 s.

--- a/src/adapters/GrpcPeer.cpp
+++ b/src/adapters/GrpcPeer.cpp
@@ -122,6 +122,109 @@
     return std::optional<TableVersion>(std::move(version));
 }
 
+NodeIdentity fromProto(const node::NodeIdentity& message) { return { message.node(), message.incarnation() }; }
+
+void toProto(const NodeIdentity& identity, node::NodeIdentity* message)
+{
+    message->set_node(identity.node);
+    message->set_incarnation(identity.incarnation);
+}
+
+// Both enumerations are in the order of the message definitions.
+node::OwnerMessage toProto(const OwnerMessage& from)
+{
+    node::OwnerMessage message;
+    message.set_kind(static_cast<node::OwnerMessage::Kind>(from.kind));
+    toProto(from.owner, message.mutable_owner());
+    toProto(from.witness, message.mutable_witness());
+    message.set_epoch(from.epoch);
+    message.set_token(from.token);
+    message.set_mark(from.mark);
+    message.mutable_sequences()->Add(from.sequences.begin(), from.sequences.end());
+    return message;
+}
+
+OwnerMessage fromProto(const node::OwnerMessage& message)
+{
+    OwnerMessage result;
+    result.kind = static_cast<OwnerMessage::Kind>(message.kind());
+    result.owner = fromProto(message.owner());
+    result.witness = fromProto(message.witness());
+    result.epoch = message.epoch();
+    result.token = message.token();
+    result.mark = message.mark();
+    result.sequences.assign(message.sequences().begin(), message.sequences().end());
+    return result;
+}
+
+void toProto(const WitnessMessage& from, node::WitnessMessage* message)
+{
+    message->set_kind(static_cast<node::WitnessMessage::Kind>(from.kind));
+    toProto(from.witness, message->mutable_witness());
+    toProto(from.owner, message->mutable_owner());
+    message->set_epoch(from.epoch);
+    message->set_token(from.token);
+    message->mutable_sequences()->Add(from.sequences.begin(), from.sequences.end());
+}
+
+WitnessMessage fromProto(const node::WitnessMessage& message)
+{
+    WitnessMessage result;
+    result.kind = static_cast<WitnessMessage::Kind>(message.kind());
+    result.witness = fromProto(message.witness());
+    result.owner = fromProto(message.owner());
+    result.epoch = message.epoch();
+    result.token = message.token();
+    result.sequences.assign(message.sequences().begin(), message.sequences().end());
+    return result;
+}
+
+Result<NodeIdentity> identityCall(Channels& channels, std::string_view address)
+{
+    node::NodeIdentity reply;
+    grpc::ClientContext context;
+    context.set_deadline(deadlineAfter(channels.settings.probeTimeout));
+    auto status = channels.stub(address)->Identity(&context, node::IdentityRequest(), &reply);
+    if (!status.ok())
+        return failureOf(status, false);
+    return fromProto(reply);
+}
+
+Result<std::optional<WitnessMessage>> witnessCall(Channels& channels, std::string_view address, const OwnerMessage& message)
+{
+    node::WitnessReply reply;
+    grpc::ClientContext context;
+    context.set_deadline(deadlineAfter(channels.settings.probeTimeout));
+    auto status = channels.stub(address)->Witness(&context, toProto(message), &reply);
+    if (!status.ok())
+        return failureOf(status, true);
+    if (!reply.answered())
+        return std::optional<WitnessMessage> {};
+    return std::optional<WitnessMessage>(fromProto(reply.message()));
+}
+
+Result<std::optional<Disposition>> takeoverCall(
+    Channels& channels, std::string_view address, std::string_view ticket, const NodeIdentity& witness)
+{
+    node::TakeoverRequest request;
+    request.set_ticket(std::string(ticket));
+    toProto(witness, request.mutable_witness());
+    node::TakeoverReply reply;
+    grpc::ClientContext context;
+    context.set_deadline(deadlineAfter(channels.settings.takeoverTimeout));
+    auto status = channels.stub(address)->Takeover(&context, request, &reply);
+    if (!status.ok())
+        return failureOf(status, true);
+    switch (reply.answer()) {
+    case node::TakeoverReply::NOT_RUN:
+        return std::optional<Disposition>(Disposition::NotRun);
+    case node::TakeoverReply::UNKNOWN:
+        return std::optional<Disposition>(Disposition::Unknown);
+    default:
+        return std::optional<Disposition> {};
+    }
+}
+
 class NodeService final : public node::Node::Service {
 public:
     explicit NodeService(PeerHandler h)
@@ -171,6 +274,32 @@
         return grpc::Status::OK;
     }
 
+    grpc::Status Identity(grpc::ServerContext* /*context*/, const node::IdentityRequest* /*request*/,
+        node::NodeIdentity* reply) override // NOLINT(readability-identifier-naming)
+    {
+        toProto(this->handler.identity(), reply);
+        return grpc::Status::OK;
+    }
+
+    grpc::Status Witness(grpc::ServerContext* /*context*/, const node::OwnerMessage* message,
+        node::WitnessReply* reply) override // NOLINT(readability-identifier-naming)
+    {
+        auto answer = this->handler.witness(fromProto(*message));
+        reply->set_answered(answer.has_value());
+        if (answer)
+            toProto(*answer, reply->mutable_message());
+        return grpc::Status::OK;
+    }
+
+    grpc::Status Takeover(grpc::ServerContext* /*context*/, const node::TakeoverRequest* request,
+        node::TakeoverReply* reply) override // NOLINT(readability-identifier-naming)
+    {
+        auto answer = this->handler.takeover(request->ticket(), fromProto(request->witness()));
+        if (answer)
+            reply->set_answer(*answer == Disposition::NotRun ? node::TakeoverReply::NOT_RUN : node::TakeoverReply::UNKNOWN);
+        return grpc::Status::OK;
+    }
+
 private:
     PeerHandler handler;
 };
@@ -187,6 +316,11 @@
           };
     peer.outcome = [channels](std::string_view address, std::string_view ticket) { return outcomeCall(*channels, address, ticket); };
     peer.table = [channels](std::string_view address, uint64_t revision) { return tableCall(*channels, address, revision); };
+    peer.identity = [channels](std::string_view address) { return identityCall(*channels, address); };
+    peer.witness = [channels](std::string_view address, const OwnerMessage& message) { return witnessCall(*channels, address, message); };
+    peer.takeover = [channels](std::string_view address, std::string_view ticket, const NodeIdentity& witness) {
+        return takeoverCall(*channels, address, ticket, witness);
+    };
     return peer;
 }
 
--- a/src/adapters/GrpcPeer.h
+++ b/src/adapters/GrpcPeer.h
@@ -13,11 +13,13 @@
 namespace guavapond {
 
 struct GrpcPeerSettings {
-    Duration callTimeout = std::chrono::seconds(2);      // outcome and table
-    Duration forwardTimeout = std::chrono::hours(1);     // a whole forwarded answer
-    Duration keepAlive = std::chrono::seconds(5);        // ping on a quiet connection
-    Duration keepAliveTimeout = std::chrono::seconds(3); // without an answer to a ping: the connection is closed
-    size_t maxMessageBytes = 64 * 1024 * 1024;           // bytes
+    Duration callTimeout = std::chrono::seconds(2);         // outcome and table
+    Duration probeTimeout = std::chrono::milliseconds(400); // identity and witness messages
+    Duration takeoverTimeout = std::chrono::seconds(5);     // a witness may have to fence the record first
+    Duration forwardTimeout = std::chrono::hours(1);        // a whole forwarded answer
+    Duration keepAlive = std::chrono::seconds(5);           // ping on a quiet connection
+    Duration keepAliveTimeout = std::chrono::seconds(3);    // without an answer to a ping: the connection is closed
+    size_t maxMessageBytes = 64 * 1024 * 1024;              // bytes
 };
 
 Peer makeGrpcPeer(const GrpcPeerSettings& settings);
--- a/src/daemon/NodeProcess.cpp
+++ b/src/daemon/NodeProcess.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr unsigned requestTaskThreads = 64;
+constexpr unsigned witnessTaskThreads = 8;
 constexpr unsigned monitorTaskThreads = 8;
 
 TimePoint presentTimeOfProcess() { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
@@ -43,11 +44,13 @@
     , table(std::make_shared<const TableIndex>())
     , decisions({ s.name, incarnation }, s.failureDomain, decisionSettings(s), randomBelow)
     , requestTasks(requestTaskThreads)
+    , witnessTasks(witnessTaskThreads)
     , monitorTasks(monitorTaskThreads)
 {
     this->path = std::make_unique<RequestPath>(requestPathSettings(s), this->requestPathPorts(), this->table, this->decisions);
     this->monitor = std::make_unique<TargetMonitor>(monitorSettings(s), this->monitorPorts(), this->table, this->decisions);
     this->watcher = std::make_unique<TableWatcher>(s.name, s.failureDomain, tableWatcherSettings(s), this->watcherPorts());
+    this->witnessLink = std::make_unique<WitnessLink>(s.failureDomain, WitnessLinkSettings {}, this->witnessPorts(), this->decisions);
     NodeApiPorts apiPorts;
     apiPorts.clock = presentTimeOfProcess;
     apiPorts.metrics = [this] { return this->metrics.page(this->decisions, *this->table.get(), presentTimeOfProcess()); };
@@ -59,11 +62,7 @@
         serverSettings(s),
         [this](const HttpRequest& request, const std::shared_ptr<HttpReply>& reply) { this->api->handle(request, reply); },
         [](const Failure& failure) { return errorBody(failure, {}); });
-    PeerHandler handler;
-    handler.forward = [this](const ForwardedRequest& request, const auto& onChunk) { this->path->forwarded(request, onChunk); };
-    handler.outcome = [this](std::string_view ticket) { return this->path->outcomeJson(ticket); };
-    handler.table = [this](uint64_t revision) { return this->watcher->versionAbove(revision); };
-    this->peerServer = std::make_unique<GrpcPeerServer>(s.nodesAddress, s.nodesPort, GrpcPeerSettings {}, std::move(handler));
+    this->peerServer = std::make_unique<GrpcPeerServer>(s.nodesAddress, s.nodesPort, GrpcPeerSettings {}, this->peerHandler());
 }
 
 NodeProcess::~NodeProcess()
@@ -72,11 +71,13 @@
     this->path->wakeTimer();
     this->monitor->wake();
     this->watcher->wake();
+    this->witnessLink->poke();
     for (auto& thread : this->threads)
         thread.join();
     this->server->stop();
     this->peerServer->stop(std::chrono::seconds(1));
     this->requestTasks.join();
+    this->witnessTasks.join();
     this->monitorTasks.join();
 }
 
@@ -90,6 +91,7 @@
     this->threads.emplace_back([this] { this->monitor->run(this->stop); });
     this->threads.emplace_back([this] { this->watcher->watchPlatform(this->stop); });
     this->threads.emplace_back([this] { this->watcher->askPeers(this->stop); });
+    this->threads.emplace_back([this] { this->witnessLink->run(this->stop); });
     return std::nullopt;
 }
 
@@ -101,6 +103,7 @@
     auto until = presentTimeOfProcess() + this->settings.shutdownTime;
     while (this->path->active() > 0 && presentTimeOfProcess() < until)
         std::this_thread::sleep_for(step);
+    this->witnessLink->handOver();
     // Time for the last bytes of answers that ended just now.
     std::this_thread::sleep_for(step * 2);
     this->server->stopAccepting();
@@ -127,6 +130,8 @@
         }
         return std::nullopt;
     };
+    ports.askWitness = [this] { this->witnessLink->poke(); };
+    ports.resolve = [this](const Ticket& ticket) { return this->witnessLink->resolve(ticket); };
     ports.observer = this->metrics.observer();
     auto count = ports.observer.ended;
     ports.observer.ended = [this, count](const RequestSummary& summary) {
@@ -136,6 +141,40 @@
     return ports;
 }
 
+PeerHandler NodeProcess::peerHandler()
+{
+    PeerHandler handler;
+    handler.forward = [this](const ForwardedRequest& request, const auto& onChunk) { this->path->forwarded(request, onChunk); };
+    handler.outcome = [this](std::string_view ticket) { return this->path->outcomeJson(ticket); };
+    handler.table = [this](uint64_t revision) { return this->watcher->versionAbove(revision); };
+    handler.identity = [this] { return this->decisions.ledger.identity(); };
+    handler.witness = [this](const OwnerMessage& message) { return this->witnessLink->onOwnerMessage(message); };
+    handler.takeover
+        = [this](std::string_view ticket, const NodeIdentity& witness) { return this->witnessLink->takeover(ticket, witness); };
+    return handler;
+}
+
+std::vector<PeerAddress> NodeProcess::peerAddresses() const
+{
+    std::vector<PeerAddress> addresses;
+    for (const auto& known : this->settings.peers)
+        addresses.push_back({ known.name, known.address, known.failureDomain });
+    return addresses;
+}
+
+WitnessLinkPorts NodeProcess::witnessPorts()
+{
+    WitnessLinkPorts ports;
+    ports.peer = this->peer;
+    ports.keyValue = this->keyValue;
+    ports.peers = this->peerAddresses();
+    ports.clock = presentTimeOfProcess;
+    ports.sleep = [](Duration time) { std::this_thread::sleep_for(time); };
+    ports.background = this->runOn(this->witnessTasks);
+    ports.granted = [this] { this->path->grantsChanged(); };
+    return ports;
+}
+
 TargetMonitorPorts NodeProcess::monitorPorts()
 {
     return { this->engine, this->vms, presentTimeOfProcess, this->runOn(this->monitorTasks), [this] { this->path->poke(); } };
@@ -146,8 +185,7 @@
     TableWatcherPorts ports;
     ports.keyValue = this->keyValue;
     ports.peer = this->peer;
-    for (const auto& known : this->settings.peers)
-        ports.peers.push_back({ known.name, known.address, known.failureDomain });
+    ports.peers = this->peerAddresses();
     ports.random = randomUnit;
     ports.adopted = [this](const std::shared_ptr<const TableIndex>& next, const TableHead& head) { this->adopt(next, head); };
     ports.failed = [](const Failure& failure) { log(LogLevel::Warn, "platform call failed", { { "reason", failure.message } }); };
--- a/src/daemon/NodeProcess.h
+++ b/src/daemon/NodeProcess.h
@@ -13,6 +13,7 @@
 #include "node/NodeApi.h"
 #include "node/TableWatcher.h"
 #include "node/TargetMonitor.h"
+#include "node/WitnessLink.h"
 
 #include <boost/asio/thread_pool.hpp>
 
@@ -34,6 +35,9 @@
     RequestPathPorts requestPathPorts();
     TargetMonitorPorts monitorPorts();
     TableWatcherPorts watcherPorts();
+    WitnessLinkPorts witnessPorts();
+    PeerHandler peerHandler();
+    std::vector<PeerAddress> peerAddresses() const;
     void adopt(const std::shared_ptr<const TableIndex>& next, const TableHead& head);
     void logEnded(const RequestSummary& summary);
     std::function<void(std::function<void()>)> runOn(boost::asio::thread_pool& pool);
@@ -49,11 +53,13 @@
     Snapshot<TableIndex> table;
     Decisions decisions;
     boost::asio::thread_pool requestTasks; // forwards and outcomes of other nodes; each may last as long as its stream
+    boost::asio::thread_pool witnessTasks; // messages of the witness protocol: never behind slow calls
     boost::asio::thread_pool monitorTasks; // short polls of targets and platform
     std::unique_ptr<RequestPath> path;
     std::unique_ptr<NodeApi> api;
     std::unique_ptr<TargetMonitor> monitor;
     std::unique_ptr<TableWatcher> watcher;
+    std::unique_ptr<WitnessLink> witnessLink;
     std::unique_ptr<HttpServer> server;
     std::unique_ptr<GrpcPeerServer> peerServer;
     std::atomic<bool> stop { false };
--- a/src/node/Decisions.h
+++ b/src/node/Decisions.h
@@ -8,6 +8,7 @@
 #include "core/Scheduler.h"
 #include "core/TargetSet.h"
 #include "core/TicketLedger.h"
+#include "core/Witness.h"
 
 #include <mutex>
 
@@ -21,6 +22,8 @@
     SchedulerSettings scheduler;
     LedgerSettings ledger;
     RetrySettings retries;
+    OwnerSettings owner;
+    WitnessSettings witness;
 };
 
 // Invariant: every member but the mutex is used under the mutex only.
@@ -34,6 +37,8 @@
         , scheduler(settings.scheduler, this->targets, this->router, this->costs)
         , ledger(identity, settings.ledger)
         , retries(settings.retries, random)
+        , owner(identity, settings.owner)
+        , witness(identity, settings.witness)
     {
     }
 
@@ -52,6 +57,8 @@
     Scheduler scheduler;
     TicketLedger ledger;
     RetryBudget retries;
+    WitnessedOwner owner; // of this node's tickets
+    WitnessStore witness; // for other nodes
 };
 
 } // namespace guavapond
--- a/src/node/RequestPath.cpp
+++ b/src/node/RequestPath.cpp
@@ -186,7 +186,7 @@
     std::string text;
     {
         std::lock_guard lock(this->decisions.mutex);
-        text = ticketText(this->decisions.ledger.mint(false, now));
+        text = ticketText(this->decisions.ledger.mint(this->decisions.owner.mintsWitnessed(), now));
     }
     reply->send(201, answerHeaders(text, jsonType), Json { { "ticket", text } }.dump());
 }
@@ -251,6 +251,7 @@
     {
         std::lock_guard lock(this->decisions.mutex);
         auto& ledger = this->decisions.ledger;
+        // A ticket minted here is known to its caller only after the dispatch, when a witness could prove nothing.
         auto ticket = given ? *given : ledger.mint(false, now);
         text = ticketText(ticket);
         claim = ledger.claim(ticket, request.digest, now);
@@ -266,7 +267,7 @@
             if (this->stopping)
                 refused = notRun(FailureKind::Stopping, "the node is shutting down", this->settings.stoppingRetryAfter);
             else
-                refused = this->decisions.scheduler.submit(flight->request.spec, now);
+                refused = this->enqueue(flight, now);
             if (refused) {
                 this->spreadReturn(*refused, now);
                 ledger.giveUp(ticket, *refused, now);
@@ -280,16 +281,93 @@
         }
     }
     this->carryOut(steps, now);
+    if (given && given->witnessed && this->ports.askWitness)
+        this->ports.askWitness();
     if (refused) {
         if (this->ports.observer.refusedOnEntry)
             this->ports.observer.refusedOnEntry(*refused);
         return this->refuse(reply, *refused, text);
     }
+    if (claim.kind == Claim::Kind::Gone)
+        return this->resolveLost(*given, reply);
     if (claim.kind != Claim::Kind::Run)
         return this->answerClaim(claim, request, text, running, reply);
     reply->onGone([this, running, raw = reply.get()] { this->onCallerGone(running, raw); });
 }
 
+// A witnessed ticket is dispatched only on a grant; it enters the queue when the grant is there.
+std::optional<Failure> RequestPath::enqueue(const FlightPtr& flight, TimePoint now)
+{
+    if (flight->ticket.witnessed && !this->decisions.owner.mayDispatch(flight->ticket.sequence))
+        return this->waitForGrant(flight, now);
+    return this->decisions.scheduler.submit(flight->request.spec, now);
+}
+
+std::optional<Failure> RequestPath::waitForGrant(const FlightPtr& flight, TimePoint now)
+{
+    bool asked = this->decisions.owner.ask(flight->ticket.sequence);
+    if (!asked && this->decisions.owner.mintsWitnessed())
+        return notRun(FailureKind::QueueFull, "too many requests wait for the witness", attachRetryAfter);
+    // Without a witness the request waits for the next one; grantsChanged() asks again.
+    if (!asked && !this->ungrantedSince)
+        this->ungrantedSince = now;
+    this->awaitingGrant[flight->ticket.sequence] = flight;
+    return std::nullopt;
+}
+
+void RequestPath::grantsChanged()
+{
+    auto now = this->ports.clock();
+    std::vector<Step> steps;
+    std::vector<std::pair<FlightPtr, Failure>> refused;
+    std::vector<FlightPtr> overdue;
+    {
+        std::lock_guard lock(this->decisions.mutex);
+        bool active = this->decisions.owner.mintsWitnessed();
+        bool tooLong = !active && this->ungrantedSince && now - *this->ungrantedSince >= this->settings.grantTime;
+        if (active || this->awaitingGrant.empty())
+            this->ungrantedSince.reset();
+        else if (!this->ungrantedSince)
+            this->ungrantedSince = now;
+        for (auto entry = this->awaitingGrant.begin(); entry != this->awaitingGrant.end();) {
+            auto flight = entry->second;
+            if (tooLong || now >= flight->request.spec.deadline) {
+                overdue.push_back(flight);
+            } else if (this->decisions.owner.mayDispatch(entry->first)) {
+                if (auto failure = this->decisions.scheduler.submit(flight->request.spec, now))
+                    refused.emplace_back(flight, *failure);
+            } else {
+                this->decisions.owner.ask(entry->first);
+                ++entry;
+                continue;
+            }
+            entry = this->awaitingGrant.erase(entry);
+        }
+        steps = this->takeSteps(now);
+    }
+    for (const auto& [flight, failure] : refused)
+        this->fail(flight, failure, RunOutcome::Cancelled, now);
+    this->giveUpWaiting(overdue, now);
+    this->carryOut(steps, now);
+}
+
+// Never dispatched, so this node may say so by itself.
+void RequestPath::giveUpWaiting(const std::vector<FlightPtr>& waiting, TimePoint now)
+{
+    for (const auto& flight : waiting) {
+        bool late = now >= flight->request.spec.deadline;
+        auto failure = late
+            ? notRun(FailureKind::DeadlineExceeded, "the deadline passed before the dispatch")
+            : notRun(FailureKind::PlatformUnavailable, "no witness: ask for a new ticket", this->settings.stoppingRetryAfter);
+        this->fail(flight, failure, RunOutcome::Cancelled, now);
+    }
+}
+
+void RequestPath::resolveLost(const Ticket& ticket, const std::shared_ptr<HttpReply>& reply)
+{
+    this->ports.background([this, ticket, reply] { this->refuse(reply, this->ports.resolve(ticket), ticketText(ticket)); });
+}
+
 void RequestPath::answerClaim(const Claim& claim, const CallerRequest& request, const std::string& text, const FlightPtr& running,
     const std::shared_ptr<HttpReply>& reply)
 {
@@ -335,7 +413,7 @@
     auto text = ticketText(ticket);
     auto address = this->ports.peerAddress(ticket.owner.node);
     if (!address)
-        return this->refuse(reply, { FailureKind::OutcomeUnknown, Disposition::Unknown, "the owner of the ticket is not known", {} }, text);
+        return this->resolveLost(ticket, reply);
     if (this->forwards.fetch_add(1) >= this->settings.maxForwards) {
         --this->forwards;
         // The owner was not asked, so nothing is known of an earlier call under this ticket.
@@ -344,7 +422,7 @@
     }
     ForwardedRequest message { request.method, request.target, request.headers, request.body };
     message.headers.emplace_back(forwardedHeader, "1");
-    this->ports.background([this, message = std::move(message), address = *address, text, reply] {
+    this->ports.background([this, message = std::move(message), address = *address, ticket, text, reply] {
         bool started = false;
         auto failure = this->ports.peer.forward(address, message, [&](const ForwardedChunk& chunk) {
             if (!started && chunk.last) {
@@ -361,7 +439,7 @@
             return !reply->isGone();
         });
         if (failure && !started)
-            this->refuse(reply, *failure, text);
+            this->refuse(reply, this->ports.resolve(ticket), text);
         else if (failure)
             endWithErrorEvent(*reply, *failure, text);
         --this->forwards;
@@ -405,6 +483,12 @@
             continue;
         auto flight = found->second;
         if (action.kind == Action::Kind::Dispatch) {
+            // A grant of an epoch that has ended since is void: the request waits for the next one.
+            if (flight->ticket.witnessed && !this->decisions.owner.useGrant(flight->ticket.sequence)) {
+                this->decisions.scheduler.onFinished(action.request, RunOutcome::Cancelled, now);
+                this->waitForGrant(flight, now);
+                continue;
+            }
             // The ledger is the only path to a dispatch.
             if (!this->decisions.ledger.startDispatch(flight->ticket, now)) {
                 this->decisions.scheduler.onFinished(action.request, RunOutcome::Cancelled, now);
@@ -644,6 +728,10 @@
         if (this->flights.erase(flight->request.spec.id) == 0)
             return; // it has ended another way
         this->flightsByTicket.erase(flight->ticketText);
+        if (flight->ticket.witnessed) {
+            this->decisions.owner.withdraw(flight->ticket.sequence);
+            this->awaitingGrant.erase(flight->ticket.sequence);
+        }
         this->spreadReturn(*result.failure, now);
         // The ledger decides whether "not run" can be said: it can't once the dispatch has started, unless the adapter proved that
         // nothing was sent.
@@ -695,7 +783,7 @@
             target = *ran;
         this->decisions.scheduler.onFinished(id, RunOutcome::ConnectionLost, now);
         this->decisions.targets.onHealthCheck(target, false, now);
-        queued = !this->decisions.scheduler.submit(flight->request.spec, now);
+        queued = !this->enqueue(flight, now);
         // Refused: the ticket is queued in the ledger, so that fail() can still prove "not run".
         steps = this->takeSteps(now);
     }
@@ -833,7 +921,7 @@
             this->woken = false;
             this->wakeAt.reset();
         }
-        this->poke();
+        this->grantsChanged();
     }
 }
 
--- a/src/node/RequestPath.h
+++ b/src/node/RequestPath.h
@@ -31,6 +31,7 @@
     size_t answerBytes = size_t(1) << 20;                         // bytes of an answer kept for other callers of its ticket
     uint32_t tokensPerReport = 8;                                 // tokens between two reports of a stream to the scheduler
     size_t maxForwards = 256;                                     // requests at a time passed on to other nodes
+    Duration grantTime = std::chrono::seconds(2);                 // without a witness: waiting requests are given up as not run
     Duration stoppingRetryAfter = std::chrono::milliseconds(200); // another node takes the request at once
 };
 
@@ -41,6 +42,8 @@
     std::function<TimePoint()> clock;
     std::function<void(std::function<void()>)> background;                        // runs a task that may block
     std::function<std::optional<std::string>(std::string_view node)> peerAddress; // of another node; none: not known
+    std::function<void()> askWitness;                                             // sends what waits for a grant
+    std::function<Failure(const Ticket&)> resolve; // what became of a ticket whose owner is gone; may take seconds
     Observer observer;
 };
 
@@ -60,7 +63,8 @@
     // ---- Time
     void runTimer(const std::atomic<bool>& stop); // on a thread of its own, until `stop` and wakeTimer()
     void wakeTimer();
-    void poke(); // after a change of targets or table: carries out what has become possible
+    void grantsChanged(); // grants have arrived, or the witness was lost or replaced
+    void poke();          // after a change of targets or table: carries out what has become possible
 
     // ---- Stopping
     void stopAdmitting();
@@ -80,11 +84,15 @@
     void answerClaim(const Claim& claim, const CallerRequest& request, const std::string& text, const FlightPtr& running,
         const std::shared_ptr<HttpReply>& reply);
     void attach(const FlightPtr& flight, const std::shared_ptr<HttpReply>& reply);
+    void resolveLost(const Ticket& ticket, const std::shared_ptr<HttpReply>& reply);
     void forward(const HttpRequest& request, const Ticket& ticket, const std::shared_ptr<HttpReply>& reply);
     void refuse(const std::shared_ptr<HttpReply>& reply, const Failure& failure, std::string_view ticket);
 
     // ---- Carrying out decisions
-    std::vector<Step> takeSteps(TimePoint now); // under the decision mutex
+    std::vector<Step> takeSteps(TimePoint now);                             // under the decision mutex
+    std::optional<Failure> enqueue(const FlightPtr& flight, TimePoint now); // under the decision mutex
+    std::optional<Failure> waitForGrant(const FlightPtr& flight, TimePoint now);
+    void giveUpWaiting(const std::vector<FlightPtr>& waiting, TimePoint now);
     void carryOut(const std::vector<Step>& steps, TimePoint now);
     void run(const FlightPtr& flight, TimePoint now);
     void callEngine(const FlightPtr& flight, uint32_t call, uint64_t resumeOffset);
@@ -112,6 +120,8 @@
     // Guarded by Decisions::mutex.
     std::unordered_map<RequestId, FlightPtr> flights;
     std::unordered_map<std::string, FlightPtr> flightsByTicket;
+    std::map<uint64_t, FlightPtr> awaitingGrant; // by sequence number; not known to the scheduler
+    std::optional<TimePoint> ungrantedSince;     // requests wait and there is no witness
     uint64_t nextRequest = 1;
 
     std::atomic<size_t> forwards { 0 };
--- a/src/ports/Peer.h
+++ b/src/ports/Peer.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "core/Types.h"
+#include "core/Witness.h"
 
 #include <functional>
 
@@ -40,12 +41,22 @@
     std::function<Result<std::string>(std::string_view address, std::string_view ticket)> outcome;
     // The peer's table if it is above `revision`; empty optional: it is not.
     std::function<Result<std::optional<TableVersion>>(std::string_view address, uint64_t revision)> table;
+    // Who answers at the address now; also tells whether it is alive.
+    std::function<Result<NodeIdentity>(std::string_view address)> identity;
+    // To a witness; empty optional: ignored there.
+    std::function<Result<std::optional<WitnessMessage>>(std::string_view address, const OwnerMessage&)> witness;
+    // To the witness of an owner that does not answer; empty optional: not known yet, ask again.
+    std::function<Result<std::optional<Disposition>>(std::string_view address, std::string_view ticket, const NodeIdentity& witness)>
+        takeover;
 };
 
 struct PeerHandler {
     std::function<void(const ForwardedRequest&, const std::function<bool(const ForwardedChunk&)>& onChunk)> forward;
     std::function<std::string(std::string_view ticket)> outcome;
     std::function<std::optional<TableVersion>(uint64_t revision)> table;
+    std::function<NodeIdentity()> identity;
+    std::function<std::optional<WitnessMessage>(const OwnerMessage&)> witness;
+    std::function<std::optional<Disposition>(std::string_view ticket, const NodeIdentity& witness)> takeover;
 };
 
 } // namespace guavapond
--- a/tests/node/PathHarness.h
+++ b/tests/node/PathHarness.h
@@ -140,6 +140,8 @@
             onChunk({ 200, { { "Content-Type", "application/json" } }, "{}", true });
             return std::nullopt;
         };
+        ports.askWitness = [this] { ++this->witnessAsked; };
+        ports.resolve = [this](const Ticket&) { return this->resolution; };
         ports.observer.ended = [this](const RequestSummary& summary) { this->inTime.push_back(summary.inTime); };
         return ports;
     }
@@ -183,6 +185,45 @@
         this->now += time;
         this->path->poke();
     }
+    // Plays a witness that answers at once.
+    void activateOwner()
+    {
+        auto& owner = this->decisions.owner;
+        owner.replaceWitness({ "n2", 9 }, this->decisions.ledger.nextSequence(), {}, this->now);
+        for (int i = 0; i < 4 && owner.state() != OwnerState::Active; ++i) {
+            auto output = owner.advance(this->now);
+            for (const auto& message : output.messages)
+                owner.onMessage({ WitnessMessage::Kind::Installed, message.witness, message.owner, message.epoch, 1, {} }, this->now);
+            if (output.access && output.access->write)
+                owner.onRecordWritten(Revision(1), this->now);
+            else if (output.access)
+                owner.onRecordRead(KeyValuePair {}, this->now);
+        }
+        CHECK(owner.state() == OwnerState::Active);
+    }
+    void answerGrants()
+    {
+        auto& owner = this->decisions.owner;
+        for (const auto& message : owner.advance(this->now).messages)
+            owner.onMessage(
+                { WitnessMessage::Kind::Granted, message.witness, message.owner, message.epoch, message.token, message.sequences },
+                this->now);
+        this->path->grantsChanged();
+    }
+    // The next witness has not answered yet.
+    void loseWitness()
+    {
+        this->decisions.owner.replaceWitness(
+            { "n3", 1 }, this->decisions.ledger.nextSequence(), this->decisions.ledger.queuedWitnessed(), this->now);
+    }
+    void fillTargets()
+    {
+        size_t before = 0;
+        do {
+            before = this->engineCalls.size();
+            this->serve(chat(true, "filler " + std::to_string(before)));
+        } while (this->engineCalls.size() > before);
+    }
     std::string stateOf(const std::string& ticket)
     {
         return nlohmann::json::parse(this->path->outcomeJson(ticket))["state"].get<std::string>();
@@ -197,6 +238,8 @@
     std::vector<std::pair<ServiceRequest, std::function<void(ServiceAnswer)>>> serviceCalls;
     std::vector<ForwardedRequest> forwarded;
     std::vector<std::string> cancelled; // at an engine, by request id
+    int witnessAsked = 0;
+    Failure resolution { FailureKind::OutcomeUnknown, Disposition::Unknown, "gone", {} };
     std::vector<bool> inTime;
     Snapshot<TableIndex> table;
     Decisions decisions;
--- a/tests/node/RequestPathTest.cpp
+++ b/tests/node/RequestPathTest.cpp
@@ -170,10 +170,68 @@
     auto request = PathHarness::chat();
     request.headers.emplace_back("Guavapond-Ticket", ticketText({ { "n1", 6 }, 4, false }));
     auto reply = harness.serve(request);
+    harness.runTasks();
     CHECK(reply->disposition() == "unknown");
     CHECK_EQUAL(0U, harness.engineCalls.size());
 }
 
+// P5: the caller learns what the witness proves, and nothing runs here.
+TEST(RequestPath, TheWitnessOfALostOwnerDecidesWhatIsSaid)
+{
+    harness.resolution.disposition = Disposition::NotRun;
+    auto request = PathHarness::chat();
+    request.headers.emplace_back("Guavapond-Ticket", ticketText({ { "n1", 6 }, 4, true }));
+    auto reply = harness.serve(request);
+    harness.runTasks();
+    CHECK(reply->disposition() == "not_run");
+    CHECK_EQUAL(0U, harness.engineCalls.size());
+}
+
+TEST(RequestPath, AWitnessedRequestWaitsForItsGrant)
+{
+    harness.activateOwner();
+    auto ticket = harness.mint();
+    CHECK(ticket.ends_with(".w"));
+    auto reply = harness.serve(PathHarness::certificate(ticket));
+    CHECK_EQUAL(0U, harness.serviceCalls.size());
+    harness.answerGrants();
+    CHECK_EQUAL(1U, harness.serviceCalls.size());
+    harness.serviceCalls[0].second({ 201, "application/json", "{}", std::nullopt, true });
+    CHECK_EQUAL(201, reply->status);
+}
+
+// A request that waits for a witness which does not come back is given up at once after a bound, and truly as not run.
+TEST(RequestPath, WithoutAWitnessAWaitingRequestIsGivenUpAsNotRun)
+{
+    harness.activateOwner();
+    auto reply = harness.serve(PathHarness::certificate(harness.mint()));
+    harness.loseWitness();
+    harness.path->grantsChanged();
+    CHECK_EQUAL(0, reply->status);
+    harness.now += std::chrono::seconds(3);
+    harness.path->grantsChanged();
+    CHECK(reply->disposition() == "not_run");
+    CHECK_EQUAL(0U, harness.serviceCalls.size());
+    CHECK_EQUAL(0U, harness.path->active());
+}
+
+// A grant of an epoch that has ended must not be used.
+TEST(RequestPath, AQueuedRequestLosesItsGrantWithTheEpoch)
+{
+    harness.activateOwner();
+    harness.fillTargets();
+    auto request = PathHarness::chat(false);
+    request.headers.emplace_back("Guavapond-Ticket", harness.mint());
+    auto reply = harness.serve(request);
+    harness.answerGrants();
+    auto sent = harness.engineCalls.size();
+    harness.loseWitness();
+    harness.engineCalls[0]->done();
+    harness.pass(std::chrono::milliseconds(50));
+    CHECK_EQUAL(sent, harness.engineCalls.size());
+    CHECK_EQUAL(0, reply->status);
+}
+
 // P8: work that was admitted goes on; new work is refused as not run.
 TEST(RequestPath, AStoppingNodeFinishesWhatItHas)
 {
