Displace only work that can make room: without a free slot any, with one only prompts in prefill

Change: running work counts as displaceable by phase; requests are passed over, not the lane closed, when their best target has too much prefill left. The property test checks the rule against the targets' free slots.

--- a/src/core/Scheduler.cpp
+++ b/src/core/Scheduler.cpp
@@ -9,12 +9,15 @@
 namespace {
 
 constexpr size_t urgentLooked = 8; // urgent requests looked at for each event; the others follow at the next one
-constexpr size_t maxPassedOver = 4; // requests passed over in one round because the free target is too slow for their deadline
+constexpr size_t maxPassedOver = 8; // requests passed over in one round because their best target has too much prefill or is too slow
 constexpr Duration noTargetRetry = std::chrono::seconds(1);
 constexpr double minWaitFactor = 0.5;
 constexpr double maxWaitFactor = 3;
 constexpr double waitDamping = 0.5; // s; added to both waits, so that the ratio of two short ones is not learned
 
+// Index of ModelState::cancellable.
+size_t slotKind(bool isShort, bool isDecoding) { return (isShort ? 0 : 2) + (isDecoding ? 1 : 0); }
+
 Failure refusal(FailureKind kind, std::string message, Duration retryAfter = Duration::zero())
 {
     return { kind, Disposition::NotRun, std::move(message), retryAfter };
@@ -85,16 +88,16 @@
     Duration wait = this->expectedWait(item, now);
     auto& state = this->stateOf(item.model);
     Duration factored = fromSeconds(toSeconds(wait) * state.waitFactor[raw(item.tier)]);
-    if (!failure && now + factored > std::max(item.latestStart, now) && !this->reclaimSlot(item.model, item.tier, item.shortWork)) {
+    if (!failure && now + factored > std::max(item.latestStart, now) && !this->reclaimSlot(request, item.shortWork, now)) {
         Duration late = now + factored - item.latestStart;
         failure
             = refusal(FailureKind::DeadlineUnreachable, "the work ahead takes longer than the time to the deadline", this->retryHint(late));
-        this->noteCapacityRefusal(item.model, item.tier, now);
+        this->noteCapacityRefusal(item.model, item.tier, this->reachOf(request, now), now);
     }
     if (!failure && this->isHeldByHigherTier(item.model, item.tier, now)) {
         failure = refusal(FailureKind::Shed, "higher tiers need all slots", this->retryHint(this->settings.overloadHold));
-        this->shedAllBelow(item.model, item.tier);
-        this->noteCapacityRefusal(item.model, item.tier, now);
+        this->shedAllBelow(item.model, item.tier, Reach::All);
+        this->noteCapacityRefusal(item.model, item.tier, Reach::All, now);
     }
     if (!failure)
         failure = this->makeRoom(request, now);
@@ -129,13 +132,13 @@
     if (!this->queue.isFull(request.model))
         return std::nullopt;
     if (const auto* victim = this->queue.victimBelow(request.model, request.tier)) {
-        this->shedAllBelow(request.model, victim->tier);
+        this->shedAllBelow(request.model, victim->tier, Reach::All);
         this->refuseQueued(
             victim->id, refusal(FailureKind::Shed, "displaced by a higher tier", this->retryHint(this->settings.overloadHold)));
         return std::nullopt;
     }
-    this->shedAllBelow(request.model, request.tier);
-    this->noteCapacityRefusal(request.model, request.tier, now);
+    this->shedAllBelow(request.model, request.tier, Reach::All);
+    this->noteCapacityRefusal(request.model, request.tier, Reach::All, now);
     return refusal(FailureKind::QueueFull, "the queue of the model is full", this->retryHint(this->settings.overloadHold));
 }
 
@@ -174,16 +177,23 @@
 
 // Before a request is refused for want of capacity: lower tiers give way, the lowest first, and in each the queued work before the
 // running. True if a slot is becoming free, so that the request may wait for it.
-bool Scheduler::reclaimSlot(ModelId model, Tier tier, bool shortWork)
+bool Scheduler::reclaimSlot(const RequestSpec& request, bool shortWork, TimePoint now)
 {
-    for (size_t t = tierCount - 1; t > raw(tier); --t) {
-        this->shedQueued(model, static_cast<Tier>(t));
-        if (this->cancelOne(model, static_cast<Tier>(t), shortWork))
+    Reach reach = this->reachOf(request, now);
+    for (size_t t = tierCount - 1; t > raw(request.tier); --t) {
+        this->shedQueued(request.model, static_cast<Tier>(t));
+        if (this->cancelOne(request.model, static_cast<Tier>(t), shortWork, reach))
             return true;
     }
     return false;
 }
 
+// While a slot is free for the request, it can be held up by prompts that are prefilled before its own, but not by work that decodes.
+Scheduler::Reach Scheduler::reachOf(const RequestSpec& request, TimePoint now)
+{
+    return this->router.pick(request, now) ? Reach::Prefilling : Reach::All;
+}
+
 Duration Scheduler::retryHint(Duration wait) const { return std::clamp(wait, this->settings.minRetryAfter, this->settings.maxRetryAfter); }
 
 // ---- Dispatch
@@ -243,16 +253,15 @@
                 state.isFullForShort = item.shortWork;
                 continue;
             }
-            // An engine prefills prompts in order of arrival, so that long ones would hold up the short work of every tier.
-            bool isUrgent = item.latestStart < now + this->settings.preemptLead;
-            if (!isUrgent && this->targets.view(choice->target, now).pendingPrefill > this->settings.maxPrefillBacklog) {
-                state.isFullForLong = true;
-                state.isFullForShort = item.shortWork;
+            // An engine prefills prompts in order of arrival, so that long ones would hold up the short work of higher tiers.
+            Duration backlog = this->targets.view(choice->target, now).pendingPrefill;
+            if (backlog > this->settings.maxPrefillBacklog * (tier == Tier::Urgent ? 2 : 1)) {
+                passedOver.push_back(this->queue.remove(item.id));
                 continue;
             }
             if (this->isTooLate(item, *choice, now)) {
                 // Another target may still do it in time. In an overloaded tier waiting for that would hold up the others.
-                if (now >= state.refusedUntil[t] || choice->engineTime > item.cost * 3 / 2)
+                if (now >= state.refusedUntil[t] || item.latestStart > now + this->settings.preemptLead)
                     passedOver.push_back(this->queue.remove(item.id));
                 else
                     this->expire(item, now);
@@ -360,8 +369,16 @@
     this->targets.onFirstToken(request, now);
     // Its target has less prefill to do and may take more.
     auto position = this->entries.find(request);
-    if (position != this->entries.end())
-        this->markDirty(position->second.spec.model);
+    if (position == this->entries.end())
+        return;
+    auto& entry = position->second;
+    this->markDirty(entry.spec.model);
+    if (entry.isDecoding)
+        return;
+    bool isListed = this->cancellableOf(entry).erase({ entry.dispatched, request }) > 0;
+    entry.isDecoding = true;
+    if (isListed)
+        this->cancellableOf(entry).emplace(entry.dispatched, request);
 }
 
 void Scheduler::onTokens(RequestId request, uint32_t count, TimePoint now)
@@ -455,8 +472,9 @@
         return;
     }
     this->learnWait(this->entries.at(item.id), now);
-    this->shedAllBelow(item.model, item.tier);
-    this->noteCapacityRefusal(item.model, item.tier, now);
+    Reach reach = this->reachOf(this->entries.at(item.id).spec, now);
+    this->shedAllBelow(item.model, item.tier, reach);
+    this->noteCapacityRefusal(item.model, item.tier, reach, now);
     Duration wait = fromSeconds(this->queue.work(item.model, item.tier).all / std::max<double>(1, this->capacityOf(item.model, now)));
     this->refuseQueued(
         item.id, refusal(FailureKind::DeadlineUnreachable, "no slot was free in time to meet the deadline", this->retryHint(wait)));
@@ -480,9 +498,10 @@
         const auto* first = this->queue.earliest(model, tier);
         if (!first || !this->limits.mayRun(first->workspace, tier, now))
             continue;
+        Reach reach = (first->shortWork ? state.isFullForShort : state.isFullForLong) ? Reach::All : Reach::Prefilling;
         size_t urgent = this->queue.countStartingBefore(model, tier, now + this->settings.preemptLead, urgentLooked);
         for (size_t lower = tierCount - 1; lower > t; --lower) {
-            while (state.cancelling < urgent && this->cancelOne(model, static_cast<Tier>(lower), first->shortWork)) { }
+            while (state.cancelling < urgent && this->cancelOne(model, static_cast<Tier>(lower), first->shortWork, reach)) { }
         }
     }
 }
@@ -494,24 +513,30 @@
             item->id, refusal(FailureKind::Shed, "displaced by a higher tier", this->retryHint(this->settings.overloadHold)));
 }
 
-void Scheduler::shedAllBelow(ModelId model, Tier tier)
+void Scheduler::shedAllBelow(ModelId model, Tier tier, Reach reach)
 {
     for (size_t t = tierCount - 1; t > raw(tier); --t) {
         this->shedQueued(model, static_cast<Tier>(t));
-        while (this->cancelOne(model, static_cast<Tier>(t), true)) { }
+        while (this->cancelOne(model, static_cast<Tier>(t), true, reach)) { }
     }
 }
 
 // Cancels a running request of the tier to make room for short or other work: one of the same length if there is one, because a short
 // request loses little and its slot is enough for another; among these the one that started last, which has done the least.
-bool Scheduler::cancelOne(ModelId model, Tier tier, bool shortWork)
+bool Scheduler::cancelOne(ModelId model, Tier tier, bool shortWork, Reach reach)
 {
     auto& running = this->stateOf(model).cancellable[raw(tier)];
-    const auto& same = running[shortWork ? 0 : 1];
-    const auto& candidates = same.empty() ? running[shortWork ? 1 : 0] : same;
-    if (candidates.empty())
+    const ByTime* candidates = nullptr;
+    for (bool isShort : { shortWork, !shortWork }) {
+        for (bool isDecoding : { false, true }) {
+            const auto& some = running[slotKind(isShort, isDecoding)];
+            if (!candidates && !some.empty() && (!isDecoding || reach == Reach::All))
+                candidates = &some;
+        }
+    }
+    if (!candidates)
         return false;
-    RequestId id = candidates.rbegin()->second;
+    RequestId id = candidates->rbegin()->second;
     ++this->counters.cancelled[raw(tier)];
     this->cancel(id, this->entries.at(id),
         { FailureKind::Shed, Disposition::Unknown, "cancelled in favour of a higher tier", this->retryHint(this->settings.overloadHold) });
@@ -549,7 +574,7 @@
 {
     QueuedItem item = this->queue.remove(request);
     if (failure.kind == FailureKind::Shed)
-        this->checkInversion(item.model, item.tier);
+        this->checkInversion(item.model, item.tier, Reach::Prefilling);
     this->limits.onUnqueued(item.workspace, item.tier);
     this->noteRefusal(this->entries.at(request).spec, failure);
     this->entries.erase(request);
@@ -562,19 +587,23 @@
 }
 
 // Starts the overload hold of the tier.
-void Scheduler::noteCapacityRefusal(ModelId model, Tier tier, TimePoint now)
+void Scheduler::noteCapacityRefusal(ModelId model, Tier tier, Reach reach, TimePoint now)
 {
-    this->checkInversion(model, tier);
+    this->checkInversion(model, tier, reach);
     this->stateOf(model).refusedUntil[raw(tier)] = now + this->settings.overloadHold;
 }
 
 // Checks the shedding rule independently of the code that keeps it.
-void Scheduler::checkInversion(ModelId model, Tier tier)
+void Scheduler::checkInversion(ModelId model, Tier tier, Reach reach)
 {
     bool isInverted = this->queue.victimBelow(model, tier) != nullptr;
-    for (size_t t = raw(tier) + 1; t < tierCount; ++t)
-        for (const auto& running : this->stateOf(model).cancellable[t])
-            isInverted = isInverted || !running.empty();
+    for (size_t t = raw(tier) + 1; t < tierCount; ++t) {
+        const auto& running = this->stateOf(model).cancellable[t];
+        for (bool isShort : { false, true }) {
+            isInverted = isInverted || !running[slotKind(isShort, false)].empty();
+            isInverted = isInverted || (reach == Reach::All && !running[slotKind(isShort, true)].empty());
+        }
+    }
     this->counters.tierInversions += isInverted ? 1 : 0;
 }
 
@@ -588,7 +617,7 @@
 
 Scheduler::ByTime& Scheduler::cancellableOf(const Entry& entry)
 {
-    return this->stateOf(entry.spec.model).cancellable[raw(entry.spec.tier)][entry.shortWork ? 0 : 1];
+    return this->stateOf(entry.spec.model).cancellable[raw(entry.spec.tier)][slotKind(entry.shortWork, entry.isDecoding)];
 }
 
 void Scheduler::markDirty(ModelId model)
--- a/src/core/Scheduler.h
+++ b/src/core/Scheduler.h
@@ -10,7 +10,8 @@
 // cancelled, or abandon(). After CancelRunning the adapter still calls onFinished(Cancelled), which only frees the slot.
 //
 // Load shedding: a request is refused for want of capacity only when no lower-tier work of the same model is queued or running that
-// could be displaced. Non-idempotent work that runs is never displaced.
+// could be displaced. Non-idempotent work that runs is never displaced. While a slot is free, only lower-tier work that has not had its
+// first token counts as displaceable: the request can wait for a prompt prefilled before its own, but not for work that decodes.
 #pragma once
 
 #include "core/FairQueue.h"
@@ -84,20 +85,26 @@
         Running,
         Cancelling, // its final answer was given; the slot is still taken
     };
+    // Running lower-tier work that gives way to a request.
+    enum class Reach : uint8_t {
+        All,
+        Prefilling, // a slot is free: only prompts that may be prefilled before the request's own
+    };
     struct Entry {
         RequestSpec spec;
         State state = State::Queued;
         Duration cost {}; // µs of engine time; estimate
         Duration predictedWait {}; // µs
         bool shortWork = false;
+        bool isDecoding = false; // its first token has come
         TargetId target {};
         TimePoint dispatched {};
         uint32_t tokens = 0; // received
     };
     using ByTime = std::set<std::pair<TimePoint, RequestId>>;
     struct ModelState {
-        // Running idempotent requests by time of dispatch; [0] short work, [1] the others.
-        std::array<std::array<ByTime, 2>, tierCount> cancellable;
+        // Running idempotent requests by time of dispatch: short and long work, before and after the first token.
+        std::array<std::array<ByTime, 4>, tierCount> cancellable;
         std::array<TimePoint, tierCount> refusedUntil {}; // end of the overload hold of a tier
         std::array<double, tierCount> waitFactor { 1, 1, 1 }; // observed over predicted waiting time
         size_t cancelling = 0; // requests whose slots are about to be free
@@ -117,7 +124,8 @@
     std::optional<Failure> makeRoom(const RequestSpec& request, TimePoint now);
     Duration expectedWait(const QueuedItem& item, TimePoint now);
     uint32_t capacityOf(ModelId model, TimePoint now);
-    bool reclaimSlot(ModelId model, Tier tier, bool shortWork);
+    bool reclaimSlot(const RequestSpec& request, bool shortWork, TimePoint now);
+    Reach reachOf(const RequestSpec& request, TimePoint now);
     Duration retryHint(Duration wait) const;
 
     // ---- Dispatch
@@ -137,16 +145,16 @@
     void expireRunning(TimePoint now);
     void preemptForUrgent(ModelId model, TimePoint now);
     void shedQueued(ModelId model, Tier tier);
-    void shedAllBelow(ModelId model, Tier tier);
-    bool cancelOne(ModelId model, Tier tier, bool shortWork);
+    void shedAllBelow(ModelId model, Tier tier, Reach reach);
+    bool cancelOne(ModelId model, Tier tier, bool shortWork, Reach reach);
     ByTime& cancellableOf(const Entry& entry);
     bool isHeldByHigherTier(ModelId model, Tier tier, TimePoint now) const;
     void cancel(RequestId request, Entry& entry, Failure failure);
     void refuseQueued(RequestId request, Failure failure);
     void noteRefusal(const RequestSpec& request, const Failure& failure);
-    void checkInversion(ModelId model, Tier tier);
+    void checkInversion(ModelId model, Tier tier, Reach reach);
     void withdrawCancellation(RequestId request, const Entry& entry);
-    void noteCapacityRefusal(ModelId model, Tier tier, TimePoint now);
+    void noteCapacityRefusal(ModelId model, Tier tier, Reach reach, TimePoint now);
 
     ModelState& stateOf(ModelId model);
     void markDirty(ModelId model);
--- a/tests/core/SchedulerTest.cpp
+++ b/tests/core/SchedulerTest.cpp
@@ -90,16 +90,32 @@
     }
 
     // A request refused for want of capacity must not leave lower-tier work that could be displaced.
+    // One that found a free slot and would still have been late in it could not have been helped by that: all that runs here decodes.
     void checkInversions()
     {
         for (const auto& refused : std::exchange(this->unchecked, {})) {
+            bool isShort = fromSeconds(*refused.maxOutputTokens / 40.0) <= 2s;
+            if (isShort ? this->hadShortSlot : this->hadLongSlot)
+                continue;
             for (const auto& [id, run] : this->running)
                 CHECK(run.spec.model != refused.model || run.spec.tier <= refused.tier || !run.spec.idempotent);
         }
     }
 
+    void noteFreeSlots()
+    {
+        this->targets.refresh(this->now);
+        this->hadShortSlot = false;
+        this->hadLongSlot = false;
+        for (uint32_t i = 0; i < this->index.targetCount(); ++i) {
+            this->hadShortSlot = this->hadShortSlot || this->targets.accepts(TargetId { i }, true, this->now);
+            this->hadLongSlot = this->hadLongSlot || this->targets.accepts(TargetId { i }, false, this->now);
+        }
+    }
+
     void advance()
     {
+        this->noteFreeSlots();
         for (const auto& action : this->scheduler.advance(this->now)) {
             if (action.kind == Action::Kind::Dispatch) {
                 this->checkInversions();
@@ -171,6 +187,8 @@
     std::map<uint64_t, int> dispatched;
     std::map<uint32_t, double> used; // engine seconds by workspace
     std::vector<RequestSpec> unchecked;
+    bool hadShortSlot = false; // when the last actions were decided
+    bool hadLongSlot = false;
 };
 
 bool isRefusedAs(const Node& node, RequestId id, FailureKind kind)
