--- a/src/core/TargetSet.cpp
+++ b/src/core/TargetSet.cpp
@@ -5,6 +5,7 @@
 #include <cassert>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace guavapond {
 
@@ -85,6 +86,7 @@
     this->forgetLearned(id);
     target.health = TargetHealth::Healthy;
     target.consecutiveFailures = target.pendingLost = target.pendingTimeouts = 0;
+    target.wasDown = false;
     target.probeInterval = this->settings.firstProbe;
     target.readmitted = now;
 }
@@ -144,7 +146,7 @@
 
 void TargetSet::onRestarted(TargetId id, TimePoint now)
 {
-    if (raw(id) >= this->targets.size() || !this->at(id).present)
+    if (!this->contains(id))
         return;
     this->forgetLearned(id);
     this->reindex(id, now);
@@ -173,6 +175,8 @@
 {
     if (!target.load)
         return 0;
+    if (target.load->reported < negligibleLoad)
+        return 0;
     double foreign = halved(target.load->reported, now - target.load->measured, this->settings.loadHalfLife);
     return foreign < negligibleLoad ? 0 : foreign;
 }
@@ -269,7 +273,7 @@
         target.wake.reset();
         bool slow = target.health == TargetHealth::Ejected && target.reason == EjectReason::Slowness;
         if (slow && target.nextProbe <= now)
-            this->startProbing(target);
+            this->startProbing(due.target);
         else if (slow)
             this->wakeAt(due.target, target.nextProbe);
         this->reindex(due.target, now);
@@ -293,6 +297,7 @@
 
 void TargetSet::onDispatched(TargetId id, const RequestSpec& request, uint32_t cachedTokens, Duration cost, TimePoint now)
 {
+    assert(raw(id) < this->targets.size());
     Target& target = this->at(id);
     uint32_t uncached = request.promptTokens - std::min(cachedTokens, request.promptTokens);
     Run run {
@@ -317,6 +322,8 @@
     target.pendingTokens += uncached;
     this->notePeak(target, now);
     this->reindex(id, now);
+    if (this->dispatchHook)
+        this->dispatchHook(id, request, now);
 }
 
 void TargetSet::onFirstToken(RequestId request, TimePoint now)
@@ -467,6 +474,7 @@
             this->decreaseWindow(target, now);
     }
     target.consecutiveFailures = 0;
+    target.wasDown = false;
     if (!missed)
         this->increaseWindow(target);
     if (target.health == TargetHealth::Probing) {
@@ -507,14 +515,15 @@
 
 void TargetSet::onHealthCheck(TargetId id, bool healthy, TimePoint now)
 {
-    if (raw(id) >= this->targets.size() || !this->at(id).present)
+    if (!this->contains(id))
         return;
     Target& target = this->at(id);
     uint32_t lost = std::exchange(target.pendingLost, 0);
     uint32_t timeouts = std::exchange(target.pendingTimeouts, 0);
+    target.wasDown = target.wasDown || !healthy;
     if (target.health == TargetHealth::Ejected) {
         if (healthy && target.reason == EjectReason::Failures)
-            this->startProbing(target);
+            this->startProbing(id);
     } else if (!healthy) {
         // A broken connection and a refused fresh one are two independent signs that the target is down.
         target.consecutiveFailures += lost + timeouts + 1;
@@ -543,8 +552,12 @@
         this->wakeAt(TargetId { static_cast<uint32_t>(&target - this->targets.data()) }, target.nextProbe);
 }
 
-void TargetSet::startProbing(Target& target)
+void TargetSet::startProbing(TargetId id)
 {
+    Target& target = this->at(id);
+    // What refused a fresh connection and answers again is most likely a new process with an empty cache.
+    if (std::exchange(target.wasDown, false))
+        this->forgetLearned(id);
     target.health = TargetHealth::Probing;
     target.probePassed = 0;
     target.consecutiveFailures = 0;
@@ -653,9 +666,12 @@
     return static_cast<size_t>(std::count_if(this->targets.begin(), this->targets.end(), [](const Target& t) { return t.present; }));
 }
 
+bool TargetSet::contains(TargetId id) const { return raw(id) < this->targets.size() && this->at(id).present; }
+
 TargetView TargetSet::view(TargetId id, TimePoint now) const
 {
     const Target& target = this->at(id);
+    double foreign = this->foreignAt(target, now);
     return {
         .id = id,
         .model = target.model,
@@ -664,9 +680,11 @@
         .local = target.local,
         .window = this->effectiveWindow(target),
         .running = target.running,
-        .foreignRunning = this->foreignAt(target, now),
+        .foreignRunning = foreign,
         .backlog = target.backlog,
         .pendingPrefill = target.pendingPrefill,
+        .freeShort = this->hasSlot(target, true, foreign),
+        .freeLong = this->hasSlot(target, false, foreign),
         .rates = target.learned.rates,
     };
 }
@@ -698,17 +716,15 @@
 
 bool TargetSet::acceptsResume(TargetId id) const
 {
-    if (raw(id) >= this->targets.size())
+    if (!this->contains(id))
         return false;
     const Target& target = this->at(id);
-    return target.present && target.running < std::max(static_cast<uint32_t>(target.learned.window), this->settings.minWindow);
+    return target.running < std::max(static_cast<uint32_t>(target.learned.window), this->settings.minWindow);
 }
 
 bool TargetSet::isIn(const VersionGroup& group, TargetId id) const
 {
-    if (raw(id) >= this->targets.size() || !this->at(id).present)
-        return false;
-    return &this->groups[this->at(id).group] == &group;
+    return this->contains(id) && &this->groups[this->at(id).group] == &group;
 }
 
 std::optional<TargetId> TargetSet::targetOf(RequestId request) const
