--- a/bench/Decide.cpp
+++ b/bench/Decide.cpp
@@ -21,6 +21,7 @@
 #include <chrono>
 #include <deque>
 #include <memory>
+#include <queue>
 #include <random>
 
 namespace guavapond::bench {
@@ -33,6 +34,9 @@
 constexpr uint32_t modelCount = 16;
 constexpr uint32_t workspaceCount = 34000;
 constexpr uint32_t queuedRequests = 20000;
+// Without first tokens every target would seem busy with prefill for ever.
+constexpr Duration firstTokenLeast = 20ms;
+constexpr double prefillTokensPerSecond = 20000;
 constexpr uint32_t windowSize = 8; // requests of each target
 constexpr uint32_t domainCount = 6;
 constexpr uint32_t letterCount = 5000; // different long prompts
@@ -115,15 +119,25 @@
         this->scheduler.applyTable(this->index, now);
     }
 
-    void submit(const RequestSpec& spec, TimePoint now) override { this->refusals += this->scheduler.submit(spec, now) ? 1 : 0; }
+    void submit(const RequestSpec& spec, TimePoint now) override
+    {
+        this->prompts.emplace(spec.id, spec.promptTokens);
+        this->refusals += this->scheduler.submit(spec, now) ? 1 : 0;
+    }
     void finish(RequestId id, TimePoint now) override { this->scheduler.onFinished(id, RunOutcome::Completed, now); }
     void advance(TimePoint now, std::vector<RequestId>& started) override
     {
+        for (; !this->prefilling.empty() && this->prefilling.top().first <= now; this->prefilling.pop())
+            this->scheduler.onFirstToken(this->prefilling.top().second, now);
         for (const Action& action : this->scheduler.advance(now)) {
-            if (action.kind == Action::Kind::Dispatch)
-                started.push_back(action.request);
-            else
+            if (action.kind != Action::Kind::Dispatch) {
                 ++this->refusals;
+                continue;
+            }
+            started.push_back(action.request);
+            auto prompt = this->prompts.extract(action.request);
+            Duration prefill = firstTokenLeast + fromSeconds(prompt.mapped() / prefillTokensPerSecond);
+            this->prefilling.emplace(now + prefill, action.request);
         }
     }
     // Each target reports what this node runs there and up to two requests of other nodes.
@@ -143,6 +157,9 @@
     CostModel costs;
     Router router;
     Scheduler scheduler;
+    using FirstToken = std::pair<TimePoint, RequestId>;
+    std::priority_queue<FirstToken, std::vector<FirstToken>, std::greater<>> prefilling;
+    std::unordered_map<RequestId, uint32_t> prompts; // tokens of what waits
     uint64_t refusals = 0;
 };
 
--- a/bench/Surge.cpp
+++ b/bench/Surge.cpp
@@ -20,6 +20,7 @@
 #include "core/Scheduler.h"
 
 #include <algorithm>
+#include <cctype>
 #include <memory>
 #include <queue>
 #include <random>
@@ -201,7 +202,7 @@
         , finished(work.size())
         , ended(work.size())
         , target(work.size())
-        , target0(work.size())
+        , sentTo(work.size())
     {
         for (const auto& settings : engineSettings)
             this->engines.emplace_back(settings);
@@ -243,7 +244,7 @@
         }
         const auto& arrival = this->arrivals[raw(id)];
         this->target[raw(id)] = engine;
-        this->target0[raw(id)] = engine;
+        this->sentTo[raw(id)] = engine;
         this->engines[engine].admit({ raw(id), arrival.spec.promptTokens, arrival.outputTokens, arrival.spec.prefixBlocks }, now);
         this->scheduleEngine(engine);
     }
@@ -290,7 +291,7 @@
             if (spec.tier != Tier::Urgent || this->finished[i])
                 continue;
             std::string kind = this->kindOf(i);
-            kind += this->target0[i] ? " engine" + std::to_string(*this->target0[i]) : " refused";
+            kind += this->sentTo[i] ? " engine" + std::to_string(*this->sentTo[i]) : " refused";
             auto& n = line["topTierLost"][kind];
             n = (n.is_null() ? 0 : n.get<int>()) + 1;
         }
@@ -457,7 +458,7 @@
     std::vector<bool> finished;
     std::vector<bool> ended;
     std::vector<std::optional<uint32_t>> target;
-    std::vector<std::optional<uint32_t>> target0;
+    std::vector<std::optional<uint32_t>> sentTo;
     std::map<uint32_t, TimePoint> scheduled;
     std::map<uint32_t, std::deque<std::vector<CacheChange>>> cacheChanges; // by engine; not delivered yet
     uint64_t reportsSeen = 0;
