Let decide pass first tokens, and read a target's free slots from its last change

Cause: the scheduler now bounds the prefill backlog of a target, so that a fleet without first tokens dispatches too little and the scenario measured refused picks. TargetSet computed the window and the reserve of a target twice for each candidate. TargetSet keeps the room of a target from its last reindex().

--- a/bench/Decide.cpp
+++ b/bench/Decide.cpp
@@ -1,9 +1,9 @@
 // Scenario decide: how many scheduling decisions one core makes, and how their cost grows with the number of targets.
 //
 // All windows are full and 20,000 requests wait. One decision frees a slot (a running request ends), admits a new request and dispatches
-// one that waits: Scheduler::onFinished, submit and advance are all timed. Virtual time passes at the rate at which the fleet serves.
-// A fleet of 1,600 targets and one of 100 with the same models, workspaces and queue take turns in rounds of one process, and so do their
-// baselines; the figures are medians over the rounds, the growth ratio is the median of the ratios of each round.
+// one that waits: Scheduler::onFirstToken, onFinished, submit and advance are all timed. Virtual time passes at the rate at which the fleet
+// serves. A fleet of 1,600 targets and one of 100 with the same models, workspaces and queue take turns in rounds of one process, and so do
+// their baselines; the figures are medians over the rounds, the growth ratio is the median of the ratios of each round.
 //
 // Baseline: a first-come-first-served queue per model and a linear scan of the model's targets for the least outstanding requests; no
 // tiers, no weights, no limits, no prefixes.
@@ -39,6 +39,8 @@
 constexpr uint32_t letterBlocks = 16; // blocks of a long prompt
 constexpr uint64_t lettersPerHundred = 25; // requests with a long prompt
 constexpr Duration meanRunTime = 3s; // virtual, of a request on its target
+constexpr Duration firstTokenDelay = 200ms; // virtual, after the dispatch
+constexpr int fillSteps = 500; // at most, until all windows are full
 constexpr Duration reportInterval = 500ms; // virtual, between load reports of a target
 constexpr Duration deadline = 2h; // far enough that nothing expires
 
@@ -93,6 +95,7 @@
 public:
     virtual ~Decider() = default;
     virtual void submit(const RequestSpec& spec, TimePoint now) = 0;
+    virtual void firstToken(RequestId, TimePoint) { }
     virtual void finish(RequestId id, TimePoint now) = 0;
     virtual void advance(TimePoint now, std::vector<RequestId>& started) = 0;
     virtual void report(TimePoint, std::mt19937_64&) { }
@@ -116,6 +119,7 @@
     }
 
     void submit(const RequestSpec& spec, TimePoint now) override { this->refusals += this->scheduler.submit(spec, now) ? 1 : 0; }
+    void firstToken(RequestId id, TimePoint now) override { this->scheduler.onFirstToken(id, now); }
     void finish(RequestId id, TimePoint now) override { this->scheduler.onFinished(id, RunOutcome::Completed, now); }
     void advance(TimePoint now, std::vector<RequestId>& started) override
     {
@@ -201,17 +205,37 @@
         , random(seed)
         , step(meanRunTime / (static_cast<int64_t>(targets) * windowSize))
     {
-        this->fill(targets * windowSize + queuedRequests);
+        this->fill(targets * windowSize);
+        this->dispatched = 0;
     }
 
-    void fill(uint32_t requests)
+    // Submits at once, then lets time pass until every window is full: long prompts hold up the dispatches behind them.
+    void fill(uint32_t slots)
     {
-        for (uint32_t i = 0; i < requests; ++i) {
+        for (uint32_t i = 0; i < slots + queuedRequests; ++i)
             this->decider->submit(this->next(), this->now);
-            if (i % 64 == 0)
-                this->decider->advance(this->now, this->running);
+        for (int i = 0; i < fillSteps && this->running.size() < slots; ++i) {
+            this->now += firstTokenDelay;
+            this->passFirstTokens();
+            this->advance();
         }
+    }
+
+    void passFirstTokens()
+    {
+        while (!this->prefilling.empty() && this->prefilling.front().first <= this->now) {
+            this->decider->firstToken(this->prefilling.front().second, this->now);
+            this->prefilling.pop_front();
+        }
+    }
+
+    void advance()
+    {
+        size_t before = this->running.size();
         this->decider->advance(this->now, this->running);
+        this->dispatched += this->running.size() - before;
+        for (size_t i = before; i < this->running.size(); ++i)
+            this->prefilling.emplace_back(this->now + firstTokenDelay, this->running[i]);
     }
 
     RequestSpec next()
@@ -231,12 +255,12 @@
         std::vector<uint64_t> draws(decisions);
         for (uint64_t& draw : draws)
             draw = this->random();
-        size_t startedBefore = this->dispatched;
+        size_t dispatchedBefore = this->dispatched;
         auto start = std::chrono::steady_clock::now();
         for (uint32_t i = 0; i < decisions; ++i)
             this->decide(specs[i], draws[i]);
         double seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
-        return seconds / static_cast<double>(std::max<size_t>(this->dispatched - startedBefore, 1));
+        return seconds / static_cast<double>(std::max<size_t>(this->dispatched - dispatchedBefore, 1));
     }
 
     void decide(RequestSpec& spec, uint64_t draw)
@@ -247,14 +271,13 @@
             this->nextReport = this->now + reportInterval;
             this->decider->report(this->now, this->random);
         }
+        this->passFirstTokens();
         size_t ended = draw % this->running.size();
         this->decider->finish(this->running[ended], this->now);
         this->running[ended] = this->running.back();
         this->running.pop_back();
         this->decider->submit(spec, this->now);
-        size_t before = this->running.size();
-        this->decider->advance(this->now, this->running);
-        this->dispatched += this->running.size() - before;
+        this->advance();
     }
 
     std::unique_ptr<Decider> decider;
@@ -263,8 +286,9 @@
     TimePoint now {};
     TimePoint nextReport {};
     std::vector<RequestId> running;
+    std::deque<std::pair<TimePoint, RequestId>> prefilling; // dispatched, by the time of the first token
     uint64_t lastId = 0;
-    size_t dispatched = 0; // in measure()
+    size_t dispatched = 0; // since all windows were full
 };
 
 double median(std::vector<double> values)
@@ -318,6 +342,7 @@
         { "growthRatio", median(growth) },
         { "baselineDecisionsPerSecond", 1 / median(baselineCost) },
         { "baselineGrowthRatio", median(baselineGrowth) },
+        { "dispatchesPerDecision", static_cast<double>(large.dispatched) / (static_cast<double>(rounds) * decisions) },
         { "refused", large.decider->refused() + small.decider->refused() },
     };
 }
--- a/src/core/TargetSet.cpp
+++ b/src/core/TargetSet.cpp
@@ -108,8 +108,7 @@
         Target& target = this->targets[i];
         target.position.fill(unlisted);
         target.countedWindow = 0;
-        if (target.present)
-            this->reindex(TargetId { i }, now);
+        this->reindex(TargetId { i }, now);
     }
 }
 
@@ -199,14 +198,12 @@
     return std::min(any, longFree / (1 - this->settings.shortWorkFraction));
 }
 
-bool TargetSet::hasSlot(const Target& target, bool shortWork, double foreign) const { return foreign <= this->room(target, shortWork); }
-
 // The earliest time at which the fading load report opens a slot that is shut now.
 std::optional<TimePoint> TargetSet::slotOpening(const Target& target, TimePoint now) const
 {
     double foreign = this->foreignAt(target, now);
     for (bool shortWork : { true, false }) {
-        double space = this->room(target, shortWork);
+        double space = shortWork ? target.roomShort : target.roomLong;
         if (foreign <= space || space < 0)
             continue;
         double halfLives = std::log2(target.load->reported / std::max(space, negligibleLoad));
@@ -240,15 +237,19 @@
 void TargetSet::reindex(TargetId id, TimePoint now)
 {
     Target& target = this->at(id);
-    if (!target.present)
+    if (!target.present) {
+        target.roomShort = target.roomLong = -1;
         return;
+    }
     double foreign = this->foreignAt(target, now);
     uint32_t window = this->effectiveWindow(target);
     this->groups[target.group].windowSum += window - target.countedWindow;
     target.countedWindow = window;
+    target.roomShort = this->room(target, true);
+    target.roomLong = this->room(target, false);
     this->setListed(id, UsableList, window > 0);
-    this->setListed(id, FreeShortList, this->hasSlot(target, true, foreign));
-    this->setListed(id, FreeLongList, this->hasSlot(target, false, foreign));
+    this->setListed(id, FreeShortList, foreign <= target.roomShort);
+    this->setListed(id, FreeLongList, foreign <= target.roomLong);
     if (auto opening = this->slotOpening(target, now))
         this->wakeAt(id, *opening);
 }
@@ -678,13 +679,13 @@
         .health = target.health,
         .draining = target.draining || target.leaving || !target.present,
         .local = target.local,
-        .window = this->effectiveWindow(target),
+        .window = target.present ? target.countedWindow : 0,
         .running = target.running,
         .foreignRunning = foreign,
         .backlog = target.backlog,
         .pendingPrefill = target.pendingPrefill,
-        .freeShort = this->hasSlot(target, true, foreign),
-        .freeLong = this->hasSlot(target, false, foreign),
+        .freeShort = foreign <= target.roomShort,
+        .freeLong = foreign <= target.roomLong,
         .rates = target.learned.rates,
     };
 }
@@ -711,7 +712,7 @@
     if (raw(id) >= this->targets.size())
         return false;
     const Target& target = this->at(id);
-    return this->hasSlot(target, shortWork, this->foreignAt(target, now));
+    return this->foreignAt(target, now) <= (shortWork ? target.roomShort : target.roomLong);
 }
 
 bool TargetSet::acceptsResume(TargetId id) const
--- a/src/core/TargetSet.h
+++ b/src/core/TargetSet.h
@@ -184,7 +184,9 @@
         TimePoint readmitted {};
 
         uint32_t group = 0; // position in groups
-        uint32_t countedWindow = 0; // part of the group's windowSum
+        uint32_t countedWindow = 0; // effective window at the last reindex(); part of the group's windowSum
+        double roomShort = -1; // room() at the last reindex(), which follows each change of the target
+        double roomLong = -1;
         std::array<uint32_t, ListNames> position { unlisted, unlisted, unlisted };
         std::optional<TimePoint> wake; // earliest entry in wakes
     };
@@ -228,7 +230,6 @@
     uint32_t effectiveWindow(const Target& target) const;
     double foreignAt(const Target& target, TimePoint now) const;
     double room(const Target& target, bool shortWork) const;
-    bool hasSlot(const Target& target, bool shortWork, double foreign) const;
     std::optional<TimePoint> slotOpening(const Target& target, TimePoint now) const;
     void reindex(TargetId id, TimePoint now);
     void setListed(TargetId id, ListName list, bool listed);
