Encode only the pages that an edit changes

Cause: an edit of one cell encoded all pages, and an import doubled the number of pages one step at a time. Change: an unchanged page is recognised before it is encoded; a section grows to the number of pages that its size calls for.

--- a/src/core/TableStore.cpp
+++ b/src/core/TableStore.cpp
@@ -4,6 +4,7 @@
 #include "core/TableFields.h"
 
 #include <algorithm>
+#include <bit>
 #include <cassert>
 #include <nlohmann/json.hpp>
 
@@ -75,20 +76,30 @@
     return table;
 }
 
-// Splits the table into pages that fit; a section's number of pages doubles until they do, and never shrinks.
-std::vector<std::pair<TablePage, std::string>> encodePages(const Table& table, PageCounts counts, const AuditEntry& entry)
+struct EncodedPage {
+    TablePage page;
+    std::string text; // empty: unchanged
+};
+
+// Splits the table into pages that fit. The number of pages of a section grows by powers of two and never shrinks, so that most rows
+// keep their page. A page that equals its predecessor is not encoded.
+std::vector<EncodedPage> encodePages(
+    const Table& table, PageCounts counts, const std::map<std::string, std::shared_ptr<const Table>>& base, const AuditEntry& entry)
 {
     while (true) {
-        std::vector<std::pair<TablePage, std::string>> encoded;
+        std::vector<EncodedPage> encoded;
         bool fits = true;
         for (TablePage& page : splitPages(table, counts)) {
-            std::string text = encodePage(page, entry);
-            if (text.size() > maxPageBytes && fits) {
+            const auto old = base.find(page.name);
+            const bool unchanged = old != base.end() && *old->second == page.rows;
+            std::string text = unchanged ? "" : encodePage(page, entry);
+            if (text.size() > maxPageBytes) {
                 size_t& count = counts.emplace(page.name.substr(0, page.name.rfind('-')), 1).first->second;
-                count *= 2;
+                count *= std::bit_ceil((text.size() + maxPageBytes - 1) / maxPageBytes);
                 fits = false;
+                break;
             }
-            encoded.emplace_back(std::move(page), std::move(text));
+            encoded.push_back({ std::move(page), std::move(text) });
         }
         if (fits)
             return encoded;
@@ -338,13 +349,12 @@
         entry.cells.resize(maxAuditCells);
     }
     next.head.pages.clear();
-    for (auto& [page, text] : encodePages(table, pageCounts(base.head), entry)) {
-        const auto old = base.pages.find(page.name);
+    for (auto& [page, text] : encodePages(table, pageCounts(base.head), base.pages, entry)) {
         const auto ref = std::find_if(
             base.head.pages.begin(), base.head.pages.end(), [&, name = page.name](const PageRef& r) { return r.name == name; });
-        if (old != base.pages.end() && *old->second == page.rows) {
+        if (text.empty()) {
             next.head.pages.push_back(*ref);
-            next.pages[page.name] = old->second;
+            next.pages[page.name] = base.pages.at(page.name);
             continue;
         }
         PageRef fresh { page.name, pageRevision(next.head.revision, edit.id, text), 0 };
--- a/tests/core/TableStoreTest.cpp
+++ b/tests/core/TableStoreTest.cpp
@@ -279,6 +279,29 @@
     LONGS_EQUAL(30, workspaces(kv));
 }
 
+// Guards against an edit at the design scale that rewrites every page, and against rows lost when a section is split into more pages.
+TEST(TableStore, EditAtDesignScaleRewritesItsPageOnly)
+{
+    TableEdit import = addWorkspace("e1", 0, "zz");
+    import.whole = Table {};
+    import.whole->workspaces.resize(34000);
+    for (size_t i = 0; i < import.whole->workspaces.size(); ++i) {
+        import.whole->workspaces[i].name = "workspace-" + std::to_string(i);
+        import.whole->workspaces[i].token = std::string(64, 'x');
+    }
+    CHECK(inEffect(store.edit(import), 1));
+    const std::vector<PageRef> before = store.head().pages;
+    CHECK(before.size() > 4);
+    for (const auto& [key, pair] : kv.pairs)
+        CHECK(pair.value.size() <= maxPageBytes);
+    CHECK(inEffect(store.edit(addWorkspace("e2", 1, "zzz")), 2));
+    size_t rewritten = 0;
+    for (size_t i = 0; i < before.size(); ++i)
+        rewritten += !(store.head().pages[i] == before[i]);
+    LONGS_EQUAL(1, rewritten);
+    LONGS_EQUAL(34002, workspaces(kv));
+}
+
 // Guards against any order of lost, late and refused writes with two operators leading to a lost or a double edit.
 TEST(TableStore, RandomFaultsLoseAndDoubleNoEdit)
 {
