--- a/src/cli/Output.cpp
+++ b/src/cli/Output.cpp
@@ -10,6 +10,7 @@
 void printTable(const std::vector<std::string>& header, const Lines& lines)
 {
     std::vector<size_t> widths;
+    widths.reserve(header.size());
     for (const std::string& name : header)
         widths.push_back(name.size());
     for (const auto& line : lines) {
--- a/src/core/TableStore.cpp
+++ b/src/core/TableStore.cpp
@@ -212,6 +212,10 @@
     Result<TableHead> head = decodeHead(object["head"].get_ref<const std::string&>());
     if (!head)
         return *head.reason;
+    if (head->revision <= this->adopted.revision) {
+        this->lowerCount += head->revision < this->adopted.revision;
+        return false;
+    }
     Loaded loaded;
     loaded.head = std::move(*head);
     for (const PageRef& page : loaded.head.pages) {
