Test that a write is sent once

Cause: cpprestsdk sends a request again when a reused connection turns out to be closed, so a write whose answer is lost is reported as a conflict with itself. Change: the contract test of the platform port has a lost answer behind an open connection and counts the writes that arrive.

--- a/tests/adapters/HttpPlatformTest.cpp
+++ b/tests/adapters/HttpPlatformTest.cpp
@@ -52,14 +52,17 @@
     CHECK(kv.get("guavapond/node/a b?c")->value == value);
 }
 
-// Guards against a write whose answer is lost being reported as not run, which would let a caller apply it twice.
-TEST(HttpPlatform, LostAnswerOfAWriteIsUnknown)
+// Guards against a write whose answer is lost being reported as not run, or being sent again by the HTTP library, which would turn it into
+// a conflict with itself. The second write would find a connection to reuse if the first one left it open.
+TEST(HttpPlatform, LostAnswerOfAWriteIsUnknownAndItIsSentOnce)
 {
+    const KeyValue kv = platform.client();
+    CHECK(succeeded(kv.get("key")));
+    CHECK(succeeded(kv.put("key", "first", 0, std::nullopt)));
     platform.setFaults([](PlatformFaults& f) { f.loseWriteAnswers = 1; });
-    const KeyValue kv = platform.client(shortTimeout);
-    CHECK(failedAs(kv.put("key", "value", 0, std::nullopt), FailureKind::PlatformUnavailable, Disposition::Unknown));
-    CHECK(platform.model.get("key", TimePoint::max())->value == "value");
-    LONGS_EQUAL(1, platform.model.stats().puts);
+    CHECK(failedAs(kv.put("key", "second", 1, std::nullopt), FailureKind::PlatformUnavailable, Disposition::Unknown));
+    CHECK(platform.model.get("key", TimePoint::max())->value == "second");
+    LONGS_EQUAL(2, platform.model.stats().puts);
 }
 
 // Guards against an outage that looks like an absent key, on which a node would drop its table.
