--- a/bench/EngineModel.cpp
+++ b/bench/EngineModel.cpp
@@ -137,13 +137,14 @@
 void EngineModel::remember(const EngineJob& job)
 {
     // The first block of a prompt is used last, so that a prefix is evicted from its end.
-    for (auto block = job.blocks.rbegin(); block != job.blocks.rend(); ++block) {
-        auto [position, isNew] = this->cache.try_emplace(*block);
+    std::vector<uint64_t> fromLast(job.blocks.rbegin(), job.blocks.rend());
+    for (uint64_t block : fromLast) {
+        auto [position, isNew] = this->cache.try_emplace(block);
         if (isNew)
-            this->cacheChanges.push_back({ ++this->cacheSeq, *block, true });
+            this->cacheChanges.push_back({ ++this->cacheSeq, block, true });
         else
             this->recentBlocks.erase(position->second);
-        this->recentBlocks.push_front(*block);
+        this->recentBlocks.push_front(block);
         position->second = this->recentBlocks.begin();
     }
     this->evict();
--- a/bench/Surge.cpp
+++ b/bench/Surge.cpp
@@ -196,7 +196,7 @@
 // ---- Simulation
 class Simulation {
 public:
-    Simulation(const std::vector<Arrival>& work, std::vector<EngineSettings> engineSettings, uint64_t seed)
+    Simulation(const std::vector<Arrival>& work, const std::vector<EngineSettings>& engineSettings, uint64_t seed)
         : arrivals(work)
         , isUp(engineSettings.size(), true)
         , finished(work.size())
