--- a/src/core/Scheduler.cpp
+++ b/src/core/Scheduler.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr size_t urgentLooked = 8;  // urgent requests looked at for each event; the others follow at the next one
-constexpr size_t maxPassedOver = 8; // requests passed over in one round because their best target has too much prefill or is too slow
+constexpr size_t maxPassedOver = 3; // requests passed over in one round because their best target has too much prefill or is too slow
 constexpr Duration noTargetRetry = std::chrono::seconds(1);
 constexpr double minWaitFactor = 0.5;
 constexpr double maxWaitFactor = 3;
