Install Boost's headers by name

Cause: HttpServer and the in-process stand-ins use Boost.Beast, which came in only as a dependency. Change: libboost-dev in tools/setup.sh. Result: no change on this machine, where it is installed.

--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -4,7 +4,7 @@
 
 packages=(
     build-essential cmake ninja-build ccache pkg-config clang-format clang-tidy libclang-rt-14-dev
-    libcpprest-dev libgrpc++-dev libprotobuf-dev protobuf-compiler protobuf-compiler-grpc
+    libboost-dev libcpprest-dev libgrpc++-dev libprotobuf-dev protobuf-compiler protobuf-compiler-grpc
     prometheus-cpp-dev libtomlplusplus-dev libcli11-dev liblog4cxx-dev libcpputest-dev
     liburcu-dev nlohmann-json3-dev libxxhash-dev libbenchmark-dev libssl-dev openssl spin curl jq python3-minimal
 )
