Add the contract tests of the target adapters and fix what they found

Found and fixed: - The engine stand-in waited for stream tasks under a lock that all pool threads may want, and stopped at 100 concurrent streams. - Its close waited for stalled and silenced connections for ever. - The between-token deadline was looked at only when the first-byte deadline was due (500 ms in place of 210 ms). - cpprestsdk repeats a request, even more than once, when a kept connection was closed. A body that can't be rewound prevents it for POST and DELETE, but the library refuses a body for GET and HEAD; service calls of these methods now use a fresh connection.

--- a/src/adapters/HttpExchange.cpp
+++ b/src/adapters/HttpExchange.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr size_t readBytes = 64 * 1024; // bytes read at once
-constexpr auto libraryTimeout = std::chrono::hours(24); // the library's own timeout is not used; HttpExchange has its own
+constexpr size_t readBytes = 64 * 1024;                      // bytes read at once
+constexpr auto libraryTimeout = std::chrono::hours(24);      // the library's own timeout is not used; HttpExchange has its own
 constexpr Duration busyDelay = std::chrono::milliseconds(1); // until the next look at an exchange whose hook is running
 
 using ByteBuffer = concurrency::streams::details::basic_producer_consumer_buffer<uint8_t>;
@@ -303,12 +303,14 @@
     const TimePoint progress { Duration(this->progressAt.load()) };
     ExchangeFailure failure;
     if (this->progressAt == 0) {
+        // The first progress starts a deadline that may be earlier than the present one, so this looks again within progressTimeout.
+        const auto soon = std::min(started + this->request.firstByteTimeout, now + this->request.progressTimeout);
         const bool connecting = this->body->isProof() && !this->body->isHandedOut();
         if (connecting && now < started + this->request.connectTimeout)
-            return std::min(started + this->request.connectTimeout, started + this->request.firstByteTimeout);
+            return std::min(started + this->request.connectTimeout, soon);
         const bool unsent = connecting && this->withdraw();
         if (!unsent && now < started + this->request.firstByteTimeout)
-            return std::min(started + this->request.firstByteTimeout, now + this->request.progressTimeout);
+            return soon;
         failure = unsent ? ExchangeFailure { ExchangeFailure::Kind::Unsent, false, "no connection before the connect timeout" }
                          : ExchangeFailure { ExchangeFailure::Kind::FirstByteTimeout, true, "no answer before the first-byte timeout" };
     } else {
--- a/src/adapters/HttpExchange.h
+++ b/src/adapters/HttpExchange.h
@@ -25,7 +25,7 @@
 namespace guavapond {
 
 struct HttpClientSettings {
-    std::string caFile; // PEM; empty: the system's authorities
+    std::string caFile;                         // PEM; empty: the system's authorities
     Duration maxIdle = std::chrono::seconds(2); // an unused client is replaced, so that no connection that the target closed is met
 };
 
@@ -37,7 +37,7 @@
     explicit ClientPool(HttpClientSettings settings);
 
     Client get(const std::string& url, TimePoint now);
-    Client fresh(const std::string& url) const; // a client that no other call uses
+    Client fresh(const std::string& url) const;                 // a client that no other call uses
     void discard(const std::string& url, const Client& client); // after a timeout; later calls get new connections
 
 private:
@@ -84,9 +84,9 @@
     std::vector<std::pair<std::string, std::string>> headers;
     std::string contentType;
     std::string body;
-    Duration connectTimeout {}; // until the body is asked for by an established connection
+    Duration connectTimeout {};   // until the body is asked for by an established connection
     Duration firstByteTimeout {}; // from the start until the first call of HttpExchange::onProgress
-    Duration progressTimeout {}; // between two calls of HttpExchange::onProgress
+    Duration progressTimeout {};  // between two calls of HttpExchange::onProgress
     bool freshConnection = false;
 };
 
@@ -113,7 +113,7 @@
     static std::shared_ptr<HttpExchange> start(ClientPool& pool, DeadlineTimer& timer, ExchangeRequest request, ExchangeHooks hooks);
     ~HttpExchange();
 
-    void cancel(); // from any thread, any number of times
+    void cancel();     // from any thread, any number of times
     void onProgress(); // from onBytes: the part that the caller waits for has come; restarts the progress deadline
 
     // For DeadlineTimer: ends the exchange if a deadline has passed; otherwise the time to look again.
@@ -138,7 +138,7 @@
     pplx::cancellation_token_source cancellation;
     std::shared_ptr<Body> body;
     std::atomic<bool> cancelled = false;
-    std::atomic<int64_t> startedAt = 0; // µs of TimePoint
+    std::atomic<int64_t> startedAt = 0;  // µs of TimePoint
     std::atomic<int64_t> progressAt = 0; // µs of TimePoint; 0: none yet
 
     std::mutex mutex; // guards the members below and serializes the hooks
--- a/src/adapters/HttpService.cpp
+++ b/src/adapters/HttpService.cpp
@@ -24,6 +24,8 @@
         http.headers = { { "X-Request-Id", request.requestId } };
         http.contentType = request.contentType;
         http.body = request.body;
+        // The library refuses a body for these, so only a connection that was never used keeps it from repeating the request.
+        http.freshConnection = request.method == "GET" || request.method == "HEAD";
         http.connectTimeout = request.connectTimeout;
         http.firstByteTimeout = request.timeout; // progress is never reported, so this bounds the whole call
         http.progressTimeout = request.timeout;
--- a/src/core/SseParser.h
+++ b/src/core/SseParser.h
@@ -14,7 +14,7 @@
 
 struct SseEvent {
     std::string_view name; // "event" field; empty: a plain message
-    std::string_view id; // "id" field of this event
+    std::string_view id;   // "id" field of this event
     std::string_view data; // "data" lines joined by a line feed
 };
 
@@ -40,7 +40,7 @@
     std::string data;
     size_t eventBytes = 0; // bytes of the lines of the current event
     bool hasData = false;
-    bool atStart = true; // a byte order mark may come
+    bool atStart = true;       // a byte order mark may come
     bool skipLineFeed = false; // the last byte was a CR
     bool failed = false;
 };
--- a/standins/EngineModel.cpp
+++ b/standins/EngineModel.cpp
@@ -1,6 +1,8 @@
 // The engine's stand-in: dispatches, streams written by a few threads as tokens fall due, cache, load, orders, faults.
 #include "EngineModel.h"
 
+#include "core/PrefixIndex.h"
+
 #include <cpprest/producerconsumerstream.h>
 #include <xxhash.h>
 
@@ -16,13 +18,11 @@
 using Buffer = concurrency::streams::producer_consumer_buffer<uint8_t>;
 
 constexpr size_t maxBufferedBytes = 256 * 1024; // bytes per connection; a slow reader holds its stream back
-constexpr uint32_t maxTokensPerWrite = 256; // tokens
-constexpr size_t finishedKept = 20000; // finished streams that can still be resumed
+constexpr uint32_t maxTokensPerWrite = 256;     // tokens
+constexpr size_t finishedKept = 20000;          // finished streams that can still be resumed
 constexpr size_t cacheEventsKept = 65536;
 constexpr Duration minPause = std::chrono::microseconds(200); // between two passes of an emitter
 constexpr Duration maxPause = std::chrono::milliseconds(50);
-constexpr uint32_t blockTokens = 256;
-constexpr uint32_t charsPerToken = 4;
 constexpr uint32_t minAnswerTokens = 16;
 constexpr uint32_t answerTokenSpread = 48; // without max_tokens an answer has 16 to 63 tokens
 
@@ -65,6 +65,19 @@
     return found == query.end() ? 0 : std::strtoull(found->second.c_str(), nullptr, 10);
 }
 
+std::string contentOf(const json& message)
+{
+    const auto content = message.value("content", json());
+    if (content.is_string())
+        return content.get<std::string>();
+    std::string text;
+    if (content.is_array()) {
+        for (const auto& part : content)
+            text += part.value("text", "");
+    }
+    return text;
+}
+
 json errorBody(std::string_view message) { return { { "error", { { "message", message } } } }; }
 
 } // namespace
@@ -89,7 +102,7 @@
         return body.at("prompt").get<std::string>();
     std::string prompt;
     for (const auto& message : body.value("messages", json::array()))
-        prompt += message.at("role").get<std::string>() + ": " + message.at("content").get<std::string>() + "\n";
+        prompt += message.at("role").get<std::string>() + "\n" + contentOf(message) + "\n";
     return prompt;
 }
 
@@ -118,7 +131,7 @@
 
 struct EngineModel::Output {
     Buffer buffer;
-    uint32_t sent = 0; // tokens
+    uint32_t sent = 0;              // tokens
     std::atomic<bool> gone = false; // the caller closed its connection
     bool closed = false;
 };
@@ -131,8 +144,8 @@
     bool chat = true;
     uint32_t total = 0; // tokens of the whole answer
     TimePoint firstDue {};
-    double decodeRate = 0; // tokens/s
-    EngineFaults faults; // as they were at dispatch
+    double decodeRate = 0;     // tokens/s
+    EngineFaults faults;       // as they were at dispatch
     Dispatch* entry = nullptr; // guarded by EngineModel::mutex
     Shard* shard = nullptr;
 
@@ -173,16 +186,19 @@
         }
         shard->changed.notify_all();
         shard->thread.join();
-        // Open answers end here, so that the listener does not wait for them.
-        for (auto& stream : shard->active) {
-            for (auto& output : stream->outputs)
-                output->buffer.close(std::ios_base::out).wait();
-        }
     }
     std::vector<http_request> open;
+    std::unordered_map<std::string, std::shared_ptr<Stream>> remaining;
     {
         std::lock_guard lock(this->mutex);
         open.swap(this->unanswered);
+        remaining = this->streams;
+    }
+    // Open answers end here, stalled ones among them, because the listener's close waits for them.
+    for (auto& [id, stream] : remaining) {
+        std::lock_guard lock(stream->shard->mutex);
+        for (auto& output : stream->outputs)
+            output->buffer.close(std::ios_base::out);
     }
     for (auto& request : open)
         jsonReply(request, 503, errorBody("the engine is stopping"));
@@ -348,7 +364,7 @@
             if (!stream->finished) {
                 this->finish(*stream, "cancelled", presentTime());
                 for (auto& output : stream->outputs)
-                    output->buffer.close(std::ios_base::out).wait();
+                    output->buffer.close(std::ios_base::out);
             }
         }
         return jsonReply(request, 200, { { "cancelled", stream != nullptr } });
@@ -442,7 +458,6 @@
 
 uint32_t EngineModel::prefill(std::string_view prompt)
 {
-    constexpr size_t blockBytes = size_t { blockTokens } * charsPerToken;
     auto record = [this](uint64_t block, bool added) {
         ++this->cacheEventSeq;
         if (this->faults.dropCacheEvents)
@@ -453,24 +468,22 @@
         if (this->cacheEventLog.size() > cacheEventsKept)
             this->cacheEventLog.pop_front();
     };
-    uint64_t chain = XXH3_64bits(this->settings.model.data(), this->settings.model.size());
     uint32_t cachedTokens = 0;
     bool unbroken = true;
-    for (size_t at = 0; at + blockBytes <= prompt.size(); at += blockBytes) {
-        chain = XXH3_64bits_withSeed(prompt.data() + at, blockBytes, chain);
-        auto found = this->cache.find(chain);
+    for (const uint64_t block : hashPrefix(this->settings.model, prompt)) {
+        auto found = this->cache.find(block);
         if (found != this->cache.end()) {
             this->cacheOrder.splice(this->cacheOrder.begin(), this->cacheOrder, found->second);
             if (unbroken)
-                cachedTokens += blockTokens;
+                cachedTokens += prefixBlockTokens;
             continue;
         }
         unbroken = false;
         if (this->settings.cacheBlocks == 0)
             continue;
-        this->cacheOrder.push_front(chain);
-        this->cache[chain] = this->cacheOrder.begin();
-        record(chain, true);
+        this->cacheOrder.push_front(block);
+        this->cache[block] = this->cacheOrder.begin();
+        record(block, true);
         if (this->cache.size() > this->settings.cacheBlocks) {
             const uint64_t oldest = this->cacheOrder.back();
             this->cacheOrder.pop_back();
@@ -556,8 +569,9 @@
     if (whole && !bad.noTerminator)
         text += "data: [DONE]\n\n";
     if (!text.empty()) {
-        output.buffer.putn_nocopy(reinterpret_cast<const uint8_t*>(text.data()), text.size()).wait();
-        output.buffer.sync().wait();
+        // The buffer copies at once. Waiting for the tasks here would need a pool thread while all of them may wait for the shard.
+        output.buffer.putn_nocopy(reinterpret_cast<const uint8_t*>(text.data()), text.size());
+        output.buffer.sync();
     }
     if (cut) {
         output.closed = true;
--- a/standins/LoopbackListener.cpp
+++ b/standins/LoopbackListener.cpp
@@ -1,6 +1,8 @@
 // Port choice, routing and silencing for the stand-ins' listeners.
 #include "LoopbackListener.h"
 
+#include "adapters/PortReservation.h"
+
 #include <arpa/inet.h>
 #include <dirent.h>
 #include <netinet/in.h>
@@ -9,30 +11,11 @@
 
 #include <cstdlib>
 #include <optional>
-#include <stdexcept>
 
 namespace guavapond::standins {
 
 namespace {
 
-constexpr int openAttempts = 20; // another process may take the port between the choice and the bind
-
-uint16_t freePort()
-{
-    int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t length = sizeof address;
-    bool bound = fd >= 0 && ::bind(fd, reinterpret_cast<sockaddr*>(&address), length) == 0
-        && ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length) == 0;
-    if (fd >= 0)
-        ::close(fd);
-    if (!bound)
-        throw std::runtime_error("no free loopback port");
-    return ntohs(address.sin_port);
-}
-
 // The local port of an accepted or connected TCP socket; nothing for any other descriptor.
 std::optional<uint16_t> connectedLocalPort(int fd)
 {
@@ -66,15 +49,8 @@
 
 LoopbackListener::LoopbackListener(uint16_t port, Handler handler)
 {
-    for (int attempt = 1;; ++attempt) {
-        try {
-            this->open(port == 0 ? freePort() : port, handler);
-            return;
-        } catch (const std::exception&) {
-            if (port != 0 || attempt == openAttempts)
-                throw;
-        }
-    }
+    const PortReservation reservation; // held until the listener is open
+    this->open(port == 0 ? reservation.port() : port, handler);
 }
 
 LoopbackListener::~LoopbackListener() { this->close(); }
@@ -108,14 +84,17 @@
 
 void LoopbackListener::close()
 {
+    {
+        // The other ends of the socket pairs go first: the listener's close waits until its connections have ended.
+        std::lock_guard lock(this->mutex);
+        for (int fd : this->silenced)
+            ::close(fd);
+        this->silenced.clear();
+    }
     if (this->listener) {
         this->listener->close().wait();
         this->listener.reset();
     }
-    std::lock_guard lock(this->mutex);
-    for (int fd : this->silenced)
-        ::close(fd);
-    this->silenced.clear();
 }
 
 void jsonReply(const web::http::http_request& request, int status, const nlohmann::json& body)
--- a/standins/LoopbackListener.h
+++ b/standins/LoopbackListener.h
@@ -38,7 +38,7 @@
 
     uint16_t boundPort = 0;
     std::unique_ptr<web::http::experimental::listener::http_listener> listener;
-    std::mutex mutex; // guards silenced
+    std::mutex mutex;          // guards silenced
     std::vector<int> silenced; // descriptors that keep silenced connections open
 };
 
--- a/standins/ServiceModel.h
+++ b/standins/ServiceModel.h
@@ -26,8 +26,8 @@
     uint32_t failNext = 0; // calls answered with failStatus and not executed
     int failStatus = 500;
     uint32_t stallNext = 0; // calls executed and never answered; the connection stays open
-    uint32_t cutNext = 0; // calls executed whose connection closes in the middle of the answer
-    Duration delay {}; // µs before each answer
+    uint32_t cutNext = 0;   // calls executed whose connection closes in the middle of the answer
+    Duration delay {};      // µs before each answer
 };
 
 class ServiceModel {
--- /dev/null
+++ b/tests/adapters/RawServer.h
@@ -0,0 +1,55 @@
+// A TCP server that answers HTTP requests by a script, for faults that an HTTP library's listener can't produce.
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace guavapond::tests {
+
+class RawServer {
+public:
+    // Answer to request number `request` (from 0) of a connection; none: the connection is closed once the request has been read.
+    using Script = std::function<std::optional<std::string>(size_t request)>;
+
+    explicit RawServer(Script script);
+    ~RawServer();
+    RawServer(const RawServer&) = delete;
+    RawServer& operator=(const RawServer&) = delete;
+
+    std::string url() const { return "http://127.0.0.1:" + std::to_string(this->port); }
+    size_t requests() const { return this->received.load(); } // read completely, on all connections
+
+private:
+    void acceptLoop();
+    void serve(int fd);
+
+    Script script;
+    uint16_t port = 0; // before listener, whose initializer sets it
+    int listener = -1;
+    std::atomic<size_t> received = 0;
+    std::mutex mutex; // guards open and workers
+    std::vector<int> open;
+    std::vector<std::thread> workers;
+    std::thread acceptor;
+};
+
+// A listening socket whose queue is full: a connect to it neither succeeds nor fails.
+class FullListener {
+public:
+    FullListener();
+    ~FullListener();
+    FullListener(const FullListener&) = delete;
+    FullListener& operator=(const FullListener&) = delete;
+    std::string url() const { return "http://127.0.0.1:" + std::to_string(this->port); }
+
+private:
+    uint16_t port = 0;
+    std::vector<int> sockets;
+};
+
+} // namespace guavapond::tests
--- /dev/null
+++ b/tests/adapters/ServiceContractTest.cpp
@@ -0,0 +1,162 @@
+// Contract of the Service port, checked on HttpService against the service's stand-in over loopback.
+#include "RawServer.h"
+#include "ServiceModel.h"
+
+#include "adapters/HttpService.h"
+
+#include <future>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace guavapond;
+using namespace guavapond::standins;
+using namespace guavapond::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto patience = 30s;    // upper bound of each wait; a test that needs it has failed
+constexpr int reuseAttempts = 50; // the library returns a connection to its pool at about the time when the answer ends
+
+ServiceRequest requestTo(const std::string& url, const std::string& id, const std::string& method = "POST", const std::string& body = "{}")
+{
+    ServiceRequest request;
+    request.url = url;
+    request.method = method;
+    request.path = "/certificates?kind=paint";
+    request.requestId = id;
+    request.contentType = "application/json";
+    request.body = body;
+    request.timeout = 400ms;
+    return request;
+}
+
+ServiceAnswer complete(const Service& service, const ServiceRequest& request)
+{
+    auto done = std::make_shared<std::promise<ServiceAnswer>>();
+    auto answer = done->get_future();
+    service.call(request, [done](ServiceAnswer received) { done->set_value(std::move(received)); });
+    CHECK_TRUE_TEXT(answer.wait_for(patience) == std::future_status::ready, "no answer");
+    return answer.get();
+}
+
+} // namespace
+
+TEST_GROUP(ServiceContract)
+{
+    ServiceModel model { ServiceSettings {} };
+    Service service = makeHttpService({});
+};
+
+// Guards against a call whose method, path, query or body is changed on the way.
+TEST(ServiceContract, CallArrivesUnchanged)
+{
+    for (const std::string& method : { std::string("POST"), std::string("GET"), std::string("PUT"), std::string("DELETE") }) {
+        const std::string body = method == "GET" ? "" : "{\"paint\":1}";
+        auto answer = complete(this->service, requestTo(this->model.url(), "gp1." + method, method, body));
+        CHECK(!answer.failure);
+        CHECK_EQUAL(method == "POST" ? 201 : 200, answer.status);
+        STRCMP_EQUAL("application/json", answer.contentType.c_str());
+        auto received = nlohmann::json::parse(answer.body);
+        STRCMP_EQUAL(method.c_str(), received.at("method").get<std::string>().c_str());
+        STRCMP_EQUAL("/certificates?kind=paint", received.at("path").get<std::string>().c_str());
+        STRCMP_EQUAL(body.c_str(), received.at("received").get<std::string>().c_str());
+        CHECK_EQUAL(1, this->model.executions("gp1." + method));
+    }
+}
+
+// Guards P6: whatever goes wrong, the call runs at most once, and "unknown" is reported where it may have run.
+TEST(ServiceContract, EveryFaultGivesItsAnswer)
+{
+    struct FaultCase {
+        const char* name;
+        ServiceFaults faults;
+        int status; // of an answer without a failure; 0: a failure with disposition Unknown
+        size_t executions;
+    };
+    const std::vector<FaultCase> cases {
+        { "refused", { .failNext = 1, .failStatus = 503 }, 503, 0 },
+        { "stalled", { .stallNext = 1 }, 0, 1 },
+        { "cut", { .cutNext = 1 }, 0, 1 },
+        { "late", { .delay = 2s }, 0, 1 },
+    };
+    for (const auto& fault : cases) {
+        for (const std::string& body : { std::string("{}"), std::string() }) {
+            this->model.setFaults(fault.faults);
+            const std::string id = std::string("gp1.") + fault.name + body;
+            auto answer = complete(this->service, requestTo(this->model.url(), id, "POST", body));
+            CHECK_EQUAL_TEXT(fault.status == 0, answer.failure.has_value(), fault.name);
+            if (answer.failure) {
+                CHECK_TRUE_TEXT(answer.failure->disposition == Disposition::Unknown, fault.name);
+                CHECK_TRUE_TEXT(answer.sent, fault.name);
+            } else {
+                CHECK_EQUAL_TEXT(fault.status, answer.status, fault.name);
+            }
+            CHECK_EQUAL_TEXT(fault.executions, this->model.executions(id), fault.name);
+        }
+    }
+}
+
+// Guards P5: "not run" where no connection was made, with and without a body.
+TEST(ServiceContract, RefusedConnectionIsUnsent)
+{
+    for (const std::string& body : { std::string("{}"), std::string() }) {
+        auto answer = complete(this->service, requestTo("http://127.0.0.1:1", "gp1.unsent", "POST", body));
+        CHECK(answer.failure && answer.failure->disposition == Disposition::NotRun);
+        CHECK(!answer.sent);
+    }
+}
+
+// Guards P6: a kept connection that the service closes after it read the request must not lead to a second call.
+TEST(ServiceContract, CallIsNotRepeatedOnAClosedConnection)
+{
+    for (const std::string& method : { std::string("POST"), std::string("DELETE"), std::string("GET") }) {
+        RawServer server([](size_t request) {
+            return request == 0 ? std::optional<std::string>("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}") : std::nullopt;
+        });
+        ServiceAnswer closed;
+        size_t calls = 0;
+        while (calls < reuseAttempts && !closed.failure) {
+            ++calls;
+            closed = complete(this->service, requestTo(server.url(), "gp1.closed", method, ""));
+        }
+        // A GET never uses a kept connection, so it meets no closed one.
+        if (method != "GET")
+            CHECK_TRUE_TEXT(closed.failure && closed.failure->disposition == Disposition::Unknown, method.c_str());
+        CHECK_EQUAL_TEXT(calls, server.requests(), method.c_str());
+    }
+}
+
+// Guards against a silent connection spoiling later calls.
+TEST(ServiceContract, SilentConnectionIsReplaced)
+{
+    ServiceAnswer silent;
+    std::string id;
+    for (int attempt = 0; attempt < reuseAttempts && !silent.failure; ++attempt) {
+        CHECK_EQUAL(201, complete(this->service, requestTo(this->model.url(), "gp1.before")).status);
+        this->model.silenceOpenConnections();
+        id = "gp1.silent" + std::to_string(attempt);
+        silent = complete(this->service, requestTo(this->model.url(), id));
+    }
+    CHECK(silent.failure && silent.failure->disposition == Disposition::Unknown);
+    CHECK_EQUAL(201, complete(this->service, requestTo(this->model.url(), "gp1.after")).status);
+    CHECK_EQUAL(0, this->model.executions(id));
+}
+
+// Guards against a cancelled call without an answer, and against an answer that outgrows the bound.
+TEST(ServiceContract, CancelledAndOversizedCallsFail)
+{
+    this->model.setFaults({ .stallNext = 1 });
+    auto done = std::make_shared<std::promise<ServiceAnswer>>();
+    auto request = requestTo(this->model.url(), "gp1.cancel");
+    request.timeout = patience;
+    auto cancel = this->service.call(request, [done](ServiceAnswer received) { done->set_value(std::move(received)); });
+    cancel();
+    auto answer = done->get_future().get();
+    CHECK(answer.failure && answer.failure->kind == FailureKind::CallerGone);
+
+    this->model.setFaults({}); // the cancelled call may have ended before it reached the service
+    auto bounded = makeHttpService({ .maxAnswerBytes = 8 });
+    answer = complete(bounded, requestTo(this->model.url(), "gp1.large"));
+    CHECK(answer.failure && answer.failure->disposition == Disposition::Ran);
+}
