--- a/src/adapters/HttpExchange.cpp
+++ b/src/adapters/HttpExchange.cpp
@@ -303,12 +303,14 @@
     const TimePoint progress { Duration(this->progressAt.load()) };
     ExchangeFailure failure;
     if (this->progressAt == 0) {
+        // The first progress starts a deadline that may be earlier than the present one, so this looks again within progressTimeout.
+        const auto soon = std::min(started + this->request.firstByteTimeout, now + this->request.progressTimeout);
         const bool connecting = this->body->isProof() && !this->body->isHandedOut();
         if (connecting && now < started + this->request.connectTimeout)
-            return std::min(started + this->request.connectTimeout, started + this->request.firstByteTimeout);
+            return std::min(started + this->request.connectTimeout, soon);
         const bool unsent = connecting && this->withdraw();
         if (!unsent && now < started + this->request.firstByteTimeout)
-            return std::min(started + this->request.firstByteTimeout, now + this->request.progressTimeout);
+            return soon;
         failure = unsent ? ExchangeFailure { ExchangeFailure::Kind::Unsent, false, "no connection before the connect timeout" }
                          : ExchangeFailure { ExchangeFailure::Kind::FirstByteTimeout, true, "no answer before the first-byte timeout" };
     } else {
--- a/src/adapters/HttpService.h
+++ b/src/adapters/HttpService.h
@@ -9,7 +9,7 @@
 namespace guavapond {
 
 struct HttpServiceSettings {
-    std::string caFile;                         // PEM; empty: the system's authorities
+    std::string caFile = {};                    // PEM; empty: the system's authorities
     Duration maxIdle = std::chrono::seconds(2); // µs; an unused target's kept connections are dropped
     size_t maxAnswerBytes = 8 << 20;            // bytes
 };
--- a/standins/EngineModel.h
+++ b/standins/EngineModel.h
@@ -37,24 +37,24 @@
 struct EngineFaults {
     uint32_t failNext = 0; // requests answered with failStatus
     int failStatus = 500;
-    uint32_t requests = UINT32_MAX;     // dispatches to which the stream faults below apply
-    bool stallHeaders = false;          // no answer at all; the connection stays open
-    std::optional<uint32_t> stallAfter; // tokens, then silence; 0: before the first token
-    std::optional<uint32_t> closeAfter; // tokens, then the connection is closed
-    bool crossedId = false;             // events carry another stream's id
-    uint32_t repeatToken = 0;           // number of the token that is sent twice
-    uint32_t skipToken = 0;             // number of the token that is never sent
-    bool noTerminator = false;          // the body ends without [DONE]
-    double slowFactor = 1;              // of prefill and decode time
+    uint32_t requests = UINT32_MAX;          // dispatches to which the stream faults below apply
+    bool stallHeaders = false;               // no answer at all; the connection stays open
+    std::optional<uint32_t> stallAfter = {}; // tokens, then silence; 0: before the first token
+    std::optional<uint32_t> closeAfter = {}; // tokens, then the connection is closed
+    bool crossedId = false;                  // events carry another stream's id
+    uint32_t repeatToken = 0;                // number of the token that is sent twice
+    uint32_t skipToken = 0;                  // number of the token that is never sent
+    bool noTerminator = false;               // the body ends without [DONE]
+    double slowFactor = 1;                   // of prefill and decode time
     bool checksFencing = false;
-    bool dropCacheEvents = false;    // sequence numbers go on, events are lost
-    std::optional<Duration> loadLag; // µs
+    bool dropCacheEvents = false;         // sequence numbers go on, events are lost
+    std::optional<Duration> loadLag = {}; // µs
 };
 
 // The answer's words are derived from a hash of the prompt, one per token.
 std::string answerText(std::string_view prompt, uint32_t tokens);
 uint32_t answerTokens(std::string_view prompt, std::optional<uint32_t> maxTokens); // tokens of the whole answer
-// The prompt of a request body: "prompt", or each message as "role: content\n".
+// The prompt of a request body: "prompt", or each message as "role\ncontent\n", which is how the node builds it for hashPrefix.
 std::string promptOf(const nlohmann::json& body);
 
 class EngineModel {
