Never pass on a part of an answer as whole, and close two races of the request path

Cause: an answer above the bound of its assembler was sent cut, with status 200, to callers without a stream and to late claimants. A request that was queued again could be dispatched by another thread before its old stream state was dropped, and would have hung. A dispatch that was given up before its call started was still sent. Change: such an answer ends as stream_cut with disposition ran; the state is dropped first; run() checks the result. Forwards are bounded below the number of task threads.

--- a/src/core/TicketLedger.cpp
+++ b/src/core/TicketLedger.cpp
@@ -116,13 +116,14 @@
     return true;
 }
 
-void TicketLedger::finish(const Ticket& ticket, StoredAnswer answer, TimePoint now)
+void TicketLedger::finish(const Ticket& ticket, std::optional<StoredAnswer> answer, TimePoint now)
 {
     Record* record = find(ticket);
     if (!record || record->state != TicketState::Dispatched)
         return;
     end(*record, ticket.sequence, TicketState::Finished, nullptr, now);
-    keepAnswer(*record, ticket.sequence, std::move(answer));
+    if (answer)
+        keepAnswer(*record, ticket.sequence, std::move(*answer));
     evict(now);
 }
 
--- a/src/core/TicketLedger.h
+++ b/src/core/TicketLedger.h
@@ -90,9 +90,9 @@
     // Back to Queued, so that the request can go to another target. Only with the adapter's proof that no byte of it left this node:
     // nothing was dispatched then. False unless it is in Dispatched.
     bool revertUnsent(const Ticket& ticket);
-    void finish(const Ticket& ticket, StoredAnswer answer, TimePoint now);    // ran; ignored once the ticket has ended
-    bool giveUp(const Ticket& ticket, const Failure& failure, TimePoint now); // false once dispatch has started
-    void lose(const Ticket& ticket, const Failure& failure, TimePoint now);   // dispatched, end not seen: unknown
+    void finish(const Ticket& ticket, std::optional<StoredAnswer> answer, TimePoint now); // ran; none: not kept; ignored once ended
+    bool giveUp(const Ticket& ticket, const Failure& failure, TimePoint now);             // false once dispatch has started
+    void lose(const Ticket& ticket, const Failure& failure, TimePoint now);               // dispatched, end not seen: unknown
 
     // ---- Reading
     Outcome outcome(const Ticket& ticket, TimePoint now) const;
--- a/src/node/Flight.h
+++ b/src/node/Flight.h
@@ -25,13 +25,14 @@
 
 struct FinalResult {
     std::shared_ptr<const StoredAnswer> answer;
-    std::optional<Failure> failure;
+    std::optional<Failure> failure; // with `streamIsWhole`: only for callers that did not follow the stream
+    bool streamIsWhole = false;     // callers that followed the stream have all of it
 };
 
 // Invariants: `result` is set once and never changes; after that no event reaches a listener. Never lock Decisions::mutex while
 // holding `mutex`.
 struct Flight {
-    Flight(CallerRequest r, Ticket t, bool named, size_t answerBytes)
+    Flight(CallerRequest r, Ticket t, bool named, size_t maxAnswerBytes)
         : request(std::move(r))
         , ticket(std::move(t))
         , ticketText(guavapond::ticketText(this->ticket))
@@ -40,7 +41,7 @@
     {
         bool keepsAnswer = named || !this->request.stream;
         if (this->request.spec.kind == RequestKind::Engine && keepsAnswer)
-            this->assembler.emplace(this->request.operation == Operation::ChatCompletion, answerBytes);
+            this->assembler.emplace(this->request.operation == Operation::ChatCompletion, maxAnswerBytes);
     }
 
     const CallerRequest request;
--- a/src/node/RequestPath.cpp
+++ b/src/node/RequestPath.cpp
@@ -261,7 +261,7 @@
         }
         if (claim.kind == Claim::Kind::Run) {
             request.spec.id = static_cast<RequestId>(this->nextRequest++);
-            auto flight = std::make_shared<Flight>(request, ticket, given.has_value(), this->settings.answerBytes);
+            auto flight = std::make_shared<Flight>(request, ticket, given.has_value(), this->settings.maxAnswerBytes);
             flight->workspace = workspaceName;
             flight->listeners.push_back({ reply });
             if (this->stopping)
@@ -540,6 +540,11 @@
 
 void RequestPath::run(const FlightPtr& flight, TimePoint now)
 {
+    {
+        std::lock_guard lock(flight->mutex);
+        if (flight->result)
+            return; // ended between the decision and now
+    }
     if (flight->request.spec.kind == RequestKind::Service)
         return this->callService(flight);
     {
@@ -632,12 +637,8 @@
         return;
     case StreamStep::Kind::Resume:
         return this->callEngine(flight, call + 1, step.offset);
-    case StreamStep::Kind::Finish: {
-        StoredAnswer answer { 200, std::string(flight->request.stream ? eventStreamType : jsonType), {} };
-        if (flight->assembler)
-            answer.body = flight->request.stream ? flight->assembler->events() : flight->assembler->answer();
-        return this->complete(flight, std::move(answer), RunOutcome::Completed, now);
-    }
+    case StreamStep::Kind::Finish:
+        return this->finishStream(flight, now);
     case StreamStep::Kind::Cut: {
         auto failure = step.failure.value_or(Failure { FailureKind::StreamCut, Disposition::Unknown, "stream cut", {} });
         bool unsent = event.kind == EngineEvent::Kind::Failed && !event.sent && call == 0;
@@ -649,6 +650,22 @@
     }
 }
 
+void RequestPath::finishStream(const FlightPtr& flight, TimePoint now)
+{
+    bool stream = flight->request.stream;
+    FinalResult result;
+    result.streamIsWhole = stream;
+    if (!flight->assembler || !flight->assembler->isWhole()) {
+        result.failure
+            = Failure { FailureKind::StreamCut, Disposition::Ran, "the answer is whole but too large to keep: ask for a stream", {} };
+    } else {
+        auto body = stream ? flight->assembler->events() : flight->assembler->answer();
+        result.answer
+            = std::make_shared<const StoredAnswer>(StoredAnswer { 200, std::string(stream ? eventStreamType : jsonType), std::move(body) });
+    }
+    this->complete(flight, result, RunOutcome::Completed, now);
+}
+
 void RequestPath::passOn(Flight& flight, const EngineEvent& event, TimePoint now)
 {
     if (flight.firstTokenAt && this->ports.observer.betweenTokens)
@@ -682,7 +699,9 @@
     if (!answer.failure) {
         constexpr int firstServerError = 500;
         auto outcome = answer.status >= firstServerError ? RunOutcome::FailedByTarget : RunOutcome::Completed;
-        return this->complete(flight, { answer.status, answer.contentType, answer.body }, outcome, now);
+        FinalResult result;
+        result.answer = std::make_shared<const StoredAnswer>(StoredAnswer { answer.status, answer.contentType, answer.body });
+        return this->complete(flight, result, outcome, now);
     }
     auto failure = *answer.failure;
     if (!answer.sent) {
@@ -693,23 +712,15 @@
     this->fail(flight, failure, RunOutcome::ConnectionLost, now);
 }
 
-void RequestPath::complete(const FlightPtr& flight, StoredAnswer answer, RunOutcome outcome, TimePoint now)
+void RequestPath::complete(const FlightPtr& flight, const FinalResult& result, RunOutcome outcome, TimePoint now)
 {
-    bool keep = flight->ticketByCaller || flight->assembler || flight->request.spec.kind == RequestKind::Service;
-    FinalResult result { std::make_shared<const StoredAnswer>(std::move(answer)), std::nullopt };
     std::vector<Step> steps;
     {
         std::lock_guard lock(this->decisions.mutex);
         if (this->flights.erase(flight->request.spec.id) == 0)
             return; // it has ended another way
         this->flightsByTicket.erase(flight->ticketText);
-        if (keep) {
-            this->decisions.ledger.finish(flight->ticket, *result.answer, now);
-        } else {
-            // The stream was passed on and is not kept.
-            StoredAnswer tooLarge { result.answer->status, result.answer->contentType, std::string(this->settings.answerBytes + 1, ' ') };
-            this->decisions.ledger.finish(flight->ticket, std::move(tooLarge), now);
-        }
+        this->decisions.ledger.finish(flight->ticket, result.answer ? std::optional(*result.answer) : std::nullopt, now);
         this->decisions.scheduler.onFinished(flight->request.spec.id, outcome, now);
         if (outcome == RunOutcome::Completed)
             this->decisions.retries.onSuccess(now);
@@ -722,7 +733,8 @@
 
 void RequestPath::fail(const FlightPtr& flight, const Failure& failure, RunOutcome outcome, TimePoint now)
 {
-    FinalResult result { nullptr, failure };
+    FinalResult result;
+    result.failure = failure;
     std::vector<Step> steps;
     TargetId target {};
     bool wasSent = false;
@@ -771,6 +783,13 @@
 // No byte left this node, so the request goes back to the queue under the same ticket.
 bool RequestPath::requeueUnsent(const FlightPtr& flight, TimePoint now)
 {
+    {
+        // Before the request is queued again: from then on another thread may dispatch it.
+        std::lock_guard lock(flight->mutex);
+        flight->tracker.reset();
+        flight->dispatched = false;
+        flight->cancelCall = nullptr;
+    }
     std::vector<Step> steps;
     TargetId target {};
     bool queued = false;
@@ -790,12 +809,6 @@
         // Refused: the ticket is queued in the ledger, so that fail() can still prove "not run".
         steps = this->takeSteps(now);
     }
-    {
-        std::lock_guard lock(flight->mutex);
-        flight->tracker.reset();
-        flight->dispatched = false;
-        flight->cancelCall = nullptr;
-    }
     this->carryOut(steps, now);
     return queued;
 }
@@ -824,19 +837,16 @@
 
 void RequestPath::deliver(const Flight& flight, Listener& listener, const FinalResult& result)
 {
-    if (result.failure) {
-        if (listener.started)
-            return endWithErrorEvent(*listener.reply, *result.failure, flight.ticketText);
-        return sendFailure(*listener.reply, *result.failure, flight.ticketText);
-    }
-    if (listener.started) {
+    if (listener.started && result.streamIsWhole) {
         listener.reply->write("data: [DONE]\n\n");
         return listener.reply->finish();
     }
+    if (listener.started)
+        return endWithErrorEvent(*listener.reply, result.failure.value_or(Failure {}), flight.ticketText);
+    if (!result.answer)
+        return sendFailure(*listener.reply, result.failure.value_or(Failure {}), flight.ticketText);
     const auto& answer = *result.answer;
-    // An answer without a single token has an empty body only when it was not assembled.
-    auto body = answer.body.empty() && answer.contentType == eventStreamType ? std::string("data: [DONE]\n\n") : answer.body;
-    listener.reply->send(answer.status, answerHeaders(flight.ticketText, answer.contentType), std::move(body));
+    listener.reply->send(answer.status, answerHeaders(flight.ticketText, answer.contentType), answer.body);
 }
 
 // The request ends when nobody waits for it and nobody can ask for it again by a ticket of their own.
@@ -892,8 +902,9 @@
     summary.cachedTokens = flight.cachedTokens;
     summary.outputTokens = flight.tracker ? flight.tracker->received() : 0;
     summary.dispatched = flight.dispatched;
-    summary.inTime = !result.failure && now <= spec.deadline;
-    summary.failure = result.failure ? &*result.failure : nullptr;
+    bool isWhole = result.answer || result.streamIsWhole;
+    summary.inTime = isWhole && now <= spec.deadline;
+    summary.failure = isWhole ? nullptr : &*result.failure;
     this->ports.observer.ended(summary);
 }
 
--- a/src/node/RequestPath.h
+++ b/src/node/RequestPath.h
@@ -28,9 +28,9 @@
 struct RequestPathSettings {
     CallerSettings callers;
     StreamSettings streams;
-    size_t answerBytes = size_t(1) << 20;                         // bytes of an answer kept for other callers of its ticket
+    size_t maxAnswerBytes = size_t(8) << 20;                      // bytes of an answer that is put together from a stream
     uint32_t tokensPerReport = 8;                                 // tokens between two reports of a stream to the scheduler
-    size_t maxForwards = 256;                                     // requests at a time passed on to other nodes
+    size_t maxForwards = 48;                                      // requests at a time passed on to other nodes
     Duration grantTime = std::chrono::seconds(2);                 // without a witness: waiting requests are given up as not run
     Duration stoppingRetryAfter = std::chrono::milliseconds(200); // another node takes the request at once
 };
@@ -101,8 +101,9 @@
     // ---- Answers
     void onEngineEvent(const FlightPtr& flight, uint32_t call, const EngineEvent& event);
     void onServiceAnswer(const FlightPtr& flight, const ServiceAnswer& answer);
+    void finishStream(const FlightPtr& flight, TimePoint now);
     void passOn(Flight& flight, const EngineEvent& event, TimePoint now);
-    void complete(const FlightPtr& flight, StoredAnswer answer, RunOutcome outcome, TimePoint now);
+    void complete(const FlightPtr& flight, const FinalResult& result, RunOutcome outcome, TimePoint now);
     void fail(const FlightPtr& flight, const Failure& failure, RunOutcome outcome, TimePoint now);
     bool requeueUnsent(const FlightPtr& flight, TimePoint now);
     void spreadReturn(Failure& failure, TimePoint now); // under the decision mutex
--- a/src/ports/Target.h
+++ b/src/ports/Target.h
@@ -38,7 +38,7 @@
     std::string streamId; // the id that the event names
     uint64_t offset = 0;  // tokens generated up to and with this event
     std::optional<Failure> failure;
-    bool sent = true; // Failed only. False: proved that no byte of the request left this node
+    bool sent = true; // Failed only. False: proved that the target can't have received the whole request
 };
 
 struct EngineLoad {
@@ -79,7 +79,7 @@
     std::string contentType;
     std::string body;
     std::optional<Failure> failure; // set when no whole answer came
-    bool sent = true;               // with failure. False: proved that no byte of the request left this node
+    bool sent = true;               // with failure. False: proved that the target can't have received the whole request
 };
 
 struct Service {
--- a/tests/core/TicketLedgerTest.cpp
+++ b/tests/core/TicketLedgerTest.cpp
@@ -110,7 +110,7 @@
     CHECK(!ledger.startDispatch(ticket, start));
     CHECK(ledger.claim(ticket, 1, start).kind == Claim::Kind::Attach);
     CHECK(!ledger.giveUp(ticket, shed, start)); // P5: it may have run
-    ledger.finish(ticket, { 200, "text/plain", "yes" }, start);
+    ledger.finish(ticket, StoredAnswer { 200, "text/plain", "yes" }, start);
     CHECK(!ledger.startDispatch(ticket, start));
     CHECK(!ledger.giveUp(ticket, shed, start));
     Claim repeated = ledger.claim(ticket, 1, start);
--- a/tests/node/RequestPathTest.cpp
+++ b/tests/node/RequestPathTest.cpp
@@ -34,6 +34,27 @@
     CHECK(reply->json()["choices"][0]["message"]["content"] == "Two hours");
 }
 
+// P4: an answer that outgrew its buffer must not be passed on in part as if it were whole.
+TEST(RequestPath, AnAnswerTooLargeToKeepIsNeverPassedOnInPart)
+{
+    const std::string big(1U << 20U, 'x');
+    auto plain = harness.serve(PathHarness::chat(false));
+    auto request = PathHarness::chat(true, "another question");
+    request.headers.emplace_back("Guavapond-Ticket", harness.mint());
+    auto live = harness.serve(request);
+    auto late = harness.serve(request);
+    for (auto& call : std::vector(harness.engineCalls)) {
+        for (uint64_t offset = 1; offset <= 9; ++offset)
+            call->token(offset, big);
+        call->done();
+    }
+    CHECK_EQUAL(502, plain->status);
+    CHECK(plain->disposition() == "ran");
+    CHECK(live->body.ends_with("data: [DONE]\n\n"));
+    CHECK(late->disposition() == "ran");
+    CHECK(harness.serve(request)->disposition() == "ran");
+}
+
 // P4: a token of another request must never reach this caller, and a stream that ends early must not look whole.
 TEST(RequestPath, DropsCrossedTokensAndReportsACut)
 {
