--- a/bench/Bench.h
+++ b/bench/Bench.h
@@ -21,6 +21,8 @@
 struct BenchOptions {
     std::string deployment = "himal"; // himal | consorzio
     uint64_t seed = 1;
+    bool quick = false;                       // a shorter run; scenarios with real processes only
+    bool check = false;                       // exit status 1 when a guarantee is broken: the line's "violations" is not empty
     double seconds = 0;                       // length of the measurement; 0: the scenario's own default
     std::map<std::string, std::string> extra; // --set name=value; each scenario documents its names
 };
--- a/bench/Main.cpp
+++ b/bench/Main.cpp
@@ -14,6 +14,8 @@
 {
     command.add_option("--deployment", options.deployment, "Deployment to model")->check(CLI::IsMember({ "himal", "consorzio" }));
     command.add_option("--seed", options.seed, "Seed of all random numbers");
+    command.add_flag("--quick", options.quick, "A shorter run");
+    command.add_flag("--check", options.check, "Exit status 1 when a guarantee is broken");
     command.add_option("--seconds", options.seconds, "Length of the measurement; 0: the scenario's default");
     command.add_option("--set", settings, "Further setting of the scenario, name=value");
 }
@@ -52,6 +54,8 @@
         line["deployment"] = options.deployment;
         line["seed"] = options.seed;
         std::cout << line.dump() << '\n';
+        if (options.check && !line.value("violations", nlohmann::json::array()).empty())
+            return 1;
     }
     return 0;
 }
--- a/cmake/Programs.cmake
+++ b/cmake/Programs.cmake
@@ -43,10 +43,6 @@
 if(CLI_SOURCES)
     addProgram(guavapond ${CLI_SOURCES})
 endif()
-file(GLOB BENCH_SOURCES CONFIGURE_DEPENDS bench/*.cpp)
-if(BENCH_SOURCES)
-    addProgram(guavapond-bench ${BENCH_SOURCES})
-endif()
 
 # Stand-ins: standins/Standin<Name>.cpp becomes the program standin-<name>; other files there are shared.
 file(GLOB STANDIN_MAINS CONFIGURE_DEPENDS standins/Standin*.cpp)
@@ -62,6 +58,15 @@
     addProgram(standin-${short} ${source} ${STANDIN_SHARED})
 endforeach()
 
+# Scenarios with real processes check answers against the stand-in's own rule and are run from the folder of the programs.
+file(GLOB BENCH_SOURCES CONFIGURE_DEPENDS bench/*.cpp)
+if(BENCH_SOURCES)
+    addProgram(guavapond-bench ${BENCH_SOURCES} ${STANDIN_SHARED})
+    add_dependencies(guavapond-bench guavapondd guavapond standin-engine standin-service standin-platform)
+    add_test(NAME NodesFaultTest COMMAND guavapond-bench nodes --quick --check --seed 1)
+    set_tests_properties(NodesFaultTest PROPERTIES TIMEOUT 90)
+endif()
+
 # One test program for each tests/adapters/*Test.cpp; shared helpers are the other files of that folder.
 file(GLOB ADAPTER_TESTS CONFIGURE_DEPENDS tests/adapters/*Test.cpp)
 file(GLOB ADAPTER_TEST_SHARED CONFIGURE_DEPENDS tests/adapters/*.cpp)
