Close inherited sockets in the benchmark's children, and drop connections to a lost node

Cause: asio opens sockets without close-on-exec. Change: children close all inherited descriptors; callers drop their connections to a node that lost one. Unknown outcomes are counted by fault and by type of error.

--- a/bench/LoadClient.cpp
+++ b/bench/LoadClient.cpp
@@ -67,6 +67,7 @@
     std::mt19937_64 random;
     size_t sent = 0;
     std::vector<std::unique_ptr<http_client>> clients; // one for each node
+    std::vector<uint64_t> lossesSeen;                  // by node, when its client was made
     std::string lastAnswer;
     uint32_t retryAfterMs = 0;
     std::thread thread;
@@ -76,6 +77,7 @@
     : settings(s)
     , nodes(std::move(n))
     , avoidedUntil(this->nodes.size())
+    , losses(this->nodes.size())
 {
     const auto total = s.questionCallers + s.letterCallers + s.callCallers;
     for (size_t i = 0; i < total; ++i) {
@@ -84,11 +86,8 @@
         caller->random.seed(seed * 1000 + i);
         if (i >= s.questionCallers)
             caller->kind = i < s.questionCallers + s.letterCallers ? RequestClass::Letter : RequestClass::Call;
-        for (const auto& node : this->nodes) {
-            web::http::client::http_client_config config;
-            config.set_timeout(caller->kind == RequestClass::Question ? s.questionTimeout : s.ticketTimeout);
-            caller->clients.push_back(std::make_unique<http_client>(node.url, config));
-        }
+        caller->clients.resize(this->nodes.size());
+        caller->lossesSeen.resize(this->nodes.size());
         this->callers.push_back(std::move(caller));
     }
     for (auto& caller : this->callers)
@@ -134,6 +133,20 @@
     return usable.empty() ? picked : usable[picked];
 }
 
+// A load balancer closes its connections to a node that was lost, so that one loss does not follow another after a restart.
+http_client& LoadClient::clientOf(Caller& caller, size_t node) const
+{
+    const uint64_t present = this->losses[node];
+    auto& client = caller.clients[node];
+    if (!client || caller.lossesSeen[node] != present) {
+        web::http::client::http_client_config config;
+        config.set_timeout(caller.kind == RequestClass::Question ? this->settings.questionTimeout : this->settings.ticketTimeout);
+        client = std::make_unique<http_client>(this->nodes[node].url, config);
+        caller.lossesSeen[node] = present;
+    }
+    return *client;
+}
+
 std::string LoadClient::ownerOf(const std::string& ticket) const
 {
     // gp1.<node>.<incarnation>.<sequence>.<w|u>
@@ -251,7 +264,7 @@
         if (!ticket.empty())
             request.headers().add("Guavapond-Ticket", ticket);
         request.set_body(body, "application/json");
-        auto response = caller.clients[attempt.node]->request(request).get();
+        auto response = this->clientOf(caller, attempt.node).request(request).get();
         attempt.sent = true;
         attempt.status = response.status_code();
         auto header = response.headers().find("Guavapond-Ticket");
@@ -272,6 +285,8 @@
         attempt.type = failure.what();
     }
     attempt.end = std::chrono::steady_clock::now();
+    if (attempt.lost)
+        ++this->losses[attempt.node];
     if (attempt.lost || attempt.type == "stopping")
         this->avoidedUntil[attempt.node] = steadyMs() + this->settings.avoidance.count();
     record.attempts.push_back(attempt);
@@ -284,7 +299,7 @@
 void LoadClient::askTicket(Caller& caller, RequestRecord& record, const std::string& ticket)
 {
     try {
-        auto response = caller.clients[this->pickNode(caller)]->request(web::http::methods::GET, "/v1/tickets/" + ticket).get();
+        auto response = this->clientOf(caller, this->pickNode(caller)).request(web::http::methods::GET, "/v1/tickets/" + ticket).get();
         auto body = json::parse(response.extract_utf8string(true).get(), nullptr, false);
         if (response.status_code() == web::http::status_codes::OK && body.is_object() && body.value("disposition", "") == "not_run")
             record.toldNotRun.push_back(ticket);
--- a/bench/LoadClient.h
+++ b/bench/LoadClient.h
@@ -15,6 +15,10 @@
 #include <thread>
 #include <vector>
 
+namespace web::http::client {
+class http_client;
+}
+
 namespace guavapond::bench {
 
 using SteadyTime = std::chrono::steady_clock::time_point;
@@ -97,12 +101,14 @@
     void checkAnswer(RequestRecord& record, const std::string& body, const std::string& answer, const std::string& ticket) const;
     void pauseBeforeRetry(const Caller& caller, const AttemptRecord& attempt) const;
     size_t pickNode(Caller& caller) const;
+    web::http::client::http_client& clientOf(Caller& caller, size_t node) const;
     std::string ownerOf(const std::string& ticket) const;
 
     const LoadSettings settings;
     const std::vector<NodeEntry> nodes;
     std::atomic<bool> stopping { false };
     std::vector<std::atomic<int64_t>> avoidedUntil; // by node; steady clock, ms
+    std::vector<std::atomic<uint64_t>> losses;      // connections lost, by node: older connections are not used again
     std::vector<std::unique_ptr<Caller>> callers;
     mutable std::mutex mutex;
     std::vector<RequestRecord> ended;         // guarded by mutex
--- a/bench/Nodes.cpp
+++ b/bench/Nodes.cpp
@@ -432,6 +432,15 @@
     return std::chrono::duration<double>(at - span.start).count();
 }
 
+std::string spanAt(const FaultPlan& plan, SteadyTime time)
+{
+    for (const auto& span : plan.spans) {
+        if (time >= span.start && time < span.end)
+            return span.name;
+    }
+    return "none";
+}
+
 void judgeRequests(json& line, const std::vector<RequestRecord>& records, const Cluster& cluster, const FaultPlan& plan)
 {
     std::unordered_map<std::string, size_t> runs;
@@ -461,6 +470,7 @@
     size_t cuts = 0;
     size_t lateResets = 0;
     std::map<std::string, size_t> outcomes;
+    std::map<std::string, size_t> unknownBy;
     for (const auto& record : records) {
         static constexpr std::array names { "lost", "answered", "ran", "unknown", "notRun" };
         ++outcomes[names.at(static_cast<size_t>(record.outcome))];
@@ -479,7 +489,11 @@
         crossed += record.crossed ? 1 : 0;
         if (record.crossed)
             example("crossed:", last);
-        unknown += record.outcome == CallerOutcome::Unknown ? 1 : 0;
+        if (record.outcome == CallerOutcome::Unknown) {
+            ++unknown;
+            const auto& attempt = record.attempts.back();
+            ++unknownBy[spanAt(plan, record.end) + ": " + attempt.type + (runs.contains(last) ? ", had run" : ", had not run")];
+        }
         for (const auto& attempt : record.attempts) {
             const bool bad = attempt.lost || attempt.disposition == "unknown";
             if (!bad)
@@ -489,7 +503,7 @@
                     continue;
                 if (attempt.start < span.start) {
                     ++cuts;
-                    example("cut by a planned stop:", attempt.ticket + " " + attempt.type);
+                    example("cut by a planned stop:", attempt.ticket + " at " + cluster.nodes[attempt.node].name + " " + attempt.type);
                 } else if (attempt.lost && attempt.sent) {
                     ++lateResets;
                 }
@@ -503,6 +517,7 @@
     line["lostRequests"] = lost;
     line["crossedAnswers"] = crossed;
     line["unknownOutcomes"] = unknown;
+    line["unknownBy"] = unknownBy;
     line["unknownBound"] = plan.unknownBound;
     line["plannedStopCuts"] = cuts;
     line["resetsAfterStop"] = lateResets;
--- a/bench/ProcessGroup.cpp
+++ b/bench/ProcessGroup.cpp
@@ -30,6 +30,8 @@
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         ::dup2(ends[1], STDOUT_FILENO);
         ::dup2(errors, STDERR_FILENO);
+        // Sockets of the benchmark, which asio opens without close-on-exec: a copy in the child would keep closed connections open.
+        ::close_range(STDERR_FILENO + 1, ~0U, 0);
         ::execv(arguments[0], arguments.data());
         ::_exit(127);
     }
