Fix forwarded answers that wait, and leaving targets that are added again

Cause: three faults, found by reading and shown by new tests. - The owner of a ticket sends empty pieces while a forwarded request waits there for more than 1 s. RequestPath::forward took the first of them for the head and answered its caller with HTTP status 0. - An answer that the other node had not taken yet did not count as active, so that a planned stop could end the process under it. - TargetMonitor remembered which targets it had marked as leaving, but TargetSet drops the mark when a row is removed and added again. Change: pieces without a status before the head are passed over; forwarded() counts as active; the mark is set in each round, and a call that changes nothing returns at once. forwardCall takes a call as ended early only when its own receiver ended it; before, any status CANCELLED counted, and the caller would have waited for ever.

--- a/src/adapters/GrpcPeer.cpp
+++ b/src/adapters/GrpcPeer.cpp
@@ -72,6 +72,7 @@
     auto reader = channels.stub(address)->Forward(&context, message);
     node::ForwardChunk part;
     bool whole = false;
+    bool unwanted = false;
     while (!whole && reader->Read(&part)) {
         ForwardedChunk chunk;
         chunk.status = static_cast<int>(part.status());
@@ -81,12 +82,13 @@
         chunk.last = part.last();
         whole = chunk.last;
         if (!onChunk(chunk)) {
+            unwanted = true;
             context.TryCancel();
             break;
         }
     }
     auto status = reader->Finish();
-    if (whole || status.error_code() == grpc::StatusCode::CANCELLED)
+    if (whole || unwanted)
         return std::nullopt;
     return failureOf(status, true);
 }
--- a/src/core/TargetSet.cpp
+++ b/src/core/TargetSet.cpp
@@ -127,7 +127,7 @@
 
 void TargetSet::setLeaving(TargetId id, bool leaving, TimePoint now)
 {
-    if (raw(id) >= this->targets.size())
+    if (raw(id) >= this->targets.size() || this->at(id).leaving == leaving)
         return;
     this->at(id).leaving = leaving;
     this->reindex(id, now);
--- a/src/node/RequestPath.cpp
+++ b/src/node/RequestPath.cpp
@@ -425,6 +425,9 @@
     this->ports.background([this, message = std::move(message), address = *address, ticket, text, reply] {
         bool started = false;
         auto failure = this->ports.peer.forward(address, message, [&](const ForwardedChunk& chunk) {
+            // Empty pieces come while the request waits at its owner; the first one with a status carries the head.
+            if (!started && chunk.status == 0)
+                return !reply->isGone();
             if (!started && chunk.last) {
                 started = true;
                 reply->send(chunk.status, chunk.headers, chunk.data);
@@ -448,6 +451,17 @@
 
 void RequestPath::forwarded(const ForwardedRequest& message, const std::function<bool(const ForwardedChunk&)>& onChunk)
 {
+    // Counted until the other node has taken the last piece, which may be after the request itself has ended here.
+    struct Count {
+        std::atomic<size_t>& value;
+        explicit Count(std::atomic<size_t>& v)
+            : value(v)
+        {
+            ++this->value;
+        }
+        ~Count() { --this->value; }
+    };
+    const Count count(this->answersToPeers);
     HttpRequest request { message.method, message.path, message.headers, message.body, {} };
     auto reply = std::make_shared<QueueReply>();
     this->serve(request, reply);
@@ -942,7 +956,7 @@
 size_t RequestPath::active() const
 {
     std::lock_guard lock(this->decisions.mutex);
-    return this->flights.size() + this->forwards;
+    return this->flights.size() + this->forwards + this->answersToPeers;
 }
 
 } // namespace guavapond
--- a/src/node/RequestPath.h
+++ b/src/node/RequestPath.h
@@ -69,7 +69,7 @@
     // ---- Stopping
     void stopAdmitting();
     bool isStopping() const { return this->stopping; }
-    size_t active() const; // requests that wait or run here, or are passed on
+    size_t active() const; // requests that wait or run here, are passed on, or are answered to other nodes
 
 private:
     using FlightPtr = std::shared_ptr<Flight>;
@@ -124,7 +124,8 @@
     std::optional<TimePoint> ungrantedSince;     // requests wait and there is no witness
     uint64_t nextRequest = 1;
 
-    std::atomic<size_t> forwards { 0 };
+    std::atomic<size_t> forwards { 0 };       // requests passed on to other nodes
+    std::atomic<size_t> answersToPeers { 0 }; // requests of other nodes that are answered here
     std::atomic<bool> stopping { false };
 
     std::mutex timerMutex;
--- a/src/node/TargetMonitor.cpp
+++ b/src/node/TargetMonitor.cpp
@@ -168,12 +168,7 @@
     for (const auto& target : this->watched()) {
         bool isLeaving = std::any_of(
             vms.begin(), vms.end(), [&](const VmEntry& vm) { return vm.state == VmState::Leaving && isOn(target.address, vm.address); });
-        {
-            std::lock_guard lock(this->mutex);
-            bool changes = isLeaving ? this->leaving.insert(target.name).second : this->leaving.erase(target.name) > 0;
-            if (!changes)
-                continue;
-        }
+        // Set in each round: a row that is removed and added again has lost its mark in the target set.
         std::lock_guard lock(this->decisions.mutex);
         this->decisions.targets.setLeaving(target.id, isLeaving, now);
     }
--- a/src/node/TargetMonitor.h
+++ b/src/node/TargetMonitor.h
@@ -74,7 +74,6 @@
     std::mutex mutex;                                       // guards what follows
     std::unordered_set<std::string> pending;                // calls under way, so that a silent target gathers only one of each kind
     std::unordered_map<std::string, uint64_t> lastCacheSeq; // by target name
-    std::unordered_set<std::string> leaving;                // target names, as last told to the target set
 
     std::mutex waitMutex;
     std::condition_variable waitChanged;
--- a/tests/node/PathHarness.h
+++ b/tests/node/PathHarness.h
@@ -130,6 +130,7 @@
         ports.engine.health = [this](std::string_view) -> Result<bool> { return this->healthy; };
         ports.service.call = [this](ServiceRequest request, std::function<void(ServiceAnswer)> answer) -> Cancellation {
             this->serviceCalls.emplace_back(std::move(request), std::move(answer));
+            this->serviceCalled = true;
             return [] {};
         };
         ports.peer.forward = [this](std::string_view, const ForwardedRequest& request,
@@ -137,7 +138,8 @@
             this->forwarded.push_back(request);
             if (this->peerFailure)
                 return this->peerFailure;
-            onChunk({ 200, { { "Content-Type", "application/json" } }, "{}", true });
+            for (const auto& chunk : this->peerChunks)
+                onChunk(chunk);
             return std::nullopt;
         };
         ports.askWitness = [this] { ++this->witnessAsked; };
@@ -233,9 +235,11 @@
     uint64_t random = 0;
     bool healthy = true;
     std::optional<Failure> peerFailure;
+    std::vector<ForwardedChunk> peerChunks { { 200, { { "Content-Type", "application/json" } }, "{}", true } };
     std::deque<std::function<void()>> tasks;
     std::vector<std::shared_ptr<EngineCall>> engineCalls;
     std::vector<std::pair<ServiceRequest, std::function<void(ServiceAnswer)>>> serviceCalls;
+    std::atomic<bool> serviceCalled { false };
     std::vector<ForwardedRequest> forwarded;
     std::vector<std::string> cancelled; // at an engine, by request id
     int witnessAsked = 0;
--- a/tests/node/RequestPathTest.cpp
+++ b/tests/node/RequestPathTest.cpp
@@ -1,6 +1,8 @@
 // Guards the path of a request against double dispatch, answers that are cut, crossed or passed as whole, and untrue refusals.
 #include "PathHarness.h"
 
+#include <thread>
+
 using namespace guavapond;
 
 TEST_GROUP(RequestPath) { PathHarness harness; };
@@ -312,3 +314,34 @@
     }
     CHECK_EQUAL(0U, harness.engineCalls.size());
 }
+
+// The owner of a ticket sends empty pieces while the request waits there. Guards against an answer with status 0 to the caller.
+TEST(RequestPath, EmptyPiecesBeforeTheHeadOfAForwardedAnswerArePassedOver)
+{
+    harness.peerChunks = { {}, {}, { 201, { { "Content-Type", "application/json" } }, "{\"a\":1}", true } };
+    auto reply = harness.serve(PathHarness::certificate("gp1.n2.0000000000000005.1.u"));
+    harness.runTasks();
+    CHECK_EQUAL(201, reply->status);
+    CHECK(reply->body == "{\"a\":1}");
+    CHECK(reply->finished);
+}
+
+// Guards against a node that ends while the answer to a forwarded request still waits for the other node to take it.
+TEST(RequestPath, AForwardedAnswerThatIsNotTakenYetKeepsTheNodeActive)
+{
+    auto request = PathHarness::certificate(harness.mint());
+    size_t atLastPiece = 0;
+    std::thread owner([&] {
+        harness.path->forwarded({ request.method, request.target, request.headers, request.body }, [&](const ForwardedChunk& chunk) {
+            if (chunk.last)
+                atLastPiece = harness.path->active();
+            return true;
+        });
+    });
+    while (!harness.serviceCalled)
+        std::this_thread::yield();
+    harness.serviceCalls[0].second({ 201, "application/json", "{}", std::nullopt });
+    owner.join();
+    CHECK_EQUAL(1U, atLastPiece);
+    CHECK_EQUAL(0U, harness.path->active());
+}
