Bound the polls of targets and the reads of the VM list

Cause: every node polled every target twice a second and read the VM list every second: 3,200 polls/s a node and 350 reads/s of the platform at 350 nodes and 1,600 targets. Change: at most 16 targets a round, in turn; the VM list is read at most 100 times a second by all nodes together.

--- a/src/daemon/SettingsMap.cpp
+++ b/src/daemon/SettingsMap.cpp
@@ -1,6 +1,8 @@
 // Values that the settings file does not name keep the default of their part.
 #include "daemon/SettingsMap.h"
 
+#include <algorithm>
+
 namespace guavapond {
 
 HttpEngineSettings engineSettings(const Settings& settings)
@@ -66,6 +68,9 @@
 {
     TargetMonitorSettings result;
     result.loadInterval = settings.loadPeriod;
+    // All nodes together read the platform's VM list at most 100 times a second.
+    constexpr Duration vmReadSpacing = std::chrono::milliseconds(10);
+    result.vmInterval = std::max(result.vmInterval, vmReadSpacing * (settings.peers.size() + 1));
     return result;
 }
 
--- a/src/node/TargetMonitor.cpp
+++ b/src/node/TargetMonitor.cpp
@@ -59,13 +59,12 @@
     for (const auto& target : targets) {
         if (std::find(due.begin(), due.end(), target.id) != due.end())
             this->start(target, Call::Health);
-        if (target.kind != RequestKind::Engine)
-            continue;
-        if (loads)
-            this->start(target, Call::Load);
-        if (caches)
-            this->start(target, Call::CacheEvents);
     }
+    std::erase_if(targets, [](const Watched& target) { return target.kind != RequestKind::Engine; });
+    if (loads)
+        this->startRound(targets, Call::Load, this->firstLoad);
+    if (caches)
+        this->startRound(targets, Call::CacheEvents, this->firstCache);
     if (loads)
         this->nextLoad = now + this->settings.loadInterval;
     if (caches)
@@ -76,6 +75,15 @@
     }
 }
 
+// At most pollsPerRound targets, the next ones in turn, so that the cost does not grow with the fleet.
+void TargetMonitor::startRound(std::span<const Watched> targets, Call call, size_t& first)
+{
+    auto count = std::min(targets.size(), this->settings.pollsPerRound);
+    for (size_t i = 0; i < count; ++i)
+        this->start(targets[(first + i) % targets.size()], call);
+    first = targets.empty() ? 0 : (first + count) % targets.size();
+}
+
 std::vector<TargetMonitor::Watched> TargetMonitor::watched() const
 {
     return this->table.read([](const TableIndex& rows) {
--- a/src/node/TargetMonitor.h
+++ b/src/node/TargetMonitor.h
@@ -18,6 +18,7 @@
 namespace guavapond {
 
 struct TargetMonitorSettings {
+    size_t pollsPerRound = 16; // targets asked in one round; the others follow in the next ones
     Duration loadInterval = std::chrono::milliseconds(500);
     Duration cacheInterval = std::chrono::seconds(1);
     Duration vmInterval = std::chrono::seconds(1);
@@ -54,6 +55,7 @@
     };
 
     std::vector<Watched> watched() const;
+    void startRound(std::span<const Watched> targets, Call call, size_t& first);
     void start(const Watched& target, Call call);
     void readLoad(const Watched& target);
     void readCacheEvents(const Watched& target);
@@ -66,6 +68,8 @@
     const Snapshot<TableIndex>& table;
     Decisions& decisions;
 
+    size_t firstLoad = 0;  // position of the next round among the engines
+    size_t firstCache = 0; // the same
     TimePoint nextLoad {};
     TimePoint nextCache {};
     TimePoint nextVms {};
--- a/tests/node/TargetMonitorTest.cpp
+++ b/tests/node/TargetMonitorTest.cpp
@@ -17,7 +17,10 @@
     TargetMonitorPorts monitorPorts()
     {
         TargetMonitorPorts ports;
-        ports.engine.load = [](std::string_view) -> Result<EngineLoad> { return EngineLoad {}; };
+        ports.engine.load = [this](std::string_view url) -> Result<EngineLoad> {
+            ++this->loadCalls[std::string(url)];
+            return EngineLoad {};
+        };
         ports.engine.cacheEvents = [](std::string_view, uint64_t) -> Result<std::vector<CacheEvent>> { return std::vector<CacheEvent> {}; };
         ports.engine.health = [](std::string_view) -> Result<bool> { return true; };
         ports.vms.list = [this]() -> Result<std::vector<VmEntry>> {
@@ -55,6 +58,7 @@
 
     std::vector<VmEntry> vmEntries { { "10.0.0.1", "lalitpur", VmState::Leaving }, { "10.0.0.2", "lalitpur", VmState::Live } };
     bool vmsReadable = true;
+    std::map<std::string, int> loadCalls; // by address
     TargetMonitor monitor;
 };
 
@@ -94,3 +98,23 @@
     fixture.round();
     CHECK_FALSE(fixture.takesWork("e1"));
 }
+
+// Polls of every target by every node would grow with the square of the fleet.
+TEST(TargetMonitor, PollsABoundedNumberOfTargetsInTurn)
+{
+    Table rows = PathHarness::makeTable();
+    for (int i = 0; i < 62; ++i) {
+        TargetRow engine = rows.targets.front();
+        engine.name = "more-" + std::to_string(i);
+        engine.address = "http://10.1.0." + std::to_string(i) + ":1";
+        rows.targets.push_back(engine);
+    }
+    fixture.apply(rows, 2);
+    fixture.round();
+    CHECK_EQUAL(TargetMonitorSettings {}.pollsPerRound, fixture.loadCalls.size());
+    for (int i = 0; i < 3; ++i)
+        fixture.round();
+    CHECK_EQUAL(64U, fixture.loadCalls.size());
+    for (const auto& [address, calls] : fixture.loadCalls)
+        CHECK_EQUAL_TEXT(1, calls, address.c_str());
+}
