--- a/src/daemon/SettingsMap.cpp
+++ b/src/daemon/SettingsMap.cpp
@@ -70,7 +70,7 @@
     result.loadInterval = settings.loadPeriod;
     // All nodes together read the platform's VM list at most 100 times a second.
     constexpr Duration vmReadSpacing = std::chrono::milliseconds(10);
-    result.vmInterval = std::max(result.vmInterval, vmReadSpacing * (settings.peers.size() + 1));
+    result.vmInterval = std::max(result.vmInterval, vmReadSpacing * static_cast<int64_t>(settings.peers.size() + 1));
     return result;
 }
 
