Let callers ask again for unwitnessed tickets whose owner is out of reach

Cause: a node that is cut off from the others mints unwitnessed tickets and runs them. Any other node answered a claim of such a ticket with outcome_unknown, retryAfterMs 0 and 'the owner is gone', although the owner was alive. Change: resolve() gives that final answer only when another incarnation answers under the owner's name, or nobody can; else it answers owner_unreachable with a time to ask again, still with the disposition 'unknown'. WitnessLinkTest fails before the change.

--- a/src/node/WitnessLink.cpp
+++ b/src/node/WitnessLink.cpp
@@ -193,14 +193,29 @@
     return false;
 }
 
+// Whether another incarnation runs under the owner's name, or none can.
+bool WitnessLink::isReplaced(const NodeIdentity& owner)
+{
+    const auto* address = this->addressOf(owner.node);
+    if (!address)
+        return true; // no peer, or this node, which asks only for its earlier incarnations
+    auto identity = this->ports.peer.identity(address->address);
+    return identity && *identity != owner;
+}
+
 // ---- For a ticket whose owner is gone
 
 Failure WitnessLink::resolve(const Ticket& ticket)
 {
     Failure unknown { FailureKind::OutcomeUnknown, Disposition::Unknown,
         "the owner of the ticket is gone and nobody can tell what became of it", {} };
-    if (!ticket.witnessed)
-        return unknown;
+    if (!ticket.witnessed) {
+        if (this->isReplaced(ticket.owner))
+            return unknown;
+        // Cut off from here, an owner mints unwitnessed tickets and runs them: it can tell their outcome when it is reached again.
+        return { FailureKind::OwnerUnreachable, Disposition::Unknown, "the owner of the ticket does not answer here",
+            std::chrono::seconds(1) };
+    }
     auto until = this->ports.clock() + this->settings.resolveTime;
     while (this->ports.clock() < until) {
         auto named = this->witnessOf(ticket);
--- a/src/node/WitnessLink.h
+++ b/src/node/WitnessLink.h
@@ -60,6 +60,7 @@
     void accessOwnRecord(const RecordAccess& access);
     void accessOwnersRecord(const TakeoverAccess& access);
     bool isAlive(const NodeIdentity& owner);
+    bool isReplaced(const NodeIdentity& owner);
     Result<std::optional<NodeIdentity>> witnessOf(const Ticket& ticket);
     const PeerAddress* addressOf(std::string_view node) const;
 
