Refuse a queued request that can't ask for its next grant

Cause: a request whose grant ended with its epoch is taken out of the scheduler and asks the next witness. When too many tickets already asked, the refusal of that wait was dropped: the request was known to nobody, its caller waited for ever, and a planned stop waited too. Change: the refusal becomes a step that answers the caller as not run. Measured: RequestPathTest, ARequestThatCanNotAskForItsNextGrantIsRefusedAsNotRun: fails before the change (no answer), passes after it; all 21 tests of RequestPathTest pass.

--- a/src/node/RequestPath.cpp
+++ b/src/node/RequestPath.cpp
@@ -486,7 +486,9 @@
             // A grant of an epoch that has ended since is void: the request waits for the next one.
             if (flight->ticket.witnessed && !this->decisions.owner.useGrant(flight->ticket.sequence)) {
                 this->decisions.scheduler.onFinished(action.request, RunOutcome::Cancelled, now);
-                this->waitForGrant(flight, now);
+                // It may not be able to wait, and the scheduler does not know it any more.
+                if (auto refused = this->waitForGrant(flight, now))
+                    steps.push_back({ { Action::Kind::Refuse, action.request, {}, refused }, std::move(flight) });
                 continue;
             }
             // The ledger is the only path to a dispatch.
--- a/tests/node/PathHarness.h
+++ b/tests/node/PathHarness.h
@@ -95,9 +95,9 @@
 
 // One node with two engines of one model and one plain service.
 struct PathHarness {
-    PathHarness()
+    explicit PathHarness(const DecisionSettings& settings = {})
         : table(std::make_shared<TableIndex>(makeTable(), 1))
-        , decisions({ "n1", 7 }, "lalitpur", {}, [this](uint64_t bound) { return this->random++ % bound; })
+        , decisions({ "n1", 7 }, "lalitpur", settings, [this](uint64_t bound) { return this->random++ % bound; })
     {
         this->table.read([this](const TableIndex& rows) { this->decisions.applyTable(rows, this->now); });
         this->path = std::make_unique<RequestPath>(RequestPathSettings {}, this->makePorts(), this->table, this->decisions);
@@ -185,7 +185,7 @@
         this->now += time;
         this->path->poke();
     }
-    // Plays a witness that answers at once.
+    // Plays a witness that answers at once, and the platform with the node's record.
     void activateOwner()
     {
         auto& owner = this->decisions.owner;
@@ -194,10 +194,12 @@
             auto output = owner.advance(this->now);
             for (const auto& message : output.messages)
                 owner.onMessage({ WitnessMessage::Kind::Installed, message.witness, message.owner, message.epoch, 1, {} }, this->now);
-            if (output.access && output.access->write)
-                owner.onRecordWritten(Revision(1), this->now);
-            else if (output.access)
-                owner.onRecordRead(KeyValuePair {}, this->now);
+            if (output.access && output.access->write) {
+                this->record = { recordText(output.access->record), this->record.revision + 1 };
+                owner.onRecordWritten(this->record.revision, this->now);
+            } else if (output.access) {
+                owner.onRecordRead(this->record, this->now);
+            }
         }
         CHECK(owner.state() == OwnerState::Active);
     }
@@ -239,6 +241,7 @@
     std::vector<ForwardedRequest> forwarded;
     std::vector<std::string> cancelled; // at an engine, by request id
     int witnessAsked = 0;
+    KeyValuePair record; // as written by the owner; revision 0: absent
     Failure resolution { FailureKind::OutcomeUnknown, Disposition::Unknown, "gone", {} };
     std::vector<bool> inTime;
     Snapshot<TableIndex> table;
--- a/tests/node/RequestPathTest.cpp
+++ b/tests/node/RequestPathTest.cpp
@@ -232,6 +232,32 @@
     CHECK_EQUAL(0, reply->status);
 }
 
+// A request that lost its grant and can't ask for another one must not stay without an answer.
+TEST(RequestPath, ARequestThatCanNotAskForItsNextGrantIsRefusedAsNotRun)
+{
+    DecisionSettings settings;
+    settings.owner.maxOutstanding = 1;
+    PathHarness narrow(settings);
+    narrow.activateOwner();
+    narrow.fillTargets();
+    auto first = PathHarness::chat(false);
+    first.headers.emplace_back("Guavapond-Ticket", narrow.mint());
+    auto reply = narrow.serve(first);
+    narrow.answerGrants();
+    narrow.loseWitness();
+    narrow.activateOwner();
+    auto second = PathHarness::chat(false, "another question");
+    second.headers.emplace_back("Guavapond-Ticket", narrow.mint());
+    narrow.serve(second);                                    // asks for the only grant
+    for (size_t i = 0; i < narrow.engineCalls.size(); ++i) { // with the fillers that were queued
+        narrow.engineCalls[i]->token(1, "word");
+        narrow.engineCalls[i]->done();
+        narrow.pass(std::chrono::milliseconds(50));
+    }
+    CHECK(reply->finished);
+    CHECK(reply->disposition() == "not_run");
+}
+
 // P8: work that was admitted goes on; new work is refused as not run.
 TEST(RequestPath, AStoppingNodeFinishesWhatItHas)
 {
