--- a/src/node/TableWatcher.cpp
+++ b/src/node/TableWatcher.cpp
@@ -6,7 +6,8 @@
 
 namespace guavapond {
 
-TableWatcher::TableWatcher(std::string nodeName, std::string failureDomain, const TableWatcherSettings& s, TableWatcherPorts p)
+TableWatcher::TableWatcher(
+    const std::string& nodeName, const std::string& failureDomain, const TableWatcherSettings& s, TableWatcherPorts p)
     : settings(s)
     , ports(std::move(p))
     , watches(this->isAmongWatchers(nodeName, failureDomain))
--- a/src/node/TableWatcher.h
+++ b/src/node/TableWatcher.h
@@ -48,7 +48,8 @@
 
 class TableWatcher {
 public:
-    TableWatcher(std::string nodeName, std::string failureDomain, const TableWatcherSettings& settings, TableWatcherPorts ports);
+    TableWatcher(
+        const std::string& nodeName, const std::string& failureDomain, const TableWatcherSettings& settings, TableWatcherPorts ports);
 
     void watchPlatform(const std::atomic<bool>& stop);
     void askPeers(const std::atomic<bool>& stop);
