--- a/src/core/Limits.cpp
+++ b/src/core/Limits.cpp
@@ -10,10 +10,10 @@
 
 size_t indexOf(WorkspaceId workspace, Tier tier) { return static_cast<size_t>(raw(workspace)) * tierCount + raw(tier); }
 
-bool hasBucket(const TierLimits& limits) { return limits.engineSecondsPerSecond > 0; }
+// Engine seconds per second with which the next start is estimated while this node's part is zero.
+constexpr double leastRate = 1e-3;
 
-// A bucket that can hold nothing would never allow a request, so a burst of zero counts as one second.
-double burstOf(const TierLimits& limits) { return std::max<double>(1, limits.burstEngineSeconds); }
+bool hasBucket(const TierLimits& limits) { return limits.engineSecondsPerSecond > 0; }
 
 } // namespace
 
@@ -41,12 +41,20 @@
             refill(entry, now);
             entry.limits = row->tiers[t];
             entry.refilled = now;
-            double burst = burstOf(entry.limits);
+            double burst = burstOf(entry);
             entry.engineSeconds = startFull ? burst : std::min(entry.engineSeconds, burst);
         }
     }
 }
 
+void Limits::setFactor(WorkspaceId workspace, Tier tier, double factor, TimePoint now)
+{
+    auto& entry = this->at(workspace, tier);
+    refill(entry, now);
+    entry.factor = std::clamp(factor, 0.0, 1.0);
+    entry.engineSeconds = std::min(entry.engineSeconds, burstOf(entry));
+}
+
 bool Limits::isKnown(WorkspaceId workspace) const
 {
     const auto* entry = this->find(workspace, Tier::Urgent);
@@ -89,7 +97,8 @@
     const auto* entry = this->find(workspace, tier);
     if (!entry)
         return true;
-    if (entry->limits.running > 0 && entry->running >= entry->limits.running)
+    auto most = std::max<uint32_t>(1, static_cast<uint32_t>(entry->limits.running * entry->factor));
+    if (entry->limits.running > 0 && entry->running >= most)
         return false;
     return !hasBucket(entry->limits) || level(*entry, now) > 0;
 }
@@ -103,7 +112,7 @@
     if (saved > 0)
         return std::nullopt;
     // One millisecond more than the exact time, so that rounding leaves the bucket above zero.
-    return now + fromSeconds(-saved / entry->limits.engineSecondsPerSecond) + std::chrono::milliseconds(1);
+    return now + fromSeconds(-saved / std::max(leastRate, rateOf(*entry))) + std::chrono::milliseconds(1);
 }
 
 void Limits::onStarted(WorkspaceId workspace, Tier tier, Duration estimatedCost, TimePoint now)
@@ -124,7 +133,7 @@
     if (!hasBucket(entry.limits))
         return;
     refill(entry, now);
-    double burst = burstOf(entry.limits);
+    double burst = burstOf(entry);
     entry.engineSeconds = std::min(burst, entry.engineSeconds + toSeconds(estimatedCost) - toSeconds(actualCost));
 }
 
@@ -153,10 +162,15 @@
     return this->entries[index];
 }
 
+// A bucket that can hold nothing would never allow a request, so a burst of zero counts as one second.
+double Limits::burstOf(const Entry& entry) { return std::max<double>(1, entry.limits.burstEngineSeconds * entry.factor); }
+
+double Limits::rateOf(const Entry& entry) { return entry.limits.engineSecondsPerSecond * entry.factor; }
+
 double Limits::level(const Entry& entry, TimePoint now)
 {
-    double gained = toSeconds(now - entry.refilled) * entry.limits.engineSecondsPerSecond;
-    return std::min(burstOf(entry.limits), entry.engineSeconds + std::max(0.0, gained));
+    double gained = toSeconds(now - entry.refilled) * rateOf(entry);
+    return std::min(burstOf(entry), entry.engineSeconds + std::max(0.0, gained));
 }
 
 void Limits::refill(Entry& entry, TimePoint now)
--- a/src/core/Limits.h
+++ b/src/core/Limits.h
@@ -23,6 +23,8 @@
     explicit Limits(const LimitsSettings& settings);
 
     void applyTable(const TableIndex& table, TimePoint now); // counts of what runs and waits are kept
+    // This node's part of the limits, 0 to 1, until the next call; 1 at first. The limit of running requests stays at least 1.
+    void setFactor(WorkspaceId workspace, Tier tier, double factor, TimePoint now);
     bool isKnown(WorkspaceId workspace) const;
     double weight(WorkspaceId workspace, Tier tier) const; // share inside the tier; 1 for an unknown workspace
 
@@ -43,10 +45,11 @@
     uint32_t queued(WorkspaceId workspace, Tier tier) const;
 
 private:
-    // Invariant: engineSeconds <= limits.burstEngineSeconds. A request starts while it is above zero and may take it below: a
+    // Invariant: engineSeconds <= burstOf(entry). A request starts while it is above zero and may take it below: a
     // request that costs more than the burst runs too, and the debt delays the ones after it.
     struct Entry {
         TierLimits limits;
+        double factor = 1;        // part of the limits that this node may use
         double engineSeconds = 0; // saved up, as of `refilled`
         TimePoint refilled {};
         uint32_t running = 0; // requests
@@ -56,6 +59,8 @@
 
     const Entry* find(WorkspaceId workspace, Tier tier) const;
     Entry& at(WorkspaceId workspace, Tier tier);
+    static double burstOf(const Entry& entry);
+    static double rateOf(const Entry& entry);
     static double level(const Entry& entry, TimePoint now);
     static void refill(Entry& entry, TimePoint now);
     Duration hint(Duration wait) const;
--- a/src/core/TargetSet.cpp
+++ b/src/core/TargetSet.cpp
@@ -133,6 +133,16 @@
     this->reindex(id, now);
 }
 
+void TargetSet::setShare(TargetId id, uint32_t running, TimePoint expiry, TimePoint now)
+{
+    if (!this->contains(id) || expiry <= now)
+        return;
+    this->at(id).share = running;
+    this->at(id).shareExpiry = expiry;
+    this->wakeAt(id, expiry);
+    this->reindex(id, now);
+}
+
 void TargetSet::forgetLearned(TargetId id)
 {
     Target& target = this->at(id);
@@ -183,7 +193,8 @@
 // The largest load from other nodes that leaves a slot here; negative: no slot whatever they do.
 double TargetSet::room(const Target& target, bool shortWork) const
 {
-    uint32_t window = this->effectiveWindow(target);
+    // A share caps the room and not the window: a share of zero does not make the target unusable.
+    uint32_t window = std::min(this->effectiveWindow(target), target.share.value_or(UINT32_MAX));
     if (target.running >= window)
         return -1;
     // One request of this node always fits. Otherwise nodes whose reports show each other's work would starve the one that came late,
@@ -272,6 +283,10 @@
         if (target.wake != due.time)
             continue;
         target.wake.reset();
+        if (target.share && target.shareExpiry <= now)
+            target.share.reset();
+        else if (target.share)
+            this->wakeAt(due.target, target.shareExpiry);
         bool slow = target.health == TargetHealth::Ejected && target.reason == EjectReason::Slowness;
         if (slow && target.nextProbe <= now)
             this->startProbing(due.target);
--- a/src/core/TargetSet.h
+++ b/src/core/TargetSet.h
@@ -87,6 +87,8 @@
     // ---- What operators and the platform say
     void applyTable(const TableIndex& table, TimePoint now);
     void setLeaving(TargetId target, bool leaving, TimePoint now); // from the VM list
+    // This node's share of the window, in running requests, until `expiry`; from the target's home or the fair part.
+    void setShare(TargetId target, uint32_t running, TimePoint expiry, TimePoint now);
 
     // ---- What this node observes
     void onDispatched(TargetId target, const RequestSpec& request, uint32_t cachedTokens, Duration cost, TimePoint now);
@@ -161,6 +163,8 @@
         bool draining = false; // by the table
         bool leaving = false;  // by the VM list
         uint32_t maxRunning = 0;
+        std::optional<uint32_t> share; // cap on running requests of this node; from the target's home
+        TimePoint shareExpiry {};
 
         uint32_t running = 0;     // requests from this node
         uint32_t runningLong = 0; // those that are not short work
--- a/tests/core/LimitsTest.cpp
+++ b/tests/core/LimitsTest.cpp
@@ -110,3 +110,21 @@
     CHECK(!this->limits.mayRun(this->labs, tier, start + 4s));
     CHECK(this->limits.mayRun(this->labs, tier, start + 6s));
 }
+
+// Guards against a node that uses a whole limit which it shares with others, and against one whose part rounds to nothing.
+TEST(Limits, FactorScalesRateBurstAndRunning)
+{
+    this->limits.applyTable(tableWith({ .engineSecondsPerSecond = 10, .burstEngineSeconds = 20, .running = 4 }), start);
+    this->limits.setFactor(this->labs, tier, 0.5, start);
+    this->limits.onStarted(this->labs, tier, 15s, start);
+    CHECK(!this->limits.mayRun(this->labs, tier, start));
+    CHECK(this->limits.mayRun(this->labs, tier, start + 1100ms));
+    this->limits.onStarted(this->labs, tier, 0s, start + 2s);
+    CHECK(!this->limits.mayRun(this->labs, tier, start + 2s));
+    this->limits.setFactor(this->labs, tier, 1, start + 2s);
+    CHECK(this->limits.mayRun(this->labs, tier, start + 2s));
+    this->limits.onFinished(this->labs, tier, 0s, 0s, start + 2s);
+    this->limits.onFinished(this->labs, tier, 0s, 0s, start + 2s);
+    this->limits.setFactor(this->labs, tier, 0.01, start + 2s);
+    CHECK(this->limits.mayRun(this->labs, tier, start + 2s));
+}
--- a/tests/core/TargetSetTest.cpp
+++ b/tests/core/TargetSetTest.cpp
@@ -466,3 +466,21 @@
     LONGS_EQUAL(0, view.backlog.count());
     LONGS_EQUAL(0, view.pendingPrefill.count());
 }
+
+// Guards against a node that takes more of a target than its home granted, and against a share that outlives its home.
+TEST(TargetSet, ShareCapsRunningUntilItExpires)
+{
+    Fleet fleet(engines(1));
+    fleet.targets.setShare(first, 1, at(5s), at(0s));
+    CHECK(fleet.targets.accepts(first, true, at(0s)));
+    fleet.dispatch(first, at(0s));
+    CHECK(!fleet.targets.accepts(first, true, at(1s)));
+    fleet.targets.setShare(first, 2, at(8s), at(4s));
+    CHECK(fleet.targets.accepts(first, true, at(4s)));
+    fleet.targets.setShare(first, 0, at(9s), at(4s));
+    fleet.targets.refresh(at(8s));
+    CHECK(!fleet.targets.accepts(first, true, at(8s)));
+    CHECK(fleet.targets.versionsOf(ModelId {})[0].isUsable());
+    fleet.targets.refresh(at(9s));
+    CHECK(fleet.targets.accepts(first, true, at(9s)));
+}
