Probe the other nodes and prefer live ones

Cause: table questions and the search for a witness went to dead or leaving nodes in turn and waited for each timeout. Change: rpc Gossip carries membership messages; ClusterLink runs Membership on a thread of its own with its own tasks. TableWatcher asks live peers, WitnessLink asks eligible candidates first; both fall back to the others, since the view may be wrong. A planned stop announces that the node leaves, and the platform's list of leaving VMs is read once for targets and members. /v1/admin/status shows the members. Forwards of requests are unchanged. Slots are not connected to the node yet.

--- a/src/adapters/GrpcPeer.cpp
+++ b/src/adapters/GrpcPeer.cpp
@@ -225,6 +225,70 @@
     }
 }
 
+node::MemberUpdate toProto(const MemberUpdate& from)
+{
+    node::MemberUpdate message;
+    message.set_node(from.node);
+    message.set_incarnation(from.incarnation);
+    message.set_version(from.version);
+    message.set_state(static_cast<node::MemberUpdate::State>(from.state));
+    message.set_leaving(from.leaving);
+    return message;
+}
+
+// A value of a later version of the protocol counts as dead: it would otherwise be outside the enumeration.
+MemberUpdate fromProto(const node::MemberUpdate& message)
+{
+    MemberState state = MemberState::Dead;
+    if (message.state() == node::MemberUpdate::ALIVE)
+        state = MemberState::Alive;
+    else if (message.state() == node::MemberUpdate::SUSPECT)
+        state = MemberState::Suspect;
+    return { message.node(), message.incarnation(), message.version(), state, message.leaving() };
+}
+
+// The message's kinds begin with NONE.
+node::GossipMessage toProto(const MembershipMessage& from)
+{
+    node::GossipMessage message;
+    message.set_kind(static_cast<node::GossipMessage::Kind>(static_cast<int>(from.kind) + 1));
+    message.set_to(from.to);
+    message.set_subject(from.subject);
+    message.set_sequence(from.sequence);
+    message.set_joining(from.joining);
+    *message.mutable_sender() = toProto(from.sender);
+    for (const auto& update : from.updates)
+        *message.add_updates() = toProto(update);
+    return message;
+}
+
+std::optional<MembershipMessage> fromProto(const node::GossipMessage& message)
+{
+    if (message.kind() < node::GossipMessage::PING || message.kind() > node::GossipMessage::ACK)
+        return std::nullopt;
+    MembershipMessage result;
+    result.kind = static_cast<MembershipMessage::Kind>(static_cast<int>(message.kind()) - 1);
+    result.to = message.to();
+    result.subject = message.subject();
+    result.sequence = message.sequence();
+    result.joining = message.joining();
+    result.sender = fromProto(message.sender());
+    for (const auto& update : message.updates())
+        result.updates.push_back(fromProto(update));
+    return result;
+}
+
+Result<std::optional<MembershipMessage>> gossipCall(Channels& channels, std::string_view address, const MembershipMessage& message)
+{
+    node::GossipMessage reply;
+    grpc::ClientContext context;
+    context.set_deadline(deadlineAfter(channels.settings.probeTimeout));
+    auto status = channels.stub(address)->Gossip(&context, toProto(message), &reply);
+    if (!status.ok())
+        return failureOf(status, true);
+    return fromProto(reply);
+}
+
 class NodeService final : public node::Node::Service {
 public:
     explicit NodeService(PeerHandler h)
@@ -300,6 +364,16 @@
         return grpc::Status::OK;
     }
 
+    grpc::Status Gossip(grpc::ServerContext* /*context*/, const node::GossipMessage* message,
+        node::GossipMessage* reply) override // NOLINT(readability-identifier-naming)
+    {
+        auto received = fromProto(*message);
+        auto answer = received ? this->handler.gossip(*received) : std::nullopt;
+        if (answer)
+            *reply = toProto(*answer);
+        return grpc::Status::OK;
+    }
+
 private:
     PeerHandler handler;
 };
@@ -321,6 +395,8 @@
     peer.takeover = [channels](std::string_view address, std::string_view ticket, const NodeIdentity& witness) {
         return takeoverCall(*channels, address, ticket, witness);
     };
+    peer.gossip
+        = [channels](std::string_view address, const MembershipMessage& message) { return gossipCall(*channels, address, message); };
     return peer;
 }
 
--- a/src/daemon/NodeProcess.cpp
+++ b/src/daemon/NodeProcess.cpp
@@ -16,6 +16,7 @@
 constexpr unsigned requestTaskThreads = 64;
 constexpr unsigned witnessTaskThreads = 8;
 constexpr unsigned monitorTaskThreads = 8;
+constexpr unsigned clusterTaskThreads = 8;
 
 TimePoint presentTimeOfProcess() { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
 
@@ -46,7 +47,10 @@
     , requestTasks(requestTaskThreads)
     , witnessTasks(witnessTaskThreads)
     , monitorTasks(monitorTaskThreads)
+    , clusterTasks(clusterTaskThreads)
 {
+    this->cluster = std::make_unique<ClusterLink>(
+        NodeIdentity { s.name, incarnation }, s.failureDomain, ClusterLinkSettings {}, this->clusterPorts());
     this->path = std::make_unique<RequestPath>(requestPathSettings(s), this->requestPathPorts(), this->table, this->decisions);
     this->monitor = std::make_unique<TargetMonitor>(monitorSettings(s), this->monitorPorts(), this->table, this->decisions);
     this->watcher = std::make_unique<TableWatcher>(s.name, s.failureDomain, tableWatcherSettings(s), this->watcherPorts());
@@ -55,6 +59,7 @@
     apiPorts.clock = presentTimeOfProcess;
     apiPorts.metrics = [this] { return this->metrics.page(this->decisions, *this->table.get(), presentTimeOfProcess()); };
     apiPorts.hasTable = [this] { return this->watcher->revision() > 0; };
+    apiPorts.members = [this] { return this->memberStatus(); };
     apiPorts.nodeName = s.name;
     apiPorts.failureDomain = s.failureDomain;
     this->api = std::make_unique<NodeApi>(std::move(apiPorts), *this->path, this->table, this->decisions);
@@ -79,6 +84,7 @@
     this->requestTasks.join();
     this->witnessTasks.join();
     this->monitorTasks.join();
+    this->clusterTasks.join();
 }
 
 std::optional<Failure> NodeProcess::start()
@@ -92,6 +98,7 @@
     this->threads.emplace_back([this] { this->watcher->watchPlatform(this->stop); });
     this->threads.emplace_back([this] { this->watcher->askPeers(this->stop); });
     this->threads.emplace_back([this] { this->witnessLink->run(this->stop); });
+    this->threads.emplace_back([this] { this->cluster->run(this->stop); });
     return std::nullopt;
 }
 
@@ -99,6 +106,7 @@
 {
     constexpr Duration step = std::chrono::milliseconds(50);
     this->path->stopAdmitting();
+    this->cluster->leave();
     log(LogLevel::Info, "stopping", { { "active", this->path->active() } });
     auto until = presentTimeOfProcess() + this->settings.shutdownTime;
     while (this->path->active() > 0 && presentTimeOfProcess() < until)
@@ -151,9 +159,44 @@
     handler.witness = [this](const OwnerMessage& message) { return this->witnessLink->onOwnerMessage(message); };
     handler.takeover
         = [this](std::string_view ticket, const NodeIdentity& witness) { return this->witnessLink->takeover(ticket, witness); };
+    handler.gossip = [this](const MembershipMessage& message) { return this->cluster->onMessage(message); };
     return handler;
 }
 
+ClusterLinkPorts NodeProcess::clusterPorts()
+{
+    ClusterLinkPorts ports;
+    ports.peer = this->peer;
+    ports.peers = this->peerAddresses();
+    ports.clock = presentTimeOfProcess;
+    ports.sleep = [](Duration time) { std::this_thread::sleep_for(time); };
+    ports.background = this->runOn(this->clusterTasks);
+    ports.random = randomBelow;
+    return ports;
+}
+
+// One read of the platform's list serves the targets and the members.
+VmList NodeProcess::sharedVmList() const
+{
+    return { [this] {
+        auto vms = this->vms.list();
+        if (vms)
+            this->cluster->onVmList(*vms);
+        return vms;
+    } };
+}
+
+nlohmann::json NodeProcess::memberStatus() const
+{
+    constexpr std::array<const char*, 3> stateNames { "alive", "suspect", "dead" }; // in the order of MemberState
+    auto list = nlohmann::json::array();
+    for (const auto& member : this->cluster->members()) {
+        list.push_back({ { "node", member.node }, { "failureDomain", member.failureDomain },
+            { "state", stateNames.at(static_cast<size_t>(member.state)) }, { "leaving", member.leaving } });
+    }
+    return list;
+}
+
 std::vector<PeerAddress> NodeProcess::peerAddresses() const
 {
     std::vector<PeerAddress> addresses;
@@ -171,13 +214,14 @@
     ports.clock = presentTimeOfProcess;
     ports.sleep = [](Duration time) { std::this_thread::sleep_for(time); };
     ports.background = this->runOn(this->witnessTasks);
+    ports.isEligible = [this](std::string_view node) { return this->cluster->isEligible(node); };
     ports.granted = [this] { this->path->grantsChanged(); };
     return ports;
 }
 
 TargetMonitorPorts NodeProcess::monitorPorts()
 {
-    return { this->engine, this->vms, presentTimeOfProcess, this->runOn(this->monitorTasks), [this] { this->path->poke(); } };
+    return { this->engine, this->sharedVmList(), presentTimeOfProcess, this->runOn(this->monitorTasks), [this] { this->path->poke(); } };
 }
 
 TableWatcherPorts NodeProcess::watcherPorts()
@@ -186,6 +230,7 @@
     ports.keyValue = this->keyValue;
     ports.peer = this->peer;
     ports.peers = this->peerAddresses();
+    ports.isLive = [this](std::string_view node) { return this->cluster->isLive(node); };
     ports.random = randomUnit;
     ports.adopted = [this](const std::shared_ptr<const TableIndex>& next, const TableHead& head) { this->adopt(next, head); };
     ports.failed = [](const Failure& failure) { log(LogLevel::Warn, "platform call failed", { { "reason", failure.message } }); };
--- a/src/daemon/NodeProcess.h
+++ b/src/daemon/NodeProcess.h
@@ -10,6 +10,7 @@
 #include "adapters/Metrics.h"
 #include "adapters/Settings.h"
 #include "daemon/SettingsMap.h"
+#include "node/ClusterLink.h"
 #include "node/NodeApi.h"
 #include "node/TableWatcher.h"
 #include "node/TargetMonitor.h"
@@ -36,6 +37,9 @@
     TargetMonitorPorts monitorPorts();
     TableWatcherPorts watcherPorts();
     WitnessLinkPorts witnessPorts();
+    ClusterLinkPorts clusterPorts();
+    VmList sharedVmList() const;
+    nlohmann::json memberStatus() const;
     PeerHandler peerHandler();
     std::vector<PeerAddress> peerAddresses() const;
     void adopt(const std::shared_ptr<const TableIndex>& next, const TableHead& head);
@@ -55,6 +59,8 @@
     boost::asio::thread_pool requestTasks; // forwards and outcomes of other nodes; each may last as long as its stream
     boost::asio::thread_pool witnessTasks; // messages of the witness protocol: never behind slow calls
     boost::asio::thread_pool monitorTasks; // short polls of targets and platform
+    boost::asio::thread_pool clusterTasks; // probes of other nodes: never behind slow calls
+    std::unique_ptr<ClusterLink> cluster;
     std::unique_ptr<RequestPath> path;
     std::unique_ptr<NodeApi> api;
     std::unique_ptr<TargetMonitor> monitor;
--- a/src/node/NodeApi.cpp
+++ b/src/node/NodeApi.cpp
@@ -86,6 +86,8 @@
         page = this->statusPage(*rows, now);
     }
     page["active"] = active;
+    if (this->ports.members)
+        page["members"] = this->ports.members();
     sendText(reply, 200, "application/json", page.dump(-1, ' ', false, Json::error_handler_t::replace));
 }
 
--- a/src/node/NodeApi.h
+++ b/src/node/NodeApi.h
@@ -14,8 +14,9 @@
 
 struct NodeApiPorts {
     std::function<TimePoint()> clock;
-    std::function<std::string()> metrics; // the page of GET /metrics
-    std::function<bool()> hasTable;       // a revision of the table is in force
+    std::function<std::string()> metrics;    // the page of GET /metrics
+    std::function<bool()> hasTable;          // a revision of the table is in force
+    std::function<nlohmann::json()> members; // the other nodes as membership sees them; empty: not shown
     std::string nodeName;
     std::string failureDomain;
     std::string adminToken; // for /v1/admin/; empty: no check
--- a/src/node/TableWatcher.cpp
+++ b/src/node/TableWatcher.cpp
@@ -6,7 +6,8 @@
 
 namespace guavapond {
 
-TableWatcher::TableWatcher(std::string nodeName, std::string failureDomain, const TableWatcherSettings& s, TableWatcherPorts p)
+TableWatcher::TableWatcher(
+    const std::string& nodeName, const std::string& failureDomain, const TableWatcherSettings& s, TableWatcherPorts p)
     : settings(s)
     , ports(std::move(p))
     , watches(this->isAmongWatchers(nodeName, failureDomain))
@@ -84,9 +85,19 @@
 {
     if (this->ports.peers.empty())
         return;
-    auto count = this->ports.peers.size();
+    std::vector<const PeerAddress*> asked;
+    for (const auto& peer : this->ports.peers) {
+        if (!this->ports.isLive || this->ports.isLive(peer.name))
+            asked.push_back(&peer);
+    }
+    // The view may be wrong: when it leaves nobody, any of them may still answer.
+    if (asked.empty()) {
+        for (const auto& peer : this->ports.peers)
+            asked.push_back(&peer);
+    }
+    auto count = asked.size();
     auto chosen = std::min(count - 1, static_cast<size_t>(this->ports.random() * static_cast<double>(count)));
-    auto version = this->ports.peer.table(this->ports.peers[chosen].address, this->revisionInForce);
+    auto version = this->ports.peer.table(asked[chosen]->address, this->revisionInForce);
     if (!version || !version->has_value())
         return;
     std::lock_guard lock(this->storeMutex);
--- a/src/node/TableWatcher.h
+++ b/src/node/TableWatcher.h
@@ -41,6 +41,7 @@
     KeyValue keyValue;
     Peer peer;
     std::vector<PeerAddress> peers;                                                          // all other nodes
+    std::function<bool(std::string_view node)> isLive;                                       // by membership; empty: all are asked
     std::function<double()> random;                                                          // 0 to 1
     std::function<void(const std::shared_ptr<const TableIndex>&, const TableHead&)> adopted; // a higher revision is in force
     std::function<void(const Failure&)> failed;                                              // a call to the platform failed
@@ -48,7 +49,8 @@
 
 class TableWatcher {
 public:
-    TableWatcher(std::string nodeName, std::string failureDomain, const TableWatcherSettings& settings, TableWatcherPorts ports);
+    TableWatcher(
+        const std::string& nodeName, const std::string& failureDomain, const TableWatcherSettings& settings, TableWatcherPorts ports);
 
     void watchPlatform(const std::atomic<bool>& stop);
     void askPeers(const std::atomic<bool>& stop);
--- a/src/node/WitnessLink.cpp
+++ b/src/node/WitnessLink.cpp
@@ -69,12 +69,24 @@
     }
 }
 
+// All candidates from the next one on, those first that membership takes as live and not leaving. The others are asked last and not left
+// out, since the view may be wrong.
+std::vector<size_t> WitnessLink::searchOrder() const
+{
+    std::vector<size_t> order;
+    for (size_t i = 0; i < this->candidates.size(); ++i)
+        order.push_back((this->nextCandidate + i) % this->candidates.size());
+    if (this->ports.isEligible)
+        std::stable_partition(order.begin(), order.end(), [this](size_t i) { return this->ports.isEligible(this->candidates[i].name); });
+    return order;
+}
+
 // Takes the next candidate that answers. The one that was lost is asked again only after the others.
 void WitnessLink::findWitness(TimePoint now)
 {
-    for (size_t i = 0; i < this->candidates.size(); ++i) {
-        const auto& candidate = this->candidates[this->nextCandidate];
-        this->nextCandidate = (this->nextCandidate + 1) % this->candidates.size();
+    for (auto position : this->searchOrder()) {
+        const auto& candidate = this->candidates[position];
+        this->nextCandidate = (position + 1) % this->candidates.size();
         auto identity = this->ports.peer.identity(candidate.address);
         if (!identity || identity->node != candidate.name)
             continue;
--- a/src/node/WitnessLink.h
+++ b/src/node/WitnessLink.h
@@ -34,7 +34,8 @@
 struct WitnessLinkPorts {
     Peer peer;
     KeyValue keyValue;
-    std::vector<PeerAddress> peers; // all other nodes
+    std::vector<PeerAddress> peers;                        // all other nodes
+    std::function<bool(std::string_view node)> isEligible; // by membership, for new duties; empty: all are
     std::function<TimePoint()> clock;
     std::function<void(Duration)> sleep;
     std::function<void(std::function<void()>)> background;
@@ -56,6 +57,7 @@
 
 private:
     void findWitness(TimePoint now);
+    std::vector<size_t> searchOrder() const;
     void send(const OwnerMessage& message);
     void accessOwnRecord(const RecordAccess& access);
     void accessOwnersRecord(const TakeoverAccess& access);
--- a/src/ports/Peer.h
+++ b/src/ports/Peer.h
@@ -6,6 +6,7 @@
 //   PeerHandler                       what this node answers to the others
 #pragma once
 
+#include "core/Membership.h"
 #include "core/Types.h"
 #include "core/Witness.h"
 
@@ -48,6 +49,8 @@
     // To the witness of an owner that does not answer; empty optional: not known yet, ask again.
     std::function<Result<std::optional<Disposition>>(std::string_view address, std::string_view ticket, const NodeIdentity& witness)>
         takeover;
+    // A membership message and the answer to it; empty optional: there is none.
+    std::function<Result<std::optional<MembershipMessage>>(std::string_view address, const MembershipMessage&)> gossip;
 };
 
 struct PeerHandler {
@@ -57,6 +60,7 @@
     std::function<NodeIdentity()> identity;
     std::function<std::optional<WitnessMessage>(const OwnerMessage&)> witness;
     std::function<std::optional<Disposition>(std::string_view ticket, const NodeIdentity& witness)> takeover;
+    std::function<std::optional<MembershipMessage>(const MembershipMessage&)> gossip;
 };
 
 } // namespace guavapond
--- a/tests/node/TableWatcherTest.cpp
+++ b/tests/node/TableWatcherTest.cpp
@@ -162,3 +162,27 @@
     }
     CHECK_EQUAL(TableWatcherSettings {}.watchersPerDomain, watching);
 }
+
+// Guards against nodes that wait for the table of a dead peer, and against a view that leaves nobody to ask.
+TEST(TableWatcher, AsksALivePeer)
+{
+    std::string asked;
+    Peer peer;
+    peer.table = [&](std::string_view address, uint64_t) {
+        asked = address;
+        return Result<std::optional<TableVersion>>(std::optional<TableVersion> {});
+    };
+    std::string live = "n3";
+    TableWatcherPorts ports;
+    ports.keyValue = platform.port();
+    ports.peer = peer;
+    ports.peers = { { "n2", "10.0.0.2:1", "lalitpur" }, { "n3", "10.0.0.3:1", "lalitpur" } };
+    ports.isLive = [&](std::string_view node) { return node == live; };
+    ports.random = [] { return 0.0; };
+    TableWatcher watcher("n1", "lalitpur", TableWatcherSettings {}, std::move(ports));
+    watcher.askOnePeer();
+    STRCMP_EQUAL("10.0.0.3:1", asked.c_str());
+    live.clear();
+    watcher.askOnePeer();
+    STRCMP_EQUAL("10.0.0.2:1", asked.c_str());
+}
