--- a/src/node/TableWatcher.h
+++ b/src/node/TableWatcher.h
@@ -41,6 +41,7 @@
     KeyValue keyValue;
     Peer peer;
     std::vector<PeerAddress> peers;                                                          // all other nodes
+    std::function<bool(std::string_view node)> isLive;                                       // by membership; empty: all are asked
     std::function<double()> random;                                                          // 0 to 1
     std::function<void(const std::shared_ptr<const TableIndex>&, const TableHead&)> adopted; // a higher revision is in force
     std::function<void(const Failure&)> failed;                                              // a call to the platform failed
