--- a/src/core/Router.cpp
+++ b/src/core/Router.cpp
@@ -44,21 +44,29 @@
     for (uint32_t m = 0; m < this->models.size(); ++m) {
         ModelShares& model = this->models[m];
         model.name = table.modelName(ModelId { m });
-        auto shares = table.sharesOf(ModelId { m });
-        model.shared = !shares.empty();
-        auto groups = this->targets.versionsOf(ModelId { m });
-        for (uint32_t g = 0; g < groups.size(); ++g) {
-            const std::string& name = groups[g].version;
-            auto share = std::find_if(shares.begin(), shares.end(), [&](const ShareRow& row) { return row.version == name; });
-            // Without shares each version gets traffic by its number of targets.
-            double percent = !model.shared ? groups[g].members : share == shares.end() ? 0 : share->percent;
-            if (percent > 0)
-                model.versions.push_back({ .name = name, .percent = percent, .group = g });
-        }
-        this->applyBlocked(model);
+        this->setShares(ModelId { m }, table.sharesOf(ModelId { m }));
     }
 }
 
+void Router::setShares(ModelId id, std::span<const ShareRow> shares)
+{
+    assert(raw(id) < this->models.size());
+    ModelShares& model = this->models[raw(id)];
+    model.versions.clear();
+    model.drawn.reset();
+    model.shared = !shares.empty();
+    auto groups = this->targets.versionsOf(id);
+    for (uint32_t g = 0; g < groups.size(); ++g) {
+        const std::string& name = groups[g].version;
+        auto share = std::find_if(shares.begin(), shares.end(), [&](const ShareRow& row) { return row.version == name; });
+        // Without shares each version gets traffic by its number of targets.
+        double percent = !model.shared ? groups[g].members : share == shares.end() ? 0 : share->percent;
+        if (percent > 0)
+            model.versions.push_back({ .name = name, .percent = percent, .group = g });
+    }
+    this->applyBlocked(model);
+}
+
 void Router::setBlockedVersions(ModelId model, std::vector<std::string> versions)
 {
     assert(raw(model) < this->models.size());
--- a/src/core/Router.h
+++ b/src/core/Router.h
@@ -37,6 +37,8 @@
         std::function<uint64_t(uint64_t)> random);
 
     void applyTable(const TableIndex& table, TimePoint now); // after TargetSet::applyTable
+    // Shares in place of the table's, until the next applyTable: those of running moves. Empty: all versions alike.
+    void setShares(ModelId model, std::span<const ShareRow> shares);
     // Versions that must not be used now, by model: verdicts of this node or its peers.
     void setBlockedVersions(ModelId model, std::vector<std::string> versions);
 
--- a/tests/core/RouterTest.cpp
+++ b/tests/core/RouterTest.cpp
@@ -97,6 +97,21 @@
     }
 }
 
+// Guards against a running move whose shares are ignored, or that outlive the next table.
+TEST(Router, SharesOfAMoveReplaceTheTables)
+{
+    Fleet fleet(twoVersions(4, 4), { { "dossier", "v1", 100 } });
+    const std::vector<ShareRow> moved { { "dossier", "v1", 90 }, { "dossier", "v2", 10 } };
+    fleet.router.setShares(ModelId { 0 }, moved);
+    DOUBLES_EQUAL(1000, versionCounts(fleet, 10000, 4)["v2"], 100);
+    const std::vector<ShareRow> rolledBack { { "dossier", "v1", 100 }, { "dossier", "v2", 0 } };
+    fleet.router.setShares(ModelId { 0 }, rolledBack);
+    LONGS_EQUAL(0, versionCounts(fleet, 1000, 4)["v2"]);
+    fleet.router.setShares(ModelId { 0 }, moved);
+    fleet.apply(at(1s));
+    LONGS_EQUAL(0, versionCounts(fleet, 1000, 4)["v2"]);
+}
+
 // Guards against a model that stalls because its small version is full while the large one has free slots.
 TEST(Router, LargeVersionTakesWhatTheFullSmallOneCannot)
 {
