Cancel streams of the stand-in engine without waiting for its thread pool

Cause: the handler of a cancel waited for a task of the thread pool on a thread of that pool, under the lock of the stream's emitter. Change: the close is started and not waited for.

--- a/bench/ProcessGroup.cpp
+++ b/bench/ProcessGroup.cpp
@@ -21,6 +21,7 @@
     if (::pipe2(ends, O_CLOEXEC) != 0)
         throw std::runtime_error("pipe2 failed");
     std::vector<char*> arguments;
+    arguments.reserve(command.size() + 1);
     for (const auto& word : command)
         arguments.push_back(const_cast<char*>(word.c_str()));
     arguments.push_back(nullptr);
--- a/standins/EngineModel.cpp
+++ b/standins/EngineModel.cpp
@@ -347,8 +347,9 @@
             std::lock_guard lock(stream->shard->mutex);
             if (!stream->finished) {
                 this->finish(*stream, "cancelled", presentTime());
+                // Not waited for: the close ends on a thread of the pool that this handler runs on.
                 for (auto& output : stream->outputs)
-                    output->buffer.close(std::ios_base::out).wait();
+                    output->buffer.close(std::ios_base::out);
             }
         }
         return jsonReply(request, 200, { { "cancelled", stream != nullptr } });
