--- a/src/adapters/HttpServer.cpp
+++ b/src/adapters/HttpServer.cpp
@@ -40,6 +40,7 @@
     asio::ssl::context tls;
     std::vector<std::thread> threads;
     std::atomic<size_t> connections { 0 };
+    std::atomic<size_t> answers { 0 }; // requests whose answer is not wholly written
     std::atomic<bool> stopping { false };
     uint16_t port = 0;
 };
@@ -79,7 +80,11 @@
             , keepAlive(keep)
             , version(v)
         {
+            ++this->session->server->answers;
         }
+        ~Reply() override { --this->session->server->answers; }
+        Reply(const Reply&) = delete;
+        Reply& operator=(const Reply&) = delete;
 
         void send(int status, std::span<const HttpHeader> headers, std::string body) override
         {
@@ -547,6 +552,8 @@
 
 uint16_t HttpServer::port() const { return this->state->port; }
 
+size_t HttpServer::answering() const { return this->state->answers; }
+
 void HttpServer::stopAccepting()
 {
     this->state->stopping = true;
--- a/src/adapters/HttpServer.h
+++ b/src/adapters/HttpServer.h
@@ -47,7 +47,8 @@
 
     std::optional<Failure> start(); // bad address, port in use, unreadable certificate
     uint16_t port() const;
-    void stopAccepting(); // keeps open connections; each is closed after its current answer
+    size_t answering() const; // requests whose answer is not wholly handed to the kernel yet
+    void stopAccepting();     // keeps open connections; each is closed after its current answer
     void stop();
 
 private:
--- a/src/adapters/Metrics.cpp
+++ b/src/adapters/Metrics.cpp
@@ -1,6 +1,8 @@
 // Metrics by prometheus-cpp.
 #include "adapters/Metrics.h"
 
+#include <algorithm>
+#include <array>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -22,6 +24,8 @@
 const Histogram::BucketBoundaries secondsBuckets { 0.001, 0.005, 0.01, 0.05, 0.1, 0.25, 0.64, 1, 2.5, 5, 10, 30, 60, 300, 1800 };
 const Histogram::BucketBoundaries tokenBuckets { 0.001, 0.002, 0.005, 0.01, 0.02, 0.044, 0.1, 0.25, 0.5, 1, 5 };
 
+constexpr std::array givenUpKinds { FailureKind::Shed, FailureKind::DeadlineExceeded, FailureKind::DeadlineUnreachable };
+
 std::map<std::string, std::string> tierLabel(Tier tier) { return { { "tier", std::string(tierName(tier)) } }; }
 
 } // namespace
@@ -76,6 +80,22 @@
               .Register(this->registry);
     Histogram& tokenGap = this->betweenTokens.Add({}, tokenBuckets);
 
+    // Each series is there from the start: a rate over a series that appears with its first event misses that event.
+    State()
+    {
+        for (size_t i = 0; i < tierCount; ++i) {
+            auto label = tierLabel(static_cast<Tier>(i));
+            this->queueSeconds.Add(label, secondsBuckets);
+            this->firstTokenSeconds.Add(label, secondsBuckets);
+            for (auto* family : { &this->goodput, &this->late, &this->prefill, &this->wasted, &this->tokens })
+                family->Add(label);
+            for (auto kind : givenUpKinds) {
+                label["reason"] = std::string(failureKindName(kind));
+                this->shed.Add(label);
+            }
+        }
+    }
+
     void ended(const RequestSummary& summary)
     {
         auto label = tierLabel(summary.tier);
@@ -93,7 +113,7 @@
             return (summary.inTime ? this->goodput : this->late).Add(label).Increment();
         label["reason"] = std::string(failureKindName(summary.failure->kind));
         auto kind = summary.failure->kind;
-        bool givenUp = kind == FailureKind::Shed || kind == FailureKind::DeadlineExceeded || kind == FailureKind::DeadlineUnreachable;
+        bool givenUp = std::find(givenUpKinds.begin(), givenUpKinds.end(), kind) != givenUpKinds.end();
         (givenUp ? this->shed : this->failed).Add(label).Increment();
     }
 
--- a/src/daemon/NodeProcess.cpp
+++ b/src/daemon/NodeProcess.cpp
@@ -16,6 +16,7 @@
 constexpr unsigned requestTaskThreads = 64;
 constexpr unsigned witnessTaskThreads = 8;
 constexpr unsigned monitorTaskThreads = 8;
+constexpr Duration peerStopTime = std::chrono::seconds(1);
 
 TimePoint presentTimeOfProcess() { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
 
@@ -101,12 +102,13 @@
     this->path->stopAdmitting();
     log(LogLevel::Info, "stopping", { { "active", this->path->active() } });
     auto until = presentTimeOfProcess() + this->settings.shutdownTime;
-    while (this->path->active() > 0 && presentTimeOfProcess() < until)
+    // An answer that has ended may still wait for a caller that reads slowly; the server's write time-out bounds that wait.
+    while ((this->path->active() > 0 || this->server->answering() > 0) && presentTimeOfProcess() < until)
         std::this_thread::sleep_for(step);
     this->witnessLink->handOver();
-    // Time for the last bytes of answers that ended just now.
-    std::this_thread::sleep_for(step * 2);
     this->server->stopAccepting();
+    // Lets calls of other nodes end whose last piece is under way.
+    this->peerServer->stop(peerStopTime);
     log(LogLevel::Info, "stopped", { { "active", this->path->active() } });
 }
 
--- a/src/node/Decisions.h
+++ b/src/node/Decisions.h
@@ -29,7 +29,7 @@
 // Invariant: every member but the mutex is used under the mutex only.
 struct Decisions {
     Decisions(const NodeIdentity& identity, const std::string& failureDomain, const DecisionSettings& settings,
-        std::function<uint64_t(uint64_t)> random)
+        const std::function<uint64_t(uint64_t)>& random)
         : targets(settings.targets, failureDomain)
         , prefixes(settings.prefixes)
         , costs(settings.costs)
--- a/src/node/RequestPath.cpp
+++ b/src/node/RequestPath.cpp
@@ -574,7 +574,7 @@
     request.firstByteTimeout = this->settings.streams.firstByteTimeout;
     request.betweenTokensTimeout = this->settings.streams.betweenTokensTimeout;
     auto cancel = this->ports.engine.generate(
-        std::move(request), [this, flight, call](EngineEvent event) { this->onEngineEvent(flight, call, event); });
+        std::move(request), [this, flight, call](const EngineEvent& event) { this->onEngineEvent(flight, call, event); });
     bool ended = false;
     {
         std::lock_guard lock(flight->mutex);
@@ -598,8 +598,8 @@
     request.body = flight->request.body;
     request.timeout
         = std::chrono::duration_cast<Duration>(std::max(flight->request.spec.deadline - flight->dispatchedAt, callbackTimerSlack));
-    auto cancel
-        = this->ports.service.call(std::move(request), [this, flight](ServiceAnswer answer) { this->onServiceAnswer(flight, answer); });
+    auto cancel = this->ports.service.call(
+        std::move(request), [this, flight](const ServiceAnswer& answer) { this->onServiceAnswer(flight, answer); });
     std::lock_guard lock(flight->mutex);
     if (!flight->result)
         flight->cancelCall = cancel;
--- a/tests/adapters/HttpServerTest.cpp
+++ b/tests/adapters/HttpServerTest.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio.hpp>
 #include <condition_variable>
 #include <mutex>
+#include <thread>
 
 using namespace guavapond;
 namespace asio = boost::asio;
@@ -239,3 +240,28 @@
         settings, [](HttpRequest, std::shared_ptr<HttpReply>) {}, [](const Failure&) { return std::string(); });
     CHECK(second.start().has_value());
 }
+
+// P8: guards against a planned stop that does not wait for an answer under way, or that waits for a connection that is only kept open.
+TEST(HttpServer, CountsAnswersThatAreNotWholeYet)
+{
+    std::shared_ptr<HttpReply> held;
+    Signal arrived;
+    handler = [&](const HttpRequest&, const std::shared_ptr<HttpReply>& reply) {
+        held = reply;
+        arrived.raise();
+    };
+    start();
+    Client client(server->port());
+    client.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(arrived.wait());
+    held->start(200, {});
+    held->write("part");
+    client.receiveUntil("part");
+    CHECK_EQUAL(1U, server->answering());
+    held->finish();
+    held.reset();
+    client.receiveUntil("0\r\n\r\n");
+    for (int i = 0; i < 2000 && server->answering() > 0; ++i)
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    CHECK_EQUAL(0U, server->answering());
+}
