Never give an answer from which text was dropped

Cause: beyond its bound of 1 MB AnswerAssembler drops the text and isWhole() turns false, but nobody asked isWhole(). Change: an answer that is not streamed may grow to 16 MB while it is put together; beyond it the caller gets target_failed with disposition "ran". An answer that is not whole is not kept, and a caller that joined later gets a failure in place of an empty stream.

--- a/src/node/Flight.h
+++ b/src/node/Flight.h
@@ -25,6 +25,7 @@
 
 struct FinalResult {
     std::shared_ptr<const StoredAnswer> answer;
+    bool hasBody = true; // false: the answer was passed on as a stream only, or was too large to be put together
     std::optional<Failure> failure;
 };
 
--- a/src/node/RequestPath.cpp
+++ b/src/node/RequestPath.cpp
@@ -261,7 +261,8 @@
         }
         if (claim.kind == Claim::Kind::Run) {
             request.spec.id = static_cast<RequestId>(this->nextRequest++);
-            auto flight = std::make_shared<Flight>(request, ticket, given.has_value(), this->settings.answerBytes);
+            auto flight = std::make_shared<Flight>(
+                request, ticket, given.has_value(), request.stream ? this->settings.answerBytes : this->settings.wholeAnswerBytes);
             flight->workspace = workspaceName;
             flight->listeners.push_back({ reply });
             if (this->stopping)
@@ -648,7 +649,7 @@
         return this->callEngine(flight, call + 1, step.offset);
     case StreamStep::Kind::Finish: {
         StoredAnswer answer { 200, std::string(flight->request.stream ? eventStreamType : jsonType), {} };
-        if (flight->assembler)
+        if (flight->assembler && flight->assembler->isWhole())
             answer.body = flight->request.stream ? flight->assembler->events() : flight->assembler->answer();
         return this->complete(flight, std::move(answer), RunOutcome::Completed, now);
     }
@@ -709,8 +710,10 @@
 
 void RequestPath::complete(const FlightPtr& flight, StoredAnswer answer, RunOutcome outcome, TimePoint now)
 {
-    bool keep = flight->ticketByCaller || flight->assembler || flight->request.spec.kind == RequestKind::Service;
-    FinalResult result { std::make_shared<const StoredAnswer>(std::move(answer)), std::nullopt };
+    bool isService = flight->request.spec.kind == RequestKind::Service;
+    // Beyond its bound the assembler drops text: what is left must not pass as an answer.
+    bool keep = isService || (flight->assembler && flight->assembler->isWhole());
+    FinalResult result { std::make_shared<const StoredAnswer>(std::move(answer)), keep, std::nullopt };
     std::vector<Step> steps;
     {
         std::lock_guard lock(this->decisions.mutex);
@@ -736,7 +739,7 @@
 
 void RequestPath::fail(const FlightPtr& flight, const Failure& failure, RunOutcome outcome, TimePoint now)
 {
-    FinalResult result { nullptr, failure };
+    FinalResult result { nullptr, false, failure };
     std::vector<Step> steps;
     TargetId target {};
     bool wasSent = false;
@@ -847,6 +850,10 @@
         listener.reply->write("data: [DONE]\n\n");
         return listener.reply->finish();
     }
+    if (!result.hasBody && (flight.assembler || !listener.live)) {
+        Failure tooLarge { FailureKind::TargetFailed, Disposition::Ran, "the answer is too large to be kept: ask for a stream", {} };
+        return sendFailure(*listener.reply, tooLarge, flight.ticketText);
+    }
     const auto& answer = *result.answer;
     // An answer without a single token has an empty body only when it was not assembled.
     auto body = answer.body.empty() && answer.contentType == eventStreamType ? std::string("data: [DONE]\n\n") : answer.body;
--- a/src/node/RequestPath.h
+++ b/src/node/RequestPath.h
@@ -29,6 +29,7 @@
     CallerSettings callers;
     StreamSettings streams;
     size_t answerBytes = size_t(1) << 20;                         // bytes of an answer kept for other callers of its ticket
+    size_t wholeAnswerBytes = size_t(16) << 20;                   // bytes of an answer that is not streamed, while it is put together
     uint32_t tokensPerReport = 8;                                 // tokens between two reports of a stream to the scheduler
     size_t maxForwards = 256;                                     // requests at a time passed on to other nodes
     Duration grantTime = std::chrono::seconds(2);                 // without a witness: waiting requests are given up as not run
--- a/tests/node/RequestPathTest.cpp
+++ b/tests/node/RequestPathTest.cpp
@@ -345,3 +345,33 @@
     CHECK_EQUAL(1U, atLastPiece);
     CHECK_EQUAL(0U, harness.path->active());
 }
+
+// P4: guards against an answer above the bound that passes as whole although its text was dropped.
+TEST(RequestPath, AnAnswerAboveTheBoundIsNeverGivenInPart)
+{
+    const std::string piece(size_t(1) << 20, 'x');
+    auto run = [&](const HttpRequest& request, uint64_t pieces) {
+        auto reply = harness.serve(request);
+        auto& call = *harness.engineCalls.back();
+        for (uint64_t i = 1; i <= pieces; ++i)
+            call.token(i, piece);
+        call.done();
+        return reply;
+    };
+    // Not streamed: whole up to the bound for answers under way, then a typed failure.
+    auto whole = run(PathHarness::chat(false, "some"), 3);
+    CHECK_EQUAL(200, whole->status);
+    CHECK_EQUAL(3 * piece.size(), whole->json()["choices"][0]["message"]["content"].get<std::string>().size());
+    auto above = run(PathHarness::chat(false, "many"), 20);
+    CHECK_EQUAL(502, above->status);
+    CHECK(above->disposition() == "ran");
+    // Streamed under a ticket: the stream is whole, and the same call again does not get the rest of a dropped text.
+    auto request = PathHarness::chat(true, "streamed");
+    request.headers.emplace_back("Guavapond-Ticket", harness.mint());
+    auto streamed = run(request, 3);
+    CHECK(streamed->finished && streamed->body.size() > 3 * piece.size());
+    CHECK(streamed->body.ends_with("data: [DONE]\n\n"));
+    auto again = harness.serve(request);
+    CHECK(again->status >= 400);
+    CHECK(again->disposition() == "ran");
+}
--- a/tests/node/WitnessLinkTest.cpp
+++ b/tests/node/WitnessLinkTest.cpp
@@ -29,6 +29,7 @@
     explicit World(const std::vector<std::string>& names)
     {
         std::vector<PeerAddress> all;
+        all.reserve(names.size());
         for (const auto& name : names)
             all.push_back({ name, name, "lalitpur" });
         this->addresses = all;
