Add the commands move start, status, finish and take-back

Cause: operators could run a move only by editing single cells. Change: edits of move rows with reason and audit entry; an ended move can't be ended in another way; status follows the table. CliTest with the new test MovesAreEditsOfTheTable was not built or run.

--- a/src/cli/Main.cpp
+++ b/src/cli/Main.cpp
@@ -28,6 +28,7 @@
   guavapond table set --add shares/dossier/v2 shares/dossier/v2.percent=10 shares/dossier/v1.percent=90 --reason trial
   guavapond table export sheets && guavapond table diff sheets && guavapond table import sheets --reason 'weights for May'
   guavapond audit --cell targets/ --json
+  guavapond move start m1 --model dossier --from v1 --to v2 --deadline +2h --reason 'new tags' && guavapond move status m1 --follow
   guavapond drain runner-1 --reason 'disk fault'
   guavapond --node http://127.0.0.1:8080 request chat --workspace assessors --model dossier 'What is a fire door?'
   guavapond --node http://127.0.0.1:8080 request service register/certificates -X POST -d '{"n":1}' --workspace assessors
@@ -70,6 +71,7 @@
     TableOptions table;
     NodeOptions node;
     RequestOptions request;
+    MoveOptions move;
     bool json = false;
     int64_t timeoutMs = 10000;
     std::string name; // section, cell, directory, target, ticket or file
@@ -150,6 +152,34 @@
     });
 }
 
+void addMoveCommands(CLI::App& app, Arguments& a)
+{
+    CLI::App* move = app.add_subcommand("move", "move a model's traffic from one version to another by a deadline");
+    move->require_subcommand(1);
+    CLI::App* start = move->add_subcommand("start", "add a running move to the table");
+    start->add_option("id", a.move.id)->required();
+    start->add_option("--model", a.move.model, "model or service")->required();
+    start->add_option("--from", a.move.fromVersion, "old version")->required();
+    start->add_option("--to", a.move.toVersion, "new version")->required();
+    start->add_option("--deadline", a.move.deadline, "ms since 1970, or from now: +90s, +30m, +2h")->required();
+    start->add_option("--max-unproved-percent", a.move.maxUnprovedPercent, "largest share while the new version is unproved");
+    start->add_option("--bad-failure-rate", a.move.badFailureRate, "failures above the old version's that make the new one bad");
+    start->add_option("--bad-latency-ratio", a.move.badLatencyRatio, "latency against the old version's that makes the new one bad");
+    addEditOptions(start, a);
+    start->callback([&a] { a.run = [&a] { return startMove(a.table, a.move); }; });
+    CLI::App* status = move->add_subcommand("status", "moves in the table; the nodes' verdicts and shares are in `status --json`");
+    status->add_option("id", a.move.id, "default: all");
+    status->add_flag("--follow", a.move.follow, "print each change until no move runs");
+    status->callback([&a] { a.run = [&a] { return showMoves(a.table, a.move); }; });
+    for (const auto& [name, state, text] : { std::tuple { "finish", MoveState::Finished, "give the new version all traffic for good" },
+             std::tuple { "take-back", MoveState::TakenBack, "give the old version its traffic back" } }) {
+        CLI::App* end = move->add_subcommand(name, text);
+        end->add_option("id", a.move.id)->required();
+        addEditOptions(end, a);
+        end->callback([&a, state = state] { a.run = [&a, state] { return endMove(a.table, a.move.id, state); }; });
+    }
+}
+
 void addNodeCommands(CLI::App& app, Arguments& a)
 {
     app.add_subcommand("status", "state of each node named by --node")->callback([&a] { a.run = [&a] { return showStatus(a.node); }; });
@@ -204,6 +234,7 @@
     check->add_option("file", a.name)->required();
     check->callback([&a] { a.run = [&a] { return checkFile(a.name, a.json); }; });
     addTableCommands(app, a);
+    addMoveCommands(app, a);
     addNodeCommands(app, a);
     for (CLI::App* command : app.get_subcommands([](CLI::App*) { return true; })) {
         command->fallthrough();
--- a/src/cli/TableCommands.cpp
+++ b/src/cli/TableCommands.cpp
@@ -4,6 +4,8 @@
 #include "adapters/HttpPlatform.h"
 #include "core/TableFields.h"
 
+#include <algorithm>
+#include <charconv>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
@@ -45,6 +47,29 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
+// Ms since 1970, or a time from now: +90s, +30m, +2h.
+std::optional<int64_t> parseDeadline(std::string_view text, int64_t nowUnixMs)
+{
+    const bool fromNow = text.starts_with('+');
+    int64_t unit = 1;
+    if (fromNow) {
+        text.remove_prefix(1);
+        constexpr std::string_view units = "smh";
+        constexpr int64_t unitMs[] = { 1000, 60'000, 3'600'000 };
+        const size_t found = text.empty() ? std::string_view::npos : units.find(text.back());
+        if (found == std::string_view::npos)
+            return std::nullopt;
+        unit = unitMs[found];
+        text.remove_suffix(1);
+    }
+    constexpr int64_t most = 1'000'000'000'000'000;
+    int64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc {} || end != text.data() + text.size() || number < 0 || number > most / unit)
+        return std::nullopt;
+    return (fromNow ? nowUnixMs : 0) + number * unit;
+}
+
 // Runs `body` with the table that the platform holds now.
 template <typename Body> int withTable(const TableOptions& options, Body body)
 {
@@ -248,6 +273,84 @@
     });
 }
 
+// ---- Moves
+int startMove(const TableOptions& options, const MoveOptions& move)
+{
+    const auto deadline = parseDeadline(move.deadline, unixMsNow());
+    if (!deadline)
+        return fail(Usage, "'" + move.deadline + "' is neither ms since 1970 nor a time from now such as +90s, +30m or +2h");
+    if (*deadline <= unixMsNow())
+        return fail(Usage, "the deadline has passed");
+    const std::string row = "moves/" + move.id;
+    std::vector<CellEdit> edits { { CellEdit::Action::AddRow, row, "" } };
+    const auto set = [&](const char* field, std::string value) {
+        edits.push_back({ CellEdit::Action::Set, row + "." + field, std::move(value) });
+    };
+    set("model", move.model);
+    set("fromVersion", move.fromVersion);
+    set("toVersion", move.toVersion);
+    set("deadlineUnixMs", std::to_string(*deadline));
+    const auto setNumber = [&](const char* field, const std::optional<double>& value) {
+        if (value)
+            set(field, json(*value).dump());
+    };
+    setNumber("maxUnprovedPercent", move.maxUnprovedPercent);
+    setNumber("badFailureRate", move.badFailureRate);
+    setNumber("badLatencyRatio", move.badLatencyRatio);
+    set("reason", options.reason);
+    return editCells(options, std::move(edits));
+}
+
+int endMove(const TableOptions& options, const std::string& id, MoveState state)
+{
+    return withTable(options, [&](TableStore& store) -> int {
+        const std::string row = "moves/" + id;
+        const auto present = readCell(store.current()->table(), row + ".state");
+        if (!present)
+            return fail(Absent, "no move " + id);
+        const std::string wanted = fields::toText(state);
+        // An ended move stays ended: nodes and operators have acted on it.
+        if (*present != "running" && *present != wanted)
+            return fail(Conflicting, "move " + id + " is " + *present);
+        TableEdit edit;
+        edit.seenRevision = store.current()->revision();
+        edit.cells = { { CellEdit::Action::Set, row + ".state", wanted }, { CellEdit::Action::Set, row + ".reason", options.reason } };
+        return apply(options, store, std::move(edit));
+    });
+}
+
+int showMoves(const TableOptions& options, const MoveOptions& move)
+{
+    constexpr std::chrono::seconds followInterval { 1 };
+    std::optional<std::vector<MoveRow>> shown;
+    while (true) {
+        std::vector<MoveRow> rows;
+        const int code = withTable(options, [&](TableStore& store) -> int {
+            for (const MoveRow& row : store.current()->table().moves) {
+                if (move.id.empty() || row.id == move.id)
+                    rows.push_back(row);
+            }
+            return Done;
+        });
+        if (code != Done)
+            return code;
+        if (rows.empty() && !move.id.empty())
+            return fail(Absent, "no move " + move.id);
+        if (!shown || *shown != rows) {
+            if (options.json)
+                printJson({ { "moves", sectionJson(rows) } });
+            else
+                printSection(rows);
+            std::fflush(stdout);
+            shown = rows;
+        }
+        const bool runs = std::any_of(rows.begin(), rows.end(), [](const MoveRow& row) { return row.state == MoveState::Running; });
+        if (!move.follow || !runs)
+            return Done;
+        std::this_thread::sleep_for(followInterval);
+    }
+}
+
 int exportTable(const TableOptions& options, const std::string& directory)
 {
     return withTable(options, [&](TableStore& store) -> int {
--- a/tests/adapters/CliTest.cpp
+++ b/tests/adapters/CliTest.cpp
@@ -133,6 +133,27 @@
     CHECK(has(bad, "shares.csv:2: percent = '9O'"));
 }
 
+// Guards against a move that starts with wrong cells, ends twice in different ways, or leaves no reason in the audit trail.
+TEST(Cli, MovesAreEditsOfTheTable)
+{
+    LONGS_EQUAL(0, fixture.addTarget().code);
+    const std::string start = "move start m1 --model brief --from v1 --to v2 --reason trial --max-unproved-percent 2.5 --deadline ";
+    LONGS_EQUAL(1, fixture.table(start + "tomorrow").code);
+    LONGS_EQUAL(1, fixture.table(start + "1000").code);
+    LONGS_EQUAL(0, fixture.table(start + "+2h").code);
+    const Run running = fixture.table("--json move status m1");
+    LONGS_EQUAL(0, running.code);
+    CHECK(has(running, "running") && has(running, "2.5") && has(running, "v2"));
+    LONGS_EQUAL(6, fixture.table("move finish m2 --reason x").code);
+    LONGS_EQUAL(0, fixture.table("move take-back m1 --reason 'letters too short'").code);
+    LONGS_EQUAL(0, fixture.table("move take-back m1 --reason 'letters too short'").code);
+    LONGS_EQUAL(3, fixture.table("move finish m1 --reason late").code);
+    const Run ended = fixture.table("move status m1 --follow");
+    LONGS_EQUAL(0, ended.code);
+    CHECK(has(ended, "takenBack") && has(ended, "letters too short"));
+    CHECK(has(fixture.table("audit --cell moves/m1.state"), "letters too short"));
+}
+
 // Guards against a settings check that passes a bad file.
 TEST(Cli, CheckReportsErrors)
 {
