Feed the version judge from ended requests and put the planned shares in effect

Cause: verdicts and shares of moves had no input and no effect on a node. Change: MoveWatch takes ended requests with version, route, result and times; NodeProcess replans once a second, on a Bad verdict and on a new table, logs verdicts and steps, and shows them in metrics and /v1/admin/status. An engine's 400, 413 and 422 count as faults of the request.

--- a/src/adapters/HttpEngine.cpp
+++ b/src/adapters/HttpEngine.cpp
@@ -69,7 +69,10 @@
             return this->fail(toFailure(*failure, this->tokensSeen), failure->sent);
         if (this->status != 200) {
             std::string message = "the engine answered " + std::to_string(this->status) + ": " + this->errorBody;
-            return this->fail({ FailureKind::TargetFailed, Disposition::Ran, std::move(message) }, true);
+            Failure refused { FailureKind::TargetFailed, Disposition::Ran, std::move(message) };
+            // Other 4xx answers, such as 404 to every call, can be the fault of the version.
+            refused.faultOfRequest = this->status == 400 || this->status == 413 || this->status == 422;
+            return this->fail(refused, true);
         }
         this->fail({ FailureKind::StreamCut, Disposition::Unknown, "the stream ended without its terminator" }, true);
     }
--- a/src/adapters/Metrics.cpp
+++ b/src/adapters/Metrics.cpp
@@ -74,6 +74,16 @@
               .Name("guavapond_tier_inversions")
               .Help("Requests refused for want of capacity while lower-tier work could have been displaced; must stay 0")
               .Register(this->registry);
+    Family<Gauge>& verdict = BuildGauge()
+                                 .Name("guavapond_version_verdict")
+                                 .Help("Verdict on the new version of a move: 0 undecided, 1 good, 2 bad")
+                                 .Register(this->registry);
+    Family<Gauge>& share = BuildGauge()
+                               .Name("guavapond_version_share")
+                               .Help("Part of a move's traffic that goes to its new version, %")
+                               .Register(this->registry);
+    std::vector<std::pair<Gauge*, Gauge*>> moveGauges; // verdict and share, of the last page
+    std::mutex moveMutex;
     Histogram& tokenGap = this->betweenTokens.Add({}, tokenBuckets);
 
     void ended(const RequestSummary& summary)
@@ -97,6 +107,25 @@
         (givenUp ? this->shed : this->failed).Add(label).Increment();
     }
 
+    void readMoves(std::span<const MoveStatus> moves)
+    {
+        std::lock_guard lock(this->moveMutex);
+        for (auto [verdictGauge, shareGauge] : this->moveGauges) {
+            this->verdict.Remove(verdictGauge);
+            this->share.Remove(shareGauge);
+        }
+        this->moveGauges.clear();
+        for (const MoveStatus& move : moves) {
+            std::map<std::string, std::string> label { { "move", move.row.id }, { "model", move.row.model },
+                { "version", move.row.toVersion } };
+            auto& verdictGauge = this->verdict.Add(label);
+            auto& shareGauge = this->share.Add(label);
+            verdictGauge.Set(static_cast<double>(move.verdict.kind));
+            shareGauge.Set(move.view.percent);
+            this->moveGauges.emplace_back(&verdictGauge, &shareGauge);
+        }
+    }
+
     void readGauges(Decisions& decisions, const TableIndex& table, TimePoint now)
     {
         std::lock_guard lock(decisions.mutex);
@@ -136,8 +165,9 @@
     return observer;
 }
 
-std::string Metrics::page(Decisions& decisions, const TableIndex& table, TimePoint now)
+std::string Metrics::page(Decisions& decisions, const TableIndex& table, std::span<const MoveStatus> moves, TimePoint now)
 {
+    this->state->readMoves(moves);
     this->state->readGauges(decisions, table, now);
     return prometheus::TextSerializer().Serialize(this->state->registry.Collect());
 }
--- a/src/adapters/Metrics.h
+++ b/src/adapters/Metrics.h
@@ -4,7 +4,7 @@
 //   Metrics    counters and histograms of the request path; gauges are read when the page is asked for
 #pragma once
 
-#include "node/Decisions.h"
+#include "node/MoveWatch.h"
 #include "node/Observer.h"
 
 #include <memory>
@@ -18,8 +18,9 @@
     Metrics(const Metrics&) = delete;
     Metrics& operator=(const Metrics&) = delete;
 
-    Observer observer();                                                            // hooks that feed the counters
-    std::string page(Decisions& decisions, const TableIndex& table, TimePoint now); // what GET /metrics answers
+    Observer observer(); // hooks that feed the counters
+    std::string page(
+        Decisions& decisions, const TableIndex& table, std::span<const MoveStatus> moves, TimePoint now); // what GET /metrics answers
 
 private:
     struct State;
--- a/src/core/Types.h
+++ b/src/core/Types.h
@@ -93,6 +93,7 @@
     Disposition disposition = Disposition::NotRun;
     std::string message;                    // for people; programs read kind
     Duration retryAfter = Duration::zero(); // µs; zero: a retry does not help
+    bool faultOfRequest = false;            // the target refused the request itself, so its version is not at fault
 };
 
 // A value, or the reason why there is none.
--- a/src/daemon/NodeProcess.cpp
+++ b/src/daemon/NodeProcess.cpp
@@ -16,9 +16,16 @@
 constexpr unsigned requestTaskThreads = 64;
 constexpr unsigned witnessTaskThreads = 8;
 constexpr unsigned monitorTaskThreads = 8;
+constexpr std::chrono::seconds movePlanInterval { 1 };
 
 TimePoint presentTimeOfProcess() { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
 
+int64_t unixMsNow()
+{
+    auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
 uint64_t randomBelow(uint64_t bound)
 {
     thread_local std::mt19937_64 generator(std::random_device {}());
@@ -43,6 +50,7 @@
     , audit({ s.auditFile, s.auditFileBytes, s.auditFiles })
     , table(std::make_shared<const TableIndex>())
     , decisions({ s.name, incarnation }, s.failureDomain, decisionSettings(s), randomBelow)
+    , moves(JudgeSettings {}, MovePlanSettings {})
     , requestTasks(requestTaskThreads)
     , witnessTasks(witnessTaskThreads)
     , monitorTasks(monitorTaskThreads)
@@ -53,7 +61,9 @@
     this->witnessLink = std::make_unique<WitnessLink>(s.failureDomain, WitnessLinkSettings {}, this->witnessPorts(), this->decisions);
     NodeApiPorts apiPorts;
     apiPorts.clock = presentTimeOfProcess;
-    apiPorts.metrics = [this] { return this->metrics.page(this->decisions, *this->table.get(), presentTimeOfProcess()); };
+    apiPorts.metrics
+        = [this] { return this->metrics.page(this->decisions, *this->table.get(), this->moves.status(), presentTimeOfProcess()); };
+    apiPorts.moves = [this] { return this->moves.status(); };
     apiPorts.hasTable = [this] { return this->watcher->revision() > 0; };
     apiPorts.nodeName = s.name;
     apiPorts.failureDomain = s.failureDomain;
@@ -69,6 +79,7 @@
 {
     this->stop = true;
     this->path->wakeTimer();
+    this->planMovesNow();
     this->monitor->wake();
     this->watcher->wake();
     this->witnessLink->poke();
@@ -92,6 +103,7 @@
     this->threads.emplace_back([this] { this->watcher->watchPlatform(this->stop); });
     this->threads.emplace_back([this] { this->watcher->askPeers(this->stop); });
     this->threads.emplace_back([this] { this->witnessLink->run(this->stop); });
+    this->threads.emplace_back([this] { this->runMoves(); });
     return std::nullopt;
 }
 
@@ -137,6 +149,9 @@
     ports.observer.ended = [this, count](const RequestSummary& summary) {
         count(summary);
         this->logEnded(summary);
+        // On a thread of its own: this hook may run with the decision mutex held.
+        if (this->moves.observe(summary, presentTimeOfProcess()))
+            this->planMovesNow();
     };
     return ports;
 }
@@ -197,17 +212,63 @@
     auto now = presentTimeOfProcess();
     // Targets first: a request that is parsed against the new revision has to find its targets known. The publication waits for
     // readers, some of which hold the mutex, so it comes after the mutex is released.
+    std::vector<MoveChange> changes;
     {
         std::lock_guard lock(this->decisions.mutex);
         this->decisions.applyTable(*next, now);
+        changes = this->moves.applyTable(next, this->decisions.router, unixMsNow());
     }
     this->table.publish(next);
+    logMoves(changes);
     log(LogLevel::Info, "table revision in force", { { "revision", next->revision() } });
     if (!this->audit.record(head.edits))
         log(LogLevel::Error, "audit trail can't be written", { { "file", this->settings.auditFile } });
     this->path->poke();
 }
 
+// ---- Moves
+void NodeProcess::planMovesNow()
+{
+    std::lock_guard lock(this->movesMutex);
+    this->movesWoken = true;
+    this->movesChanged.notify_all();
+}
+
+void NodeProcess::runMoves()
+{
+    while (!this->stop) {
+        {
+            std::unique_lock lock(this->movesMutex);
+            this->movesChanged.wait_for(lock, movePlanInterval, [this] { return this->movesWoken; });
+            this->movesWoken = false;
+        }
+        std::vector<MoveChange> changes;
+        {
+            std::lock_guard lock(this->decisions.mutex);
+            changes = this->moves.replan(this->decisions.router, unixMsNow());
+        }
+        logMoves(changes);
+        if (!changes.empty())
+            this->path->poke();
+    }
+}
+
+void NodeProcess::logMoves(std::span<const MoveChange> changes)
+{
+    for (const MoveChange& change : changes) {
+        const MoveStatus& move = change.status;
+        if (change.verdictChanged)
+            log(LogLevel::Info, "verdict on a version",
+                { { "move", move.row.id }, { "model", move.row.model }, { "version", move.row.toVersion },
+                    { "verdict", verdictName(move.verdict.kind) }, { "reason", badReasonName(move.verdict.reason) },
+                    { "route", move.verdict.route }, { "requests", move.newSamples } });
+        if (change.shareChanged)
+            log(LogLevel::Info, "share of a version",
+                { { "move", move.row.id }, { "model", move.row.model }, { "version", move.row.toVersion }, { "percent", move.view.percent },
+                    { "phase", movePhaseName(move.view.phase) } });
+    }
+}
+
 void NodeProcess::logEnded(const RequestSummary& summary)
 {
     log(LogLevel::Info, "request ended",
--- a/src/daemon/NodeProcess.h
+++ b/src/daemon/NodeProcess.h
@@ -10,6 +10,7 @@
 #include "adapters/Metrics.h"
 #include "adapters/Settings.h"
 #include "daemon/SettingsMap.h"
+#include "node/MoveWatch.h"
 #include "node/NodeApi.h"
 #include "node/TableWatcher.h"
 #include "node/TargetMonitor.h"
@@ -40,6 +41,9 @@
     std::vector<PeerAddress> peerAddresses() const;
     void adopt(const std::shared_ptr<const TableIndex>& next, const TableHead& head);
     void logEnded(const RequestSummary& summary);
+    void runMoves();     // replans on a thread of its own, until `stop`
+    void planMovesNow(); // wakes that thread
+    static void logMoves(std::span<const MoveChange> changes);
     std::function<void(std::function<void()>)> runOn(boost::asio::thread_pool& pool);
 
     const Settings settings;
@@ -52,6 +56,10 @@
     AuditLog audit;
     Snapshot<TableIndex> table;
     Decisions decisions;
+    MoveWatch moves;
+    std::mutex movesMutex;
+    std::condition_variable movesChanged;
+    bool movesWoken = false;               // guarded by movesMutex
     boost::asio::thread_pool requestTasks; // forwards and outcomes of other nodes; each may last as long as its stream
     boost::asio::thread_pool witnessTasks; // messages of the witness protocol: never behind slow calls
     boost::asio::thread_pool monitorTasks; // short polls of targets and platform
--- a/src/node/NodeApi.cpp
+++ b/src/node/NodeApi.cpp
@@ -35,6 +35,14 @@
     return "healthy";
 }
 
+Json moveStatus(const MoveStatus& move)
+{
+    return { { "id", move.row.id }, { "model", move.row.model }, { "fromVersion", move.row.fromVersion },
+        { "toVersion", move.row.toVersion }, { "deadlineUnixMs", move.row.deadlineUnixMs }, { "verdict", verdictName(move.verdict.kind) },
+        { "reason", badReasonName(move.verdict.reason) }, { "route", move.verdict.route }, { "phase", movePhaseName(move.view.phase) },
+        { "percent", move.view.percent }, { "newRequests", move.newSamples } };
+}
+
 } // namespace
 
 NodeApi::NodeApi(NodeApiPorts p, RequestPath& r, const Snapshot<TableIndex>& t, Decisions& d)
@@ -86,6 +94,9 @@
         page = this->statusPage(*rows, now);
     }
     page["active"] = active;
+    page["moves"] = Json::array();
+    for (const MoveStatus& move : this->ports.moves ? this->ports.moves() : std::vector<MoveStatus> {})
+        page["moves"].push_back(moveStatus(move));
     sendText(reply, 200, "application/json", page.dump(-1, ' ', false, Json::error_handler_t::replace));
 }
 
--- a/src/node/NodeApi.h
+++ b/src/node/NodeApi.h
@@ -8,14 +8,16 @@
 //   GET /healthz, GET /readyz, GET /metrics, GET /v1/admin/status                     here
 #pragma once
 
+#include "node/MoveWatch.h"
 #include "node/RequestPath.h"
 
 namespace guavapond {
 
 struct NodeApiPorts {
     std::function<TimePoint()> clock;
-    std::function<std::string()> metrics; // the page of GET /metrics
-    std::function<bool()> hasTable;       // a revision of the table is in force
+    std::function<std::string()> metrics;           // the page of GET /metrics
+    std::function<std::vector<MoveStatus>()> moves; // empty: none
+    std::function<bool()> hasTable;                 // a revision of the table is in force
     std::string nodeName;
     std::string failureDomain;
     std::string adminToken; // for /v1/admin/; empty: no check
--- a/src/node/Observer.h
+++ b/src/node/Observer.h
@@ -22,6 +22,13 @@
     bool dispatched = false;
     bool inTime = false;              // whole, before its deadline
     const Failure* failure = nullptr; // null: whole
+
+    // Of the target's version, for version moves.
+    std::string_view version;
+    std::string route;                               // chat, completion, or the prefix of a service's path
+    bool failedByTarget = false;                     // a service answered 5xx
+    std::optional<Duration> firstTokenAfterDispatch; // µs; for a service the whole call
+    std::optional<Duration> timePerToken;            // µs; mean after the first token
 };
 
 struct Observer {
--- a/src/node/RequestPath.cpp
+++ b/src/node/RequestPath.cpp
@@ -884,6 +884,37 @@
     });
 }
 
+namespace {
+
+// Route by which versions are judged: the operation, or the first segment of a service's path.
+std::string routeOf(const CallerRequest& request)
+{
+    if (request.operation == Operation::ChatCompletion)
+        return "chat";
+    if (request.operation == Operation::Completion)
+        return "completion";
+    return request.path.substr(0, request.path.find_first_of("/?", 1));
+}
+
+void summarizeVersion(const Flight& flight, const FinalResult& result, TimePoint now, RequestSummary& summary)
+{
+    constexpr int firstServerError = 500;
+    summary.route = routeOf(flight.request);
+    if (!flight.dispatched)
+        return;
+    summary.version = flight.target.version;
+    bool isService = flight.request.operation == Operation::ServiceCall;
+    summary.failedByTarget = isService && result.answer && result.answer->status >= firstServerError;
+    if (isService)
+        summary.firstTokenAfterDispatch = now - flight.dispatchedAt;
+    else if (flight.firstTokenAt)
+        summary.firstTokenAfterDispatch = *flight.firstTokenAt - flight.dispatchedAt;
+    if (flight.firstTokenAt && summary.outputTokens > 1)
+        summary.timePerToken = (flight.lastTokenAt - *flight.firstTokenAt) / static_cast<int64_t>(summary.outputTokens - 1);
+}
+
+} // namespace
+
 void RequestPath::summarize(const Flight& flight, const FinalResult& result, TimePoint now)
 {
     if (!this->ports.observer.ended)
@@ -905,6 +936,7 @@
     bool isWhole = result.answer || result.streamIsWhole;
     summary.inTime = isWhole && now <= spec.deadline;
     summary.failure = isWhole ? nullptr : &*result.failure;
+    summarizeVersion(flight, result, now, summary);
     this->ports.observer.ended(summary);
 }
 
