--- a/src/node/NodeApi.cpp
+++ b/src/node/NodeApi.cpp
@@ -35,6 +35,14 @@
     return "healthy";
 }
 
+Json moveStatus(const MoveStatus& move)
+{
+    return { { "id", move.row.id }, { "model", move.row.model }, { "fromVersion", move.row.fromVersion },
+        { "toVersion", move.row.toVersion }, { "deadlineUnixMs", move.row.deadlineUnixMs }, { "verdict", verdictName(move.verdict.kind) },
+        { "reason", badReasonName(move.verdict.reason) }, { "route", move.verdict.route }, { "phase", movePhaseName(move.view.phase) },
+        { "percent", move.view.percent }, { "newRequests", move.newSamples } };
+}
+
 } // namespace
 
 NodeApi::NodeApi(NodeApiPorts p, RequestPath& r, const Snapshot<TableIndex>& t, Decisions& d)
@@ -88,6 +96,9 @@
     page["active"] = active;
     if (this->ports.members)
         page["members"] = this->ports.members();
+    page["moves"] = Json::array();
+    for (const MoveStatus& move : this->ports.moves ? this->ports.moves() : std::vector<MoveStatus> {})
+        page["moves"].push_back(moveStatus(move));
     sendText(reply, 200, "application/json", page.dump(-1, ' ', false, Json::error_handler_t::replace));
 }
 
