--- a/src/adapters/HttpServer.cpp
+++ b/src/adapters/HttpServer.cpp
@@ -42,6 +42,7 @@
     std::atomic<size_t> connections { 0 };
     std::atomic<size_t> answers { 0 }; // requests whose answer is not wholly written
     std::atomic<bool> stopping { false };
+    std::atomic<bool> closing { false }; // answers close their connections
     uint16_t port = 0;
 };
 
@@ -392,7 +393,7 @@
         if (!ec)
             request.remoteAddress = endpoint.address().to_string();
         this->lowest().expires_never();
-        this->reply = std::make_shared<Reply>(this->shared_from_this(), message.keep_alive() && !this->server->stopping, message.version());
+        this->reply = std::make_shared<Reply>(this->shared_from_this(), message.keep_alive() && !this->server->closing, message.version());
         auto held = this->reply;
         this->watchCaller(held);
         this->server->handler(std::move(request), held);
@@ -422,7 +423,7 @@
         this->reply.reset();
         error_code ec;
         this->lowest().socket().cancel(ec); // ends the watch for the caller's close
-        if (!keepAlive || this->server->stopping)
+        if (!keepAlive || this->server->closing)
             return this->shut();
         this->waitForRequest();
     }
@@ -554,8 +555,11 @@
 
 size_t HttpServer::answering() const { return this->state->answers; }
 
+void HttpServer::closeAfterAnswers() { this->state->closing = true; }
+
 void HttpServer::stopAccepting()
 {
+    this->state->closing = true;
     this->state->stopping = true;
     asio::post(this->state->context, [held = this->state] {
         error_code ec;
--- a/src/adapters/HttpServer.h
+++ b/src/adapters/HttpServer.h
@@ -48,6 +48,7 @@
     std::optional<Failure> start(); // bad address, port in use, unreadable certificate
     uint16_t port() const;
     size_t answering() const; // requests whose answer is not wholly handed to the kernel yet
+    void closeAfterAnswers(); // from now on each answer closes its connection, so that callers turn to another node
     void stopAccepting();     // keeps open connections; each is closed after its current answer
     void stop();
 
--- a/src/adapters/Settings.cpp
+++ b/src/adapters/Settings.cpp
@@ -75,6 +75,7 @@
     v.text("node.failureDomain", s.failureDomain, nameRule, Need::Required);
     v.text("callers.address", s.callersAddress, addressRule);
     v.number("callers.port", s.callersPort, 0, 65535);
+    v.text("callers.adminToken", s.adminToken, fileRule);
     v.text("callers.tlsCert", s.callersTlsCert, fileRule);
     v.text("callers.tlsKey", s.callersTlsKey, fileRule);
     v.text("nodes.address", s.nodesAddress, addressRule);
--- a/src/adapters/Settings.h
+++ b/src/adapters/Settings.h
@@ -27,6 +27,7 @@
     std::string callersAddress = "127.0.0.1"; // IP address to listen on
     uint16_t callersPort = 8080;              // 0: chosen by the kernel
     std::string callersTlsCert;               // PEM file; empty: no TLS
+    std::string adminToken;                   // expected in "Authorization: Bearer" of /v1/admin/; empty: no check
     std::string callersTlsKey;                // PEM file
     // [nodes]: gRPC
     std::string nodesAddress = "127.0.0.1"; // IP address to listen on
--- a/src/daemon/NodeProcess.cpp
+++ b/src/daemon/NodeProcess.cpp
@@ -15,7 +15,8 @@
 
 constexpr unsigned requestTaskThreads = 64;
 constexpr unsigned witnessTaskThreads = 8;
-constexpr unsigned monitorTaskThreads = 8;
+constexpr unsigned monitorTaskThreads = 24; // a silent target holds one for as long as its call's timeout
+constexpr Duration lameDuckTime = std::chrono::milliseconds(500);
 constexpr unsigned clusterTaskThreads = 8;
 constexpr Duration peerStopTime = std::chrono::seconds(1);
 constexpr std::chrono::seconds movePlanInterval { 1 };
@@ -73,6 +74,7 @@
     apiPorts.members = [this] { return this->memberStatus(); };
     apiPorts.nodeName = s.name;
     apiPorts.failureDomain = s.failureDomain;
+    apiPorts.adminToken = s.adminToken;
     this->api = std::make_unique<NodeApi>(std::move(apiPorts), *this->path, this->table, this->decisions);
     this->server = std::make_unique<HttpServer>(
         serverSettings(s),
@@ -119,10 +121,13 @@
 {
     constexpr Duration step = std::chrono::milliseconds(50);
     this->path->stopAdmitting();
+    this->server->closeAfterAnswers();
     this->cluster->leave();
     log(LogLevel::Info, "stopping", { { "active", this->path->active() } });
     auto until = presentTimeOfProcess() + this->settings.shutdownTime;
     // An answer that has ended may still wait for a caller that reads slowly; the server's write time-out bounds that wait.
+    // Callers that keep idle connections learn by their next answer, or by /readyz, that the node leaves.
+    std::this_thread::sleep_for(lameDuckTime);
     while ((this->path->active() > 0 || this->server->answering() > 0) && presentTimeOfProcess() < until)
         std::this_thread::sleep_for(step);
     this->witnessLink->handOver();
--- a/src/node/RequestPath.cpp
+++ b/src/node/RequestPath.cpp
@@ -507,7 +507,11 @@
             }
             // The ledger is the only path to a dispatch.
             if (!this->decisions.ledger.startDispatch(flight->ticket, now)) {
+                // The ledger has dropped the ticket, so nothing can be said of it any more.
                 this->decisions.scheduler.onFinished(action.request, RunOutcome::Cancelled, now);
+                action.kind = Action::Kind::Refuse;
+                action.failure = Failure { FailureKind::OutcomeUnknown, Disposition::Unknown, "the ticket is no longer known", {} };
+                steps.push_back({ std::move(action), std::move(flight) });
                 continue;
             }
             flight->target = this->table.read([&](const TableIndex& rows) {
--- a/src/node/RequestPath.h
+++ b/src/node/RequestPath.h
@@ -28,7 +28,7 @@
 struct RequestPathSettings {
     CallerSettings callers;
     StreamSettings streams;
-    size_t maxAnswerBytes = size_t(16) << 20;                      // bytes of an answer that is put together from a stream
+    size_t maxAnswerBytes = size_t(16) << 20;                     // bytes of an answer that is put together from a stream
     uint32_t tokensPerReport = 8;                                 // tokens between two reports of a stream to the scheduler
     size_t maxForwards = 48;                                      // requests at a time passed on to other nodes
     Duration grantTime = std::chrono::seconds(2);                 // without a witness: waiting requests are given up as not run
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -21,10 +21,11 @@
 
 known=$(tools/known-red.sh)
 section "tests"
-runTests() {
-    local output
+runTests() { # BUILD JOBS [CTEST-OPTION...]
+    local output directory=$1 jobs=$2
+    shift 2
     output=$(mktemp)
-    if ! ctest --test-dir "$1" -j "$2" --timeout 240 --output-on-failure ${known:+-E "$known"} >"$output" 2>&1; then
+    if ! ctest --test-dir "$directory" -j "$jobs" "$@" --timeout 400 --output-on-failure ${known:+-E "$known"} >"$output" 2>&1; then
         grep -vE "^TEST\(.*ms$" "$output" | tail -n 200
         rm -f "$output"
         return 1
@@ -35,13 +36,17 @@
 # Programs under test share the cores, so only a few run at a time.
 runTests build 4
 
-for sanitizer in address,undefined thread; do
+# The core has no threads, so that the thread sanitizer runs on the tests of the node library only.
+sanitize() { # SANITIZERS [CTEST-OPTION...]
+    local sanitizer=$1 directory="build-${1%%,*}"
+    shift
     section "sanitizer $sanitizer"
-    directory="build-${sanitizer%%,*}"
     cmake -S . -B "$directory" -G Ninja -DGUAVAPOND_CORE_ONLY=ON -DGUAVAPOND_SANITIZE="$sanitizer" >/dev/null
     cmake --build "$directory" -j "$jobs" >/dev/null
-    runTests "$directory" "$jobs"
-done
+    runTests "$directory" "$jobs" "$@"
+}
+sanitize address,undefined
+sanitize thread -R '^(RequestPath|TableWatcher|TargetMonitor|Witness.*|MoveWatch)Test$'
 
 if [ -x spec/check.sh ]; then
     section "model checking"
