--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -13,6 +13,8 @@
 if [ "${#files[@]}" -eq 0 ]; then
     mapfile -t files < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'standins/*.cpp' 'tests/*.cpp' 'bench/*.cpp')
 fi
+# One compile command for each file: clang-tidy reads a file once for every command that names it.
+jq 'unique_by(.file)' "$build/compile_commands.json" >"$stamps/compile_commands.json"
 export build stamps headers
 lintOne() {
     local stamp output
@@ -20,7 +22,7 @@
     stamp="$stamps/$( (echo "$headers"; cat "$1") | sha256sum | cut -c1-32)"
     [ -f "$stamp" ] && return 0
     # -Wno-unknown-warning-option: the compile commands are gcc's.
-    if ! output=$(clang-tidy --quiet -p "$build" --extra-arg=-Wno-unknown-warning-option "$1" 2>/dev/null); then
+    if ! output=$(clang-tidy --quiet -p "$stamps" --extra-arg=-Wno-unknown-warning-option "$1" 2>/dev/null); then
         echo "$output"
         echo "clang-tidy failed: $1"
         return 1
