Fix the linter's findings in stand-ins and tests

Cause: handlers took requests by value; PeerContractTest read one byte past its literal. Change: references; the right length.

--- a/standins/EngineModel.cpp
+++ b/standins/EngineModel.cpp
@@ -173,7 +173,7 @@
         shard.thread = std::thread([this, &shard] { this->emit(shard); });
     }
     this->listener
-        = std::make_unique<LoopbackListener>(this->settings.port, [this](http_request request) { this->handle(std::move(request)); });
+        = std::make_unique<LoopbackListener>(this->settings.port, [this](const http_request& request) { this->handle(request); });
 }
 
 EngineModel::~EngineModel()
@@ -226,11 +226,11 @@
 
 // ---- Requests
 
-void EngineModel::handle(http_request request)
+void EngineModel::handle(const http_request& request)
 {
     try {
         const std::string path = request.request_uri().path();
-        const std::string method = request.method();
+        const std::string& method = request.method();
         if (path == "/v1/chat/completions" || path == "/v1/completions")
             return this->handleGenerate(request, path == "/v1/chat/completions");
         if (path.starts_with("/v1/streams/"))
--- a/standins/EngineModel.h
+++ b/standins/EngineModel.h
@@ -86,7 +86,7 @@
     struct Stream; // one dispatched request
     struct Shard;  // streams written by one thread
 
-    void handle(web::http::http_request request);
+    void handle(const web::http::http_request& request);
     void handleGenerate(const web::http::http_request& request, bool chat);
     void startStream(const web::http::http_request& request, const std::string& id, const nlohmann::json& body, bool chat);
     void handleStream(const web::http::http_request& request, const std::string& id);
--- a/standins/LoopbackListener.cpp
+++ b/standins/LoopbackListener.cpp
@@ -47,7 +47,7 @@
 
 } // namespace
 
-LoopbackListener::LoopbackListener(uint16_t port, Handler handler)
+LoopbackListener::LoopbackListener(uint16_t port, const Handler& handler)
 {
     const PortReservation reservation; // held until the listener is open
     this->open(port == 0 ? reservation.port() : port, handler);
--- a/standins/LoopbackListener.h
+++ b/standins/LoopbackListener.h
@@ -21,7 +21,7 @@
 public:
     using Handler = std::function<void(web::http::http_request)>;
 
-    LoopbackListener(uint16_t port, Handler handler); // 0: chosen by the kernel
+    LoopbackListener(uint16_t port, const Handler& handler); // 0: chosen by the kernel
     ~LoopbackListener();
     LoopbackListener(const LoopbackListener&) = delete;
     LoopbackListener& operator=(const LoopbackListener&) = delete;
--- a/tests/adapters/HttpServerTest.cpp
+++ b/tests/adapters/HttpServerTest.cpp
@@ -237,7 +237,7 @@
     auto settings = smallSettings();
     settings.port = server->port();
     HttpServer second(
-        settings, [](HttpRequest, std::shared_ptr<HttpReply>) {}, [](const Failure&) { return std::string(); });
+        settings, [](const HttpRequest&, const std::shared_ptr<HttpReply>&) {}, [](const Failure&) { return std::string(); });
     CHECK(second.start().has_value());
 }
 
--- a/tests/adapters/PeerContractTest.cpp
+++ b/tests/adapters/PeerContractTest.cpp
@@ -145,7 +145,7 @@
 // P9: guards against an older table offered as new, and against a snapshot that is not valid UTF-8 and gets lost.
 TEST(PeerContract, ATableArrivesOnlyAboveTheAskedRevision)
 {
-    const std::string snapshot("head\0\xff page", 12);
+    const std::string snapshot("head\0\xff page", 11);
     handler.table = [&](uint64_t revision) -> std::optional<TableVersion> {
         if (revision >= 7)
             return std::nullopt;
--- a/tests/node/TableWatcherTest.cpp
+++ b/tests/node/TableWatcherTest.cpp
@@ -149,6 +149,7 @@
 TEST(TableWatcher, OnlyAFewNodesOfADomainKeepAWatch)
 {
     std::vector<std::string> names;
+    names.reserve(20);
     for (int i = 0; i < 20; ++i)
         names.push_back("n" + std::to_string(i));
     size_t watching = 0;
