End the session of a caller that left, and check served answers by the stand-in's own rule

A caller that left while its request went on under a ticket left its answer and its session holding each other, and the stop waits for unwritten answers. Change: a caller's close ends its session; ServingTest asks the stand-in's promptOf, as strict as before.

--- a/src/adapters/HttpServer.cpp
+++ b/src/adapters/HttpServer.cpp
@@ -414,7 +414,8 @@
             // Bytes that are there belong to a pipelined request or to TLS; the next write finds out whether the caller is still there.
             if (count > 0 || peekError == asio::error::would_block)
                 return;
-            watched->markGone();
+            // Ends the session too: nobody may ever write to an answer that no caller waits for.
+            self->shut();
         });
     }
 
--- a/tests/adapters/HttpServerTest.cpp
+++ b/tests/adapters/HttpServerTest.cpp
@@ -189,6 +189,27 @@
     CHECK(held->isGone());
 }
 
+// P8: a planned stop waits for answers that are not wholly written. An answer that nobody waits for must not hold it up.
+TEST(HttpServer, AnAnswerThatNobodyWaitsForIsNotCounted)
+{
+    Signal gone;
+    Signal arrived;
+    handler = [&](const HttpRequest&, const std::shared_ptr<HttpReply>& reply) {
+        reply->onGone([&] { gone.raise(); });
+        arrived.raise();
+    };
+    start();
+    Client client(server->port());
+    client.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(arrived.wait());
+    client.close();
+    CHECK(gone.wait());
+    constexpr int enough = 2000; // waits of 5 ms
+    for (int i = 0; i < enough && server->answering() > 0; ++i)
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    CHECK_EQUAL(0U, server->answering());
+}
+
 // A reader that takes nothing must not make the node buffer a whole stream.
 TEST(HttpServer, AReaderThatStopsIsDisconnectedBeforeItsBufferGrowsWithoutBound)
 {
--- a/tests/system/ServingTest.cpp
+++ b/tests/system/ServingTest.cpp
@@ -35,7 +35,7 @@
 // What the stand-in answers to question(text, tokens).
 std::string expectedText(const std::string& text, uint32_t tokens)
 {
-    auto prompt = "user: " + text + "\n";
+    auto prompt = standins::promptOf(json::parse(question(text, tokens)));
     return standins::answerText(prompt, standins::answerTokens(prompt, tokens));
 }
 
