Release what tests of the request path leave open

Cause: the leak check of the address sanitizer found 118 MB in RequestPathTest: requests left open by a test hold their replies and calls, which hold them. Change: PathHarness drops the callbacks at the end of each test. Result: address and undefined sanitizers: RequestPathTest 25 of 25 without a leak, 26 other programs pass; VersionJudgeTest, MovePlanTest and the thread sanitizer were not run on this tree.

--- a/tests/node/PathHarness.h
+++ b/tests/node/PathHarness.h
@@ -103,6 +103,17 @@
         this->path = std::make_unique<RequestPath>(RequestPathSettings {}, this->makePorts(), this->table, this->decisions);
     }
 
+    // Requests that a test leaves open hold their replies and calls, which hold them.
+    ~PathHarness()
+    {
+        for (const auto& call : this->engineCalls)
+            call->events = nullptr;
+        for (const auto& reply : this->replies)
+            reply->goneCallback = nullptr;
+    }
+    PathHarness(const PathHarness&) = delete;
+    PathHarness& operator=(const PathHarness&) = delete;
+
     static Table makeTable()
     {
         Table t;
@@ -165,6 +176,7 @@
     std::shared_ptr<FakeReply> serve(const HttpRequest& request)
     {
         auto reply = std::make_shared<FakeReply>();
+        this->replies.push_back(reply);
         this->path->serve(request, reply);
         return reply;
     }
@@ -239,6 +251,7 @@
     std::optional<Failure> peerFailure;
     std::vector<ForwardedChunk> peerChunks { { 200, { { "Content-Type", "application/json" } }, "{}", true } };
     std::deque<std::function<void()>> tasks;
+    std::vector<std::shared_ptr<FakeReply>> replies;
     std::vector<std::shared_ptr<EngineCall>> engineCalls;
     std::vector<std::pair<ServiceRequest, std::function<void(ServiceAnswer)>>> serviceCalls;
     std::atomic<bool> serviceCalled { false };
