--- a/cmake/Programs.cmake
+++ b/cmake/Programs.cmake
@@ -13,7 +13,7 @@
 target_link_libraries(guavapondRest INTERFACE cpprestsdk::cpprest OpenSSL::SSL OpenSSL::Crypto Threads::Threads)
 
 # Committed protobuf and gRPC code; regenerate with tools/generate.sh.
-file(GLOB GENERATED_SOURCES CONFIGURE_DEPENDS generated/*.cc)
+file(GLOB GENERATED_SOURCES CONFIGURE_DEPENDS generated/node.*.cc)
 if(GENERATED_SOURCES)
     add_library(guavapondProto STATIC ${GENERATED_SOURCES})
     target_include_directories(guavapondProto SYSTEM PUBLIC generated)
--- a/src/adapters/Logging.cpp
+++ b/src/adapters/Logging.cpp
@@ -2,6 +2,7 @@
 // that read the log could not filter by field.
 #include "adapters/Logging.h"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/helpers/pool.h>
 #include <log4cxx/layout.h>
@@ -91,12 +92,21 @@
         rolling->activateOptions(pool);
         appender = rolling;
     }
+    if (settings.asyncLines > 0) {
+        const auto async = std::make_shared<log4cxx::AsyncAppender>();
+        async->setBufferSize(static_cast<int>(settings.asyncLines));
+        async->setBlocking(false);
+        async->addAppender(appender);
+        appender = async;
+    }
     logger()->setAdditivity(false);
     logger()->removeAllAppenders();
     logger()->addAppender(appender);
     logger()->setLevel(log4cxx::Level::toLevel(settings.level, log4cxx::Level::getInfo()));
 }
 
+void stopLogging() { log4cxx::LogManager::shutdown(); }
+
 void log(LogLevel level, std::string_view message, std::initializer_list<LogField> fields)
 {
     const log4cxx::LevelPtr native = levelOf(level);
--- a/src/adapters/Logging.h
+++ b/src/adapters/Logging.h
@@ -3,6 +3,7 @@
 // Index
 //   LogSettings      file, level, rotation
 //   startLogging     configures the process once
+//   stopLogging      writes what waits
 //   log              one line with fields
 //
 //   log(LogLevel::Warn, "target ejected", { { "target", name }, { "failures", 3 } });
@@ -30,6 +31,7 @@
     uint64_t maxBytes = 64 * 1024 * 1024; // bytes before the file is rotated
     uint32_t files = 4;                   // rotated files that are kept
     std::string node;                     // field "node" of each line
+    size_t asyncLines = 0;                // lines that may wait for the output; more are dropped and counted; 0: written by the caller
 };
 
 using LogValue = std::variant<std::string_view, int64_t, double, bool>;
@@ -67,6 +69,7 @@
 };
 
 void startLogging(const LogSettings& settings); // replaces an earlier configuration; call it from one thread
+void stopLogging();
 void log(LogLevel level, std::string_view message, std::initializer_list<LogField> fields = {}); // thread-safe
 
 } // namespace guavapond
--- /dev/null
+++ b/src/edge/Admission.cpp
@@ -0,0 +1,60 @@
+// Queue order and refusals.
+#include "edge/Admission.h"
+
+#include <algorithm>
+
+namespace guavapond::edge {
+
+namespace {
+
+constexpr double fullOccupancy = 1.0;
+constexpr double longestStretch = 3.0; // of the least Retry-After, however full the targets are
+
+} // namespace
+
+WaitKey WaitQueue::add(int priority, TimePoint giveUpAt)
+{
+    const WaitKey key { priority, this->nextTicket++ };
+    this->waiting[key] = giveUpAt;
+    return key;
+}
+
+std::vector<WaitKey> WaitQueue::expired(TimePoint now) const
+{
+    std::vector<WaitKey> result;
+    for (const auto& [key, giveUpAt] : this->waiting) {
+        if (giveUpAt <= now)
+            result.push_back(key);
+    }
+    return result;
+}
+
+std::vector<WaitKey> WaitQueue::first(size_t count) const
+{
+    std::vector<WaitKey> result;
+    for (const auto& item : this->waiting) {
+        if (result.size() == count)
+            break;
+        result.push_back(item.first);
+    }
+    return result;
+}
+
+Duration waitBound(const AdmissionSettings& settings, Duration objective)
+{
+    return std::chrono::duration_cast<Duration>(objective * settings.longestWait);
+}
+
+bool isTooLate(const AdmissionSettings& settings, Duration predictedFirst, Duration alreadyWaited, Duration objective)
+{
+    return predictedFirst + alreadyWaited > std::chrono::duration_cast<Duration>(objective * settings.latestFirstEvent);
+}
+
+Duration retryAfter(const AdmissionSettings& settings, double occupancy, double random)
+{
+    const double stretch = std::clamp(occupancy / fullOccupancy, 1.0, longestStretch);
+    const auto least = std::chrono::duration_cast<Duration>(settings.leastRetryAfter * stretch);
+    return least + std::chrono::duration_cast<Duration>(settings.retryAfterSpread * random);
+}
+
+} // namespace guavapond::edge
--- /dev/null
+++ b/src/edge/Admission.h
@@ -0,0 +1,51 @@
+// When a request waits, and when it is refused. Written for the hours in which callers ask for more than the targets can do: work
+// that can't be done in time is refused at once, so that the caller can go elsewhere and the queue stays short.
+//
+// Index
+//   AdmissionSettings
+//   WaitQueue      requests of one service that wait for room: by priority, then by arrival
+//   retryAfter     when a refused caller should come back
+#pragma once
+
+#include "core/Types.h"
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace guavapond::edge {
+
+struct AdmissionSettings {
+    double longestWait = 0.125;    // part of the objective that a request may wait for room
+    double latestFirstEvent = 1.2; // refused when the first event is predicted later than this multiple of the objective
+    Duration leastRetryAfter = std::chrono::milliseconds(300);
+    Duration retryAfterSpread = std::chrono::milliseconds(500); // random addition, so that callers don't return together
+};
+
+// Identifies a waiting request: lower priority numbers first, then in order of arrival.
+struct WaitKey {
+    int priority = 0;
+    uint64_t ticket = 0;
+    auto operator<=>(const WaitKey&) const = default;
+};
+
+class WaitQueue {
+public:
+    WaitKey add(int priority, TimePoint giveUpAt);
+    void remove(const WaitKey& key) { this->waiting.erase(key); }
+    bool empty() const { return this->waiting.empty(); }
+    size_t size() const { return this->waiting.size(); }
+    std::vector<WaitKey> expired(TimePoint now) const;
+    std::vector<WaitKey> first(size_t count) const; // in the order in which they are served
+
+private:
+    std::map<WaitKey, TimePoint> waiting; // when each is given up
+    uint64_t nextTicket = 0;
+};
+
+Duration waitBound(const AdmissionSettings& settings, Duration objective);
+bool isTooLate(const AdmissionSettings& settings, Duration predictedFirst, Duration alreadyWaited, Duration objective);
+// `random` is uniform in [0, 1). `occupancy` is the part of the service's slots that is taken.
+Duration retryAfter(const AdmissionSettings& settings, double occupancy, double random);
+
+} // namespace guavapond::edge
--- /dev/null
+++ b/src/edge/EdgeMetrics.cpp
@@ -0,0 +1,108 @@
+// Metrics by prometheus-cpp.
+#include "edge/EdgeMetrics.h"
+
+#include <array>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace guavapond::edge {
+
+namespace {
+
+using prometheus::BuildCounter;
+using prometheus::BuildHistogram;
+using prometheus::Counter;
+using prometheus::Family;
+using prometheus::Histogram;
+
+const Histogram::BucketBoundaries secondsBuckets { 0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10 };
+
+} // namespace
+
+std::string_view requestResultName(RequestResult result)
+{
+    static constexpr std::array<std::string_view, requestResultCount> names { "answered", "failure_relayed", "refused", "over_quota",
+        "rejected", "unknown", "cut_off", "caller_gone" };
+    return names.at(static_cast<size_t>(result));
+}
+
+struct EdgeMetrics::State {
+    prometheus::Registry registry;
+    Family<Counter>& requests
+        = BuildCounter().Name("guavapond_edge_requests_total").Help("Requests that ended, by result").Register(this->registry);
+    Family<Counter>& runs
+        = BuildCounter().Name("guavapond_edge_failed_runs_total").Help("Sends to targets that failed, by reason").Register(this->registry);
+    Family<Counter>& storeCalls
+        = BuildCounter().Name("guavapond_edge_store_calls_total").Help("Calls to the store, by call and result").Register(this->registry);
+    Family<Histogram>& seconds
+        = BuildHistogram().Name("guavapond_edge_request_seconds").Help("Time from the request's head to the end of its answer, s").Register(
+            this->registry);
+    Histogram& firstEvent = BuildHistogram()
+                                .Name("guavapond_edge_first_event_seconds")
+                                .Help("Time from the request's head to the first event of its stream, s")
+                                .Register(this->registry)
+                                .Add({}, secondsBuckets);
+    Histogram& wait = BuildHistogram()
+                          .Name("guavapond_edge_wait_seconds")
+                          .Help("Time that a request waited for room at a target, s")
+                          .Register(this->registry)
+                          .Add({}, secondsBuckets);
+    Histogram& storeSeconds = BuildHistogram()
+                                  .Name("guavapond_edge_store_seconds")
+                                  .Help("Time that a call to the store took, s")
+                                  .Register(this->registry)
+                                  .Add({}, secondsBuckets);
+    std::array<Counter*, requestResultCount> byResult {};
+    std::array<Histogram*, requestResultCount> secondsByResult {};
+    std::array<Counter*, runEndCount> byRunEnd {};
+
+    // Each series is there from the start: a rate over a series that appears with its first event misses that event.
+    State()
+    {
+        for (size_t i = 0; i < requestResultCount; ++i) {
+            const std::map<std::string, std::string> label { { "result", std::string(requestResultName(static_cast<RequestResult>(i))) } };
+            this->byResult.at(i) = &this->requests.Add(label);
+            this->secondsByResult.at(i) = &this->seconds.Add(label, secondsBuckets);
+        }
+        for (size_t i = 0; i < runEndCount; ++i)
+            this->byRunEnd.at(i) = &this->runs.Add({ { "reason", std::string(runEndName(static_cast<RunEnd>(i))) } });
+    }
+};
+
+EdgeMetrics::EdgeMetrics()
+    : state(std::make_unique<State>())
+{
+}
+
+EdgeMetrics::~EdgeMetrics() = default;
+
+void EdgeMetrics::requestEnded(RequestResult result, Duration total, std::optional<Duration> firstEvent)
+{
+    const auto index = static_cast<size_t>(result);
+    this->state->byResult.at(index)->Increment();
+    this->state->secondsByResult.at(index)->Observe(toSeconds(total));
+    if (firstEvent)
+        this->state->firstEvent.Observe(toSeconds(*firstEvent));
+}
+
+void EdgeMetrics::runEnded(RunEnd end) { this->state->byRunEnd.at(static_cast<size_t>(end))->Increment(); }
+
+void EdgeMetrics::waited(Duration time) { this->state->wait.Observe(toSeconds(time)); }
+
+void EdgeMetrics::storeCall(std::string_view call, bool ok, Duration time)
+{
+    this->state->storeCalls.Add({ { "call", std::string(call) }, { "result", ok ? "ok" : "failed" } }).Increment();
+    this->state->storeSeconds.Observe(toSeconds(time));
+}
+
+void EdgeMetrics::setGauge(std::string_view name, std::string_view help, double value)
+{
+    prometheus::BuildGauge().Name(std::string(name)).Help(std::string(help)).Register(this->state->registry).Add({}).Set(value);
+}
+
+std::string EdgeMetrics::page() const { return prometheus::TextSerializer().Serialize(this->state->registry.Collect()); }
+
+} // namespace guavapond::edge
--- /dev/null
+++ b/src/edge/EdgeNode.cpp
@@ -0,0 +1,173 @@
+// Wiring and the planned stop.
+#include "edge/EdgeNode.h"
+
+#include "adapters/Logging.h"
+
+namespace guavapond::edge {
+
+namespace {
+
+constexpr Duration tickInterval = std::chrono::milliseconds(10); // of waiting requests and beacons
+// A proof is dated from the start of its call, so the bound needs no allowance for the network; this covers rounding of clocks.
+constexpr Duration revocationMargin = std::chrono::milliseconds(250);
+// The balancer asks once a second and takes a node out after two misses.
+constexpr Duration balancerNotices = std::chrono::milliseconds(3200);
+constexpr double refuseAfter = 0.5;                                // part of the grace after which further requests are refused
+constexpr Duration stopMargin = std::chrono::milliseconds(300);    // before the end of the grace
+constexpr uint32_t reservedDescriptors = 260;                      // files, the store, peers
+constexpr double callerDescriptors = 0.6;                          // part of the rest that callers may take; targets get the others
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusUnavailable = 503;
+constexpr unsigned statusNotFound = 404;
+
+PeerLinkSettings peerSettings(const EdgeSettings& settings)
+{
+    PeerLinkSettings result;
+    result.node = settings.node;
+    result.address = settings.peers;
+    return result;
+}
+
+size_t mostCallers(const EdgeSettings& settings)
+{
+    const uint32_t free = settings.descriptors > 2 * reservedDescriptors ? settings.descriptors - reservedDescriptors : settings.descriptors / 2;
+    return static_cast<size_t>(free * callerDescriptors);
+}
+
+} // namespace
+
+RelaySettings EdgeNode::relaySettings(const EdgeSettings& settings, const WireHeaders& headers)
+{
+    RelaySettings result;
+    result.headers = headers;
+    result.placement.failureDomain = settings.failureDomain;
+    result.secondTries = settings.secondTries;
+    result.keyProofBound = settings.checksRevocation ? settings.keyRevocation - revocationMargin : Duration::max();
+    return result;
+}
+
+EdgeNode::EdgeNode(net::io_context& loop, const EdgeSettings& settings, const WireHeaders& headers, const EdgePaths& paths,
+    PeerLink::Hooks peerHooks, uint64_t incarnation, std::function<double()> random)
+    : loop(loop)
+    , settings(settings)
+    , headers(headers)
+    , paths(paths)
+    , requests(loop, relaySettings(settings, headers), this->counters, std::move(random))
+    , peerLink(loop, peerSettings(settings), this->requests, std::move(peerHooks), incarnation)
+    , callers(
+          loop, { settings.callers, mostCallers(settings) },
+          [this](const CallerPointer& caller, CallerRequest request) { this->onRequest(caller, std::move(request)); },
+          [this] { return this->requests.callerLimits(); })
+    , ready(
+          loop, { settings.ready, 64 }, [this](const CallerPointer& caller, const CallerRequest&) { this->onReady(caller); },
+          [] { return CallerLimits {}; })
+    , metricsListener(
+          loop, { settings.metrics, 16 }, [this](const CallerPointer& caller, const CallerRequest&) { this->onMetrics(caller); },
+          [] { return CallerLimits {}; })
+    , timer(loop)
+{
+}
+
+void EdgeNode::start()
+{
+    this->ready.listen();
+    this->metricsListener.listen();
+    this->peerLink.start();
+    this->callers.listen();
+    this->tick();
+}
+
+void EdgeNode::applySettings(const EdgeSettings& value)
+{
+    this->settings = value;
+    this->requests.configure(relaySettings(value, this->headers));
+}
+
+void EdgeNode::onReady(const CallerPointer& caller)
+{
+    const bool isReady = !this->stoppingSince && this->requests.isReady();
+    caller->answer(makeAnswer({ isReady ? statusOk : statusUnavailable, "", "", {} }));
+}
+
+void EdgeNode::onMetrics(const CallerPointer& caller)
+{
+    const TimePoint now = bootTime();
+    EdgeMetrics& gauges = this->counters;
+    gauges.setGauge("guavapond_edge_in_flight", "Requests under way", static_cast<double>(this->requests.inFlight()));
+    gauges.setGauge("guavapond_edge_waiting", "Requests that wait for room at a target", static_cast<double>(this->requests.waiting()));
+    gauges.setGauge("guavapond_edge_peers_heard", "Other nodes that are heard", static_cast<double>(this->peerLink.table().heardCount(now)));
+    gauges.setGauge("guavapond_edge_catalog_version", "Version of the configuration in force",
+        this->requests.catalog() ? static_cast<double>(this->requests.catalog()->version) : 0);
+    const auto age = this->requests.freshness.age(now);
+    gauges.setGauge("guavapond_edge_proof_age_seconds", "Age of the proof that the configuration is current; -1: none", age ? toSeconds(*age) : -1);
+    gauges.setGauge("guavapond_edge_connections_opened", "Connections to targets since the start",
+        static_cast<double>(this->requests.connectionsOpened()));
+    caller->answer(makeAnswer({ statusOk, gauges.page(), "text/plain; version=0.0.4", {} }));
+}
+
+void EdgeNode::onRequest(const CallerPointer& caller, CallerRequest request)
+{
+    if (this->stoppingSince && bootTime() - *this->stoppingSince > this->settings.stopGrace * refuseAfter) {
+        OwnAnswer answer { statusUnavailable, R"({"error":"the node is stopping"})", "application/json", {} };
+        answer.fields.set(http::field::retry_after, "0.1");
+        return caller->answer(makeAnswer(answer));
+    }
+    this->requests.handle(caller, std::move(request));
+}
+
+void EdgeNode::stop(std::function<void()> whenDrained)
+{
+    if (this->stoppingSince)
+        return;
+    this->stoppingSince = bootTime();
+    this->drained = std::move(whenDrained);
+    this->callers.stopKeepingConnections();
+    this->peerLink.announceStop();
+    log(LogLevel::Info, "stopping",
+        { { "inFlight", this->requests.inFlight() }, { "connections", this->callers.connections() },
+            { "graceMs", toMilliseconds(this->settings.stopGrace) } });
+}
+
+void EdgeNode::checkStop(TimePoint now)
+{
+    if (!this->stoppingSince || !this->drained)
+        return;
+    const Duration elapsed = now - *this->stoppingSince;
+    if (elapsed > balancerNotices)
+        this->callers.closeIdle();
+    const bool idle = elapsed > balancerNotices && this->requests.inFlight() == 0 && this->callers.connections() == 0;
+    if (!idle && elapsed < this->settings.stopGrace - stopMargin)
+        return;
+    log(LogLevel::Info, "drained", { { "ms", toMilliseconds(elapsed) }, { "cutOff", this->requests.inFlight() } });
+    const auto hook = std::move(this->drained);
+    this->drained = {};
+    hook();
+}
+
+void EdgeNode::noteReadiness()
+{
+    const bool isReady = !this->stoppingSince && this->requests.isReady();
+    if (isReady == this->wasReady)
+        return;
+    this->wasReady = isReady;
+    const auto age = this->requests.freshness.age(bootTime());
+    log(LogLevel::Info, isReady ? "ready" : "not ready",
+        { { "hasConfiguration", this->requests.catalog() != nullptr }, { "proofAgeMs", age ? toMilliseconds(*age) : -1 },
+            { "stopping", this->stoppingSince.has_value() } });
+}
+
+void EdgeNode::tick()
+{
+    const TimePoint now = bootTime();
+    this->requests.tick();
+    this->peerLink.tick();
+    this->noteReadiness();
+    this->checkStop(now);
+    this->timer.expires_after(tickInterval);
+    this->timer.async_wait([this](boost::system::error_code error) {
+        if (!error)
+            this->tick();
+    });
+}
+
+} // namespace guavapond::edge
--- /dev/null
+++ b/src/edge/EdgeSettings.cpp
@@ -0,0 +1,125 @@
+// Reads and checks the file by toml++.
+#include "edge/EdgeSettings.h"
+
+#include <fstream>
+#include <sstream>
+#include <toml++/toml.h>
+
+namespace guavapond::edge {
+
+namespace {
+
+class Reader {
+public:
+    explicit Reader(const toml::table& root)
+        : root(root)
+    {
+    }
+
+    std::string text(std::string_view key, std::optional<std::string> fallback = std::nullopt)
+    {
+        const auto value = this->root.at_path(key).value<std::string>();
+        if (value && !value->empty())
+            return *value;
+        if (!fallback)
+            this->faults.push_back({ std::string(key), "a text is needed" });
+        return fallback.value_or("");
+    }
+
+    double number(std::string_view key, double least, double most, double fallback)
+    {
+        const auto node = this->root.at_path(key);
+        if (!node)
+            return fallback;
+        const auto value = node.value<double>();
+        if (!value || *value < least || *value > most) {
+            std::ostringstream range;
+            range << "a number from " << least << " to " << most << " is needed";
+            this->faults.push_back({ std::string(key), range.str() });
+            return fallback;
+        }
+        return *value;
+    }
+
+    bool flag(std::string_view key, bool fallback)
+    {
+        const auto node = this->root.at_path(key);
+        if (!node)
+            return fallback;
+        const auto value = node.value<bool>();
+        if (!value)
+            this->faults.push_back({ std::string(key), "true or false is needed" });
+        return value.value_or(fallback);
+    }
+
+    Address address(std::string_view key)
+    {
+        const std::string value = this->text(key);
+        const size_t colon = value.rfind(':');
+        boost::system::error_code error;
+        const bool hasIp = colon != std::string::npos && (net::ip::make_address(value.substr(0, colon), error), !error);
+        const int port = hasIp ? std::atoi(value.c_str() + colon + 1) : 0;
+        if (port > 0 && port <= UINT16_MAX)
+            return { value.substr(0, colon), static_cast<uint16_t>(port) };
+        if (!value.empty())
+            this->faults.push_back({ std::string(key), "an address IP:PORT is needed, not \"" + value + "\"" });
+        return {};
+    }
+
+    std::vector<SettingsFault> faults;
+
+private:
+    const toml::table& root;
+};
+
+constexpr double longestMs = 3600 * 1000;
+
+Duration milliseconds(double value) { return fromSeconds(value / 1000); }
+
+} // namespace
+
+EdgeSettingsResult parseEdgeSettings(std::string_view text)
+{
+    toml::table root;
+    try {
+        root = toml::parse(text);
+    } catch (const toml::parse_error& error) {
+        std::ostringstream place;
+        place << error.source().begin;
+        return { std::nullopt, { { place.str(), std::string(error.description()) } } };
+    }
+    Reader reader(root);
+    EdgeSettings settings;
+    settings.node = reader.text("node");
+    settings.failureDomain = reader.text("failureDomain");
+    settings.callers = reader.address("listen.callers");
+    settings.ready = reader.address("listen.ready");
+    settings.peers = reader.address("listen.peers");
+    settings.metrics = reader.address("listen.metrics");
+    settings.store = reader.address("store.address");
+    settings.descriptors = static_cast<uint32_t>(reader.number("limits.descriptors", 64, 1e7, 1024));
+    settings.keyRevocation = milliseconds(reader.number("keys.revocationMs", 100, longestMs, 5000));
+    settings.checksRevocation = reader.flag("keys.checkRevocation", true);
+    settings.stopGrace = fromSeconds(reader.number("stop.graceSeconds", 1, 3600, 8));
+    settings.targetHeartbeat = milliseconds(reader.number("targets.heartbeatMs", 10, longestMs, 1200));
+    settings.leaseTtl = milliseconds(reader.number("store.leaseMs", 1000, longestMs, 5000));
+    settings.secondTries.ratio = reader.number("secondTries.ratio", 0, 10, 0.2);
+    settings.secondTries.window = fromSeconds(reader.number("secondTries.windowSeconds", 0.1, 3600, 10));
+    settings.secondTries.allowance = reader.number("secondTries.allowance", 0, 1e6, 0);
+    settings.logLevel = reader.text("log.level", "info");
+    if (!reader.faults.empty())
+        return { std::nullopt, reader.faults };
+    return { settings, {} };
+}
+
+EdgeSettingsResult readEdgeSettings(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file)
+        return { std::nullopt, { { path, "the settings file can't be read" } } };
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseEdgeSettings(text.str());
+}
+
+} // namespace guavapond::edge
--- /dev/null
+++ b/src/edge/Exchange.cpp
@@ -0,0 +1,494 @@
+// Glue between connections and decisions.
+#include "edge/Exchange.h"
+
+#include "adapters/Logging.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace guavapond::edge {
+
+namespace {
+
+constexpr size_t pauseAboveUnsent = 256 * 1024; // bytes that a caller has not taken yet
+constexpr uint64_t fewestGapEvents = 4;         // a mean over fewer gaps says little
+constexpr double eventsLearnWeight = 0.05;
+
+constexpr unsigned misdirected = 421;
+constexpr unsigned badGateway = 502;
+constexpr unsigned unavailable = 503;
+constexpr unsigned gatewayTimeout = 504;
+
+// These statuses promise that a request has not run. A target's answer with one of them, without its own word for it, is no promise.
+bool promisesNotRun(unsigned status) { return status == 408 || status == misdirected || status == 429 || status == unavailable; }
+
+std::string textOf(boost::beast::string_view view) { return std::string(view.data(), view.size()); }
+
+bool isEventStream(const http::response_header<>& head)
+{
+    return textOf(head[http::field::content_type]).starts_with("text/event-stream");
+}
+
+} // namespace
+
+Exchange::Exchange(Relay& relay, CallerPointer callerConnection, CallerRequest callerRequest, ExchangePlan exchangePlan)
+    : relay(relay)
+    , caller(std::move(callerConnection))
+    , request(std::move(callerRequest))
+    , plan(std::move(exchangePlan))
+    , service(relay.service(this->plan.service))
+    , life(*this->plan.route, this->plan.callerLimit, this->request.arrivedAt)
+    , timer(relay.loop)
+{
+    int64_t resumedAfter = 0;
+    std::istringstream lastId(textOf(this->request.message[this->relay.settings.headers.lastEventId]));
+    if (lastId >> resumedAfter)
+        this->scanner.setLastId(resumedAfter);
+}
+
+void Exchange::begin()
+{
+    const auto self = this->shared_from_this();
+    this->caller->onGone([self] { self->onCallerGone(); });
+    this->timer.expires_after(std::max(this->life.left(bootTime()), Duration::zero()));
+    this->timer.async_wait([self](boost::system::error_code error) {
+        if (!error)
+            self->onDue();
+    });
+    this->relay.secondTries.onRequest(this->plan.service, this->request.arrivedAt);
+    if (!this->place())
+        this->wait(bootTime());
+}
+
+Demand Exchange::demand() const
+{
+    Demand demand = this->plan.demand;
+    demand.parts = this->plan.parts;
+    return demand;
+}
+
+bool Exchange::place()
+{
+    const TimePoint now = bootTime();
+    if (!this->maySend(now)) {
+        this->follow(this->life.onNoTarget(), "no young proof of the configuration");
+        return true;
+    }
+    const Demand demand = this->demand();
+    const auto choice = this->targets().choose(demand, this->tried, now);
+    if (!choice)
+        return false;
+    const Duration waited = now - this->life.arrival();
+    if (this->life.state() == LifeState::Waiting
+        && isTooLate(this->relay.settings.admission, choice->firstEvent, waited, this->plan.route->objective)) {
+        this->predictedFirst = choice->firstEvent;
+        return false;
+    }
+    this->send(*choice, now);
+    return true;
+}
+
+void Exchange::wait(TimePoint now)
+{
+    if (!this->targets().hasUsable(now) && this->targets().usableCount() == 0)
+        return this->follow(this->life.onNoTarget(), "no usable target");
+    const Duration bound = waitBound(this->relay.settings.admission, this->plan.route->objective);
+    this->waitingSince = now;
+    this->waitKey = this->service.queue.add(this->plan.demand.priority, now + bound);
+    this->service.waiting[*this->waitKey] = this->shared_from_this();
+}
+
+void Exchange::giveUpWaiting()
+{
+    this->waitKey.reset();
+    this->relay.metrics.waited(bootTime() - *this->waitingSince);
+    this->follow(this->life.onNoTarget(), "no room at any target");
+}
+
+bool Exchange::maySend(TimePoint now) const
+{
+    return !this->plan.workspace || this->relay.freshness.holds(now);
+}
+
+std::string Exchange::requestHead(const TargetInfo& target, TimePoint now) const
+{
+    const WireHeaders& names = this->relay.settings.headers;
+    http::request_header<> head;
+    head.method_string(this->request.message.method_string());
+    head.target(this->request.message.target());
+    head.version(11);
+    // Fields that the caller's Connection field names concern its connection only.
+    http::token_list connectionTokens(this->request.message[http::field::connection]);
+    for (const auto& field : this->request.message.base()) {
+        std::string name = textOf(field.name_string());
+        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+        if (this->relay.droppedFields.contains(name) || connectionTokens.exists(name))
+            continue;
+        head.insert(field.name_string(), field.value());
+    }
+    head.set(names.callerLimit, std::to_string(std::max<int64_t>(1, toMilliseconds(this->life.left(now)))));
+    head.set(names.expectedTarget, target.id);
+    if (this->plan.workspace)
+        head.set(names.workspace, this->plan.workspace->name);
+    if (const auto lastId = this->scanner.lastId())
+        head.set(names.lastEventId, std::to_string(*lastId));
+    const bool hasBody = !this->request.message.body().empty() || this->request.message.method() == http::verb::post
+        || this->request.message.method() == http::verb::put || this->request.message.method() == http::verb::patch;
+    if (hasBody)
+        head.set(http::field::content_length, std::to_string(this->request.message.body().size()));
+    std::ostringstream text;
+    text << head;
+    return text.str();
+}
+
+void Exchange::send(const TargetPool::Choice& choice, TimePoint now)
+{
+    if (this->waitKey) {
+        this->service.queue.remove(*this->waitKey);
+        this->service.waiting.erase(*this->waitKey);
+        this->waitKey.reset();
+        this->relay.metrics.waited(now - *this->waitingSince);
+    }
+    const TargetInfo& target = this->targets().info(choice.target);
+    this->predictedFirst = choice.firstEvent;
+    this->lastTarget = target.id;
+    this->life.sent();
+    this->targets().started(choice.target, this->plan.demand, now);
+    const Duration reuse = this->plan.route->mayRepeat() ? this->relay.settings.reuseForRepeatable : this->relay.settings.reuseForOthers;
+    this->run.emplace();
+    this->run->target = choice.target;
+    this->run->sentAt = now;
+    this->run->eventsBefore = this->scanner.events();
+    this->run->prefillPending = this->plan.demand.promptTokens;
+    this->run->connection = this->relay.connections.take(target.address, reuse, now);
+    this->run->reusedConnection = this->run->connection->hasServed();
+    const auto self = this->shared_from_this();
+    AnswerEvents events;
+    events.beforeSend = [self] { return !self->finishedFlag && self->maySend(bootTime()) && bootTime() < self->life.due(); };
+    events.head = [self](const http::response_header<>& head) { return self->onHead(head); };
+    events.body = [self](std::string_view bytes) { self->onBody(bytes); };
+    events.complete = [self] { self->onComplete(); };
+    events.failed = [self](ConnectionFault fault, bool anyByteSent) { self->onFailed(fault, anyByteSent); };
+    this->run->connection->start(this->requestHead(target, now), this->request.message.body(),
+        this->request.message.method() != http::verb::head, std::move(events));
+}
+
+std::optional<RunEnd> Exchange::judgeHead(const http::response_header<>& head) const
+{
+    const WireHeaders& names = this->relay.settings.headers;
+    const unsigned status = head.result_int();
+    if (status == misdirected)
+        return RunEnd::Moved;
+    if (head.count(names.notRun) > 0)
+        return RunEnd::Declined;
+    if (head.count(http::field::content_encoding) > 0)
+        return RunEnd::Invalid;
+    if (head[names.requestId] != this->request.message[names.requestId])
+        return RunEnd::Invalid;
+    const bool success = status < 300;
+    if (success && head.count(names.proof) == 0)
+        return RunEnd::Invalid;
+    if (status >= 500 || promisesNotRun(status))
+        return RunEnd::Failed;
+    return std::nullopt;
+}
+
+HeadVerdict Exchange::onHead(const http::response_header<>& head)
+{
+    this->targets().progress(this->run->target, bootTime());
+    const auto id = head[this->relay.settings.headers.requestId];
+    if (!id.empty() && id != this->request.message[this->relay.settings.headers.requestId])
+        return HeadVerdict::Skip;
+    this->run->headSeen = true;
+    this->run->head = head;
+    this->run->verdict = this->judgeHead(head);
+    if (this->run->verdict == RunEnd::Invalid)
+        return HeadVerdict::Reject;
+    if (!this->run->verdict && this->life.state() == LifeState::Answering && head.result_int() >= 300)
+        this->run->verdict = RunEnd::Failed; // nothing but a stream can continue a stream
+    this->streaming = !this->run->verdict && this->plan.route->kind == RouteKind::Streaming && isEventStream(head);
+    return HeadVerdict::Accept;
+}
+
+void Exchange::onBody(std::string_view bytes)
+{
+    this->targets().progress(this->run->target, bootTime());
+    if (!this->streaming) {
+        this->run->body += bytes;
+        return;
+    }
+    const bool whole = this->scanner.feed(bytes, [this](std::string_view events) { this->onEvents(events); });
+    if (!whole) {
+        this->run->connection->close();
+        this->endRun(TargetOutcome::Failed);
+        this->afterRun(RunEnd::Invalid);
+        return;
+    }
+    if (this->caller->unsentBytes() > pauseAboveUnsent) {
+        const ConnectionPointer connection = this->run->connection;
+        connection->pauseReading();
+        this->caller->onDrained([connection] { connection->resumeReading(); });
+    }
+}
+
+void Exchange::onEvents(std::string_view events)
+{
+    const TimePoint now = bootTime();
+    if (!this->run->firstEventAt) {
+        this->run->firstEventAt = now;
+        this->targets().firstEvent(this->run->target, this->run->prefillPending, now - this->run->sentAt, now);
+        this->targets().remember(this->run->target, this->plan.parts, now);
+        this->run->prefillPending = 0;
+        if (!this->firstEventAfter)
+            this->firstEventAfter = now - this->life.arrival();
+        this->relay.pump(this->service);
+    }
+    this->run->lastEventAt = now;
+    this->beginAnswer();
+    this->caller->sendPiece(events);
+}
+
+http::response_header<> Exchange::callerHead(const http::response_header<>& head) const
+{
+    http::response_header<> result = head;
+    for (const auto field : { http::field::connection, http::field::keep_alive, http::field::proxy_connection, http::field::te,
+             http::field::trailer, http::field::transfer_encoding, http::field::upgrade, http::field::content_length })
+        result.erase(field);
+    return result;
+}
+
+void Exchange::beginAnswer()
+{
+    if (this->life.state() == LifeState::Answering)
+        return;
+    this->life.answerBegan();
+    this->caller->beginStream(this->callerHead(this->run->head));
+}
+
+void Exchange::onComplete()
+{
+    Run& finished = *this->run;
+    const TimePoint now = bootTime();
+    if (finished.verdict) {
+        const RunEnd verdict = *finished.verdict;
+        this->failure = this->wholeAnswer();
+        this->endRun(verdict == RunEnd::Failed ? TargetOutcome::Failed : TargetOutcome::Declined);
+        if (verdict == RunEnd::Moved)
+            this->targets().leave(this->lastTarget);
+        return this->afterRun(verdict);
+    }
+    if (this->streaming) {
+        if (this->scanner.isMidEvent()) {
+            this->endRun(TargetOutcome::Failed);
+            return this->afterRun(RunEnd::Broken);
+        }
+        const uint64_t events = this->scanner.events() - finished.eventsBefore;
+        if (events >= fewestGapEvents) {
+            this->targets().eventGap(finished.target, (finished.lastEventAt - *finished.firstEventAt) / (events - 1), now);
+            double& mean = this->relay.eventsOfRoute[this->plan.route->name];
+            mean += eventsLearnWeight * (static_cast<double>(events) - mean);
+        }
+        this->beginAnswer();
+        this->caller->endStream();
+        this->endRun(TargetOutcome::Answered);
+        return this->finish(RequestResult::Answered, "whole");
+    }
+    this->answerWhole();
+}
+
+http::response<http::string_body> Exchange::wholeAnswer()
+{
+    http::response<http::string_body> message;
+    message.base() = this->callerHead(this->run->head);
+    message.body() = std::move(this->run->body);
+    if (this->request.message.method() == http::verb::head && this->run->head.count(http::field::content_length) > 0)
+        message.set(http::field::content_length, this->run->head[http::field::content_length]);
+    return message;
+}
+
+void Exchange::answerWhole()
+{
+    auto message = this->wholeAnswer();
+    const bool success = message.result_int() < 300;
+    this->caller->answer(std::move(message));
+    this->endRun(TargetOutcome::Answered);
+    this->finish(success ? RequestResult::Answered : RequestResult::FailureRelayed, "whole");
+}
+
+void Exchange::onFailed(ConnectionFault fault, bool anyByteSent)
+{
+    const std::optional<RunEnd> verdict = this->run->verdict;
+    const bool staleConnection = this->run->reusedConnection && !this->run->headSeen;
+    if (fault == ConnectionFault::Withdrawn) {
+        this->endRun(TargetOutcome::Cancelled);
+        return this->afterRun(RunEnd::NotSent);
+    }
+    if (!anyByteSent) {
+        // A kept connection that was closed meanwhile says nothing of the target.
+        this->endRun(staleConnection ? TargetOutcome::Cancelled : TargetOutcome::Unreachable);
+        return this->afterRun(RunEnd::NotSent);
+    }
+    if (verdict && *verdict != RunEnd::Failed) {
+        this->endRun(*verdict == RunEnd::Invalid ? TargetOutcome::Failed : TargetOutcome::Declined);
+        return this->afterRun(*verdict);
+    }
+    if (staleConnection)
+        this->relay.connections.drop(this->targets().info(this->run->target).address);
+    if (fault == ConnectionFault::Malformed)
+        this->endRun(TargetOutcome::Failed);
+    else
+        this->endRun(staleConnection ? TargetOutcome::Cancelled : TargetOutcome::Broken);
+    this->afterRun(fault == ConnectionFault::Malformed ? RunEnd::Invalid : RunEnd::Broken);
+}
+
+void Exchange::endRun(TargetOutcome outcome)
+{
+    const TimePoint now = bootTime();
+    const Run finished = std::move(*this->run);
+    this->run.reset();
+    this->targets().ended(finished.target, finished.prefillPending, outcome, now - finished.sentAt, now);
+    if (finished.connection->isReusable())
+        this->relay.connections.give(finished.connection, now);
+    else
+        finished.connection->close();
+    // Requests that wait are served from the loop, not from within the end of another one.
+    net::post(this->relay.loop, [self = this->shared_from_this()] { self->relay.pump(self->service); });
+    this->tried.push_back(finished.target);
+}
+
+void Exchange::afterRun(RunEnd end)
+{
+    this->scanner.restart();
+    this->relay.metrics.runEnded(end);
+    const TimePoint now = bootTime();
+    const NextStep step
+        = this->life.runEnded(end, [&] { return this->relay.secondTries.take(this->plan.service, now); }, now);
+    log(LogLevel::Info, "run failed",
+        { { "request", textOf(this->request.message[this->relay.settings.headers.requestId]) }, { "target", this->lastTarget },
+            { "end", runEndName(end) }, { "sends", this->life.sends() }, { "leftMs", toMilliseconds(this->life.left(now)) },
+            { "next", nextStepName(step) } });
+    this->follow(step, runEndName(end));
+}
+
+void Exchange::follow(NextStep step, std::string_view reason)
+{
+    switch (step) {
+    case NextStep::SendElsewhere:
+        if (!this->place())
+            this->wait(bootTime());
+        return;
+    case NextStep::PassFailureOn:
+        return this->passFailureOn();
+    case NextStep::AnswerNotRun:
+        return this->answerOwn(unavailable, RequestResult::Refused, reason,
+            retryAfter(this->relay.settings.admission, this->targets().occupancy(bootTime()), this->relay.random()));
+    case NextStep::AnswerUnknown:
+        return this->answerOwn(badGateway, RequestResult::Unknown, reason, std::nullopt);
+    case NextStep::CutOff:
+        return this->cutOff(reason);
+    }
+}
+
+void Exchange::passFailureOn()
+{
+    if (!this->failure || promisesNotRun(this->failure->result_int()))
+        return this->answerOwn(badGateway, RequestResult::FailureRelayed, "the target failed", std::nullopt);
+    this->caller->answer(std::move(*this->failure));
+    this->finish(RequestResult::FailureRelayed, "the target failed");
+}
+
+void Exchange::onDue()
+{
+    if (this->finishedFlag)
+        return;
+    const NextStep step = this->life.onDue();
+    if (this->run) {
+        this->run->connection->close();
+        this->endRun(TargetOutcome::Cancelled);
+    }
+    if (step == NextStep::CutOff)
+        return this->cutOff("timeout");
+    if (step == NextStep::AnswerUnknown)
+        return this->answerOwn(gatewayTimeout, RequestResult::Unknown, "timeout", std::nullopt);
+    this->answerOwn(unavailable, RequestResult::Refused, "timeout before any target had room",
+        retryAfter(this->relay.settings.admission, 1, this->relay.random()));
+}
+
+void Exchange::onCallerGone()
+{
+    if (this->finishedFlag)
+        return;
+    if (this->run) {
+        this->run->connection->close();
+        this->endRun(TargetOutcome::Cancelled);
+    }
+    this->finish(RequestResult::CallerGone, "the caller closed its connection");
+}
+
+void Exchange::checkProgress(TimePoint now)
+{
+    if (!this->run || !this->plan.route->mayRepeat())
+        return;
+    if (now - this->run->sentAt < this->relay.settings.placement.stallAfter || !this->targets().isStalled(this->run->target, now))
+        return;
+    this->run->connection->close();
+    this->endRun(TargetOutcome::Silent);
+    this->afterRun(RunEnd::Silent);
+}
+
+void Exchange::answerOwn(unsigned status, RequestResult result, std::string_view reason, std::optional<Duration> retry)
+{
+    OwnAnswer answer;
+    answer.status = status;
+    answer.body = "{\"error\":\"" + std::string(reason) + "\"}";
+    const std::string& idField = this->relay.settings.headers.requestId;
+    answer.fields.set(idField, this->request.message[idField]);
+    if (retry) {
+        std::ostringstream seconds;
+        seconds << toSeconds(*retry);
+        answer.fields.set(http::field::retry_after, seconds.str());
+    }
+    this->caller->answer(makeAnswer(answer));
+    this->finish(result, reason);
+}
+
+void Exchange::cutOff(std::string_view reason)
+{
+    this->caller->cutOff();
+    this->finish(RequestResult::CutOff, reason);
+}
+
+void Exchange::finish(RequestResult result, std::string_view reason)
+{
+    const TimePoint now = bootTime();
+    this->finishedFlag = true;
+    this->timer.cancel();
+    if (this->waitKey) {
+        this->service.queue.remove(*this->waitKey);
+        this->service.waiting.erase(*this->waitKey);
+        this->waitKey.reset();
+    }
+    const bool ran = this->life.mayHaveRun() || this->life.state() == LifeState::Answering || result == RequestResult::Answered
+        || result == RequestResult::FailureRelayed || (result == RequestResult::CallerGone && this->life.sends() > 0)
+        || this->life.state() == LifeState::Sent;
+    if (this->plan.workspace && !ran)
+        this->relay.quota.refund(*this->plan.workspace, this->plan.tokens);
+    this->life.ended();
+    const Duration total = now - this->life.arrival();
+    this->relay.metrics.requestEnded(result, total, this->firstEventAfter);
+    const auto proofAge = this->relay.freshness.age(now);
+    log(LogLevel::Info, "request ended",
+        { { "request", textOf(this->request.message[this->relay.settings.headers.requestId]) }, { "result", requestResultName(result) },
+            { "reason", reason }, { "route", this->plan.route->name },
+            { "workspace", this->plan.workspace ? std::string_view(this->plan.workspace->name) : std::string_view() },
+            { "priority", this->plan.demand.priority }, { "tokens", this->plan.tokens }, { "target", this->lastTarget },
+            { "sends", this->life.sends() }, { "ms", toMilliseconds(total) },
+            { "firstEventMs", this->firstEventAfter ? toMilliseconds(*this->firstEventAfter) : -1 },
+            { "predictedFirstMs", this->predictedFirst ? toMilliseconds(*this->predictedFirst) : -1 },
+            { "waitedMs", this->waitingSince ? toMilliseconds(now - *this->waitingSince) : 0 },
+            { "occupancy", this->targets().occupancy(now) }, { "catalogVersion", this->plan.catalog->version },
+            { "proofAgeMs", proofAge ? toMilliseconds(*proofAge) : -1 } });
+    this->relay.finished(this->shared_from_this());
+}
+
+} // namespace guavapond::edge
--- /dev/null
+++ b/src/edge/Exchange.h
@@ -0,0 +1,97 @@
+// One request on its way: binds the caller's connection, the connection to a target and the RequestLife that decides. It holds no
+// decision of its own.
+//
+// Index
+//   Exchange    begin, place, tick
+#pragma once
+
+#include "edge/EventScanner.h"
+#include "edge/Relay.h"
+
+namespace guavapond::edge {
+
+struct ExchangePlan {
+    CatalogPointer catalog; // keeps route and workspace alive
+    const Route* route = nullptr;
+    const Workspace* workspace = nullptr; // null: the route needs no key
+    std::string service;
+    uint64_t tokens = 0; // counted against the workspace's rate
+    std::optional<Duration> callerLimit;
+    std::vector<PromptPart> parts;
+    Demand demand;
+};
+
+class Exchange : public std::enable_shared_from_this<Exchange> {
+public:
+    Exchange(Relay& relay, CallerPointer caller, CallerRequest request, ExchangePlan plan);
+
+    void begin();
+    bool place(); // true: sent or ended; false: has to wait
+    void giveUpWaiting();
+    void checkProgress(TimePoint now); // ends a run at a target that went silent, where the request may go elsewhere
+
+private:
+    // One send to a target.
+    struct Run {
+        TargetPool::Index target = 0;
+        ConnectionPointer connection;
+        TimePoint sentAt {};
+        std::optional<TimePoint> firstEventAt;
+        TimePoint lastEventAt {};
+        uint64_t eventsBefore = 0;
+        uint32_t prefillPending = 0;
+        std::optional<RunEnd> verdict; // already certain, while the rest of the answer is read
+        bool headSeen = false;
+        bool reusedConnection = false;
+        http::response_header<> head;
+        std::string body;
+    };
+
+    TargetPool& targets() { return this->service.targets; }
+    Demand demand() const;
+    void wait(TimePoint now);
+    void send(const TargetPool::Choice& choice, TimePoint now);
+    std::string requestHead(const TargetInfo& target, TimePoint now) const;
+    bool maySend(TimePoint now) const;
+    HeadVerdict onHead(const http::response_header<>& head);
+    std::optional<RunEnd> judgeHead(const http::response_header<>& head) const;
+    void onBody(std::string_view bytes);
+    void onEvents(std::string_view events);
+    void onComplete();
+    void onFailed(ConnectionFault fault, bool anyByteSent);
+    void endRun(TargetOutcome outcome);
+    void afterRun(RunEnd end);
+    void follow(NextStep step, std::string_view reason);
+    void passFailureOn();
+    http::response<http::string_body> wholeAnswer();
+    void onDue();
+    void onCallerGone();
+    void beginAnswer();
+    http::response_header<> callerHead(const http::response_header<>& head) const;
+    void answerWhole();
+    void answerOwn(unsigned status, RequestResult result, std::string_view reason, std::optional<Duration> retryAfter);
+    void cutOff(std::string_view reason);
+    void finish(RequestResult result, std::string_view reason);
+
+    Relay& relay;
+    CallerPointer caller;
+    CallerRequest request;
+    ExchangePlan plan;
+    ServiceQueue& service;
+    RequestLife life;
+    net::steady_timer timer;
+    EventScanner scanner;
+    std::optional<Run> run;
+    std::vector<TargetPool::Index> tried;
+    std::optional<WaitKey> waitKey;
+    std::optional<TimePoint> waitingSince;
+    std::optional<Duration> predictedFirst;
+    std::optional<Duration> firstEventAfter;
+    std::string lastTarget;
+    bool streaming = false;     // the answer is relayed as it comes
+    bool quotaTaken = false;
+    bool finishedFlag = false;
+    std::optional<http::response<http::string_body>> failure; // of the last target that answered with one
+};
+
+} // namespace guavapond::edge
--- /dev/null
+++ b/src/edge/HttpClient.cpp
@@ -0,0 +1,336 @@
+// Connection states, and parsing by Boost.Beast.
+#include "edge/HttpClient.h"
+
+#include <array>
+#include <charconv>
+#include <ctime>
+#include <netinet/tcp.h>
+
+namespace guavapond::edge {
+
+namespace {
+
+constexpr size_t readBytes = 16 * 1024;
+constexpr uint32_t answerHeadBytes = 64 * 1024;
+constexpr Duration idleMargin = std::chrono::seconds(1); // a connection is given up this long before the other side closes it
+constexpr int keepAliveProbes = 2;
+constexpr int informationalStatus = 200; // below it an answer is not the last one
+
+std::optional<Duration> keepAliveTimeout(std::string_view field)
+{
+    constexpr std::string_view name = "timeout=";
+    const size_t at = field.find(name);
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    int64_t seconds = 0;
+    const std::string_view number = field.substr(at + name.size());
+    if (std::from_chars(number.data(), number.data() + number.size(), seconds).ec != std::errc())
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
+template <int Level, int Name> using IntegerOption = net::detail::socket_option::integer<Level, Name>;
+
+} // namespace
+
+TimePoint bootTime()
+{
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(time.tv_nsec)));
+}
+
+std::string_view connectionFaultName(ConnectionFault fault)
+{
+    static constexpr std::array<std::string_view, 4> names { "unreachable", "closed", "malformed", "withdrawn" };
+    return names.at(static_cast<size_t>(fault));
+}
+
+void tuneSocket(tcp::socket& socket, const ConnectionSettings& settings)
+{
+    // A socket that refuses an option still works; the read or write that follows reports a lost connection.
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.set_option(net::socket_base::keep_alive(true), ignored);
+    const auto probe = static_cast<int>(std::max<int64_t>(1, std::chrono::duration_cast<std::chrono::seconds>(settings.keepAliveProbe).count()));
+    socket.set_option(IntegerOption<IPPROTO_TCP, TCP_KEEPIDLE>(probe), ignored);
+    socket.set_option(IntegerOption<IPPROTO_TCP, TCP_KEEPINTVL>(probe), ignored);
+    socket.set_option(IntegerOption<IPPROTO_TCP, TCP_KEEPCNT>(keepAliveProbes), ignored);
+    socket.set_option(IntegerOption<IPPROTO_TCP, TCP_USER_TIMEOUT>(static_cast<int>(toMilliseconds(settings.unacknowledged))), ignored);
+}
+
+ClientConnection::ClientConnection(net::io_context& loop, const Address& address, const ConnectionSettings& settings)
+    : loop(loop)
+    , socket(loop)
+    , timer(loop)
+    , remote(address)
+    , settings(settings)
+{
+}
+
+void ClientConnection::resetParser()
+{
+    this->parser.emplace();
+    this->parser->header_limit(answerHeadBytes);
+    this->parser->body_limit(boost::none);
+    this->parser->eager(true);
+    this->parser->skip(!this->expectsBody);
+    this->headSeen = false;
+    this->skipping = false;
+}
+
+void ClientConnection::start(std::string requestHead, std::string requestBody, bool withBody, AnswerEvents answerEvents)
+{
+    this->head = std::move(requestHead);
+    this->body = std::move(requestBody);
+    this->expectsBody = withBody;
+    this->events = std::make_shared<const AnswerEvents>(std::move(answerEvents));
+    this->busy = true;
+    this->anyByteSent = false;
+    this->resetParser();
+    if (this->connected)
+        this->send();
+    else
+        this->connect();
+}
+
+void ClientConnection::connect()
+{
+    const auto self = this->shared_from_this();
+    this->timer.expires_after(this->settings.connectTimeout);
+    this->timer.async_wait([self](boost::system::error_code error) {
+        if (!error && self->open && !self->connected)
+            self->fail(ConnectionFault::Unreachable);
+    });
+    boost::system::error_code badAddress;
+    const auto ip = net::ip::make_address(this->remote.ip, badAddress);
+    if (badAddress) {
+        net::post(this->loop, [self] { self->fail(ConnectionFault::Unreachable); });
+        return;
+    }
+    this->socket.async_connect({ ip, this->remote.port }, [self](boost::system::error_code error) {
+        if (!self->open)
+            return;
+        self->timer.cancel();
+        if (error)
+            return self->fail(ConnectionFault::Unreachable);
+        self->connected = true;
+        tuneSocket(self->socket, self->settings);
+        self->read();
+        self->send();
+    });
+}
+
+void ClientConnection::send()
+{
+    const auto hooks = this->events;
+    if (hooks->beforeSend && !hooks->beforeSend())
+        return this->fail(ConnectionFault::Withdrawn);
+    const auto self = this->shared_from_this();
+    this->anyByteSent = true;
+    const std::array<net::const_buffer, 2> buffers { net::buffer(this->head), net::buffer(this->body) };
+    net::async_write(this->socket, buffers, [self](boost::system::error_code error, size_t sent) {
+        if (!error || !self->open)
+            return;
+        if (sent == 0)
+            self->anyByteSent = false;
+        self->fail(ConnectionFault::Closed);
+    });
+}
+
+void ClientConnection::read()
+{
+    if (this->reading || this->paused || !this->open)
+        return;
+    this->reading = true;
+    const auto self = this->shared_from_this();
+    this->socket.async_read_some(this->input.prepare(readBytes), [self](boost::system::error_code error, size_t count) {
+        self->reading = false;
+        if (!self->open)
+            return;
+        self->input.commit(count);
+        if (!error) {
+            self->onBytes();
+            self->read();
+            return;
+        }
+        // The end of the connection ends an answer that has no length of its own; a reset never does.
+        if (error == net::error::eof && self->busy && self->headSeen) {
+            boost::system::error_code end;
+            self->parser->put_eof(end);
+            if (!end && self->parser->is_done()) {
+                self->reusable = false;
+                return self->finishAnswer();
+            }
+        }
+        self->fail(ConnectionFault::Closed);
+    });
+}
+
+void ClientConnection::onBytes()
+{
+    const auto self = this->shared_from_this();
+    while (this->open && this->input.size() > 0) {
+        if (!this->busy)
+            return this->fail(ConnectionFault::Malformed);
+        if (!this->parse())
+            return;
+    }
+}
+
+bool ClientConnection::parse()
+{
+    const auto hooks = this->events;
+    boost::system::error_code error;
+    const size_t used = this->parser->put(this->input.data(), error);
+    this->input.consume(used);
+    if (error && error != http::error::need_more) {
+        this->fail(ConnectionFault::Malformed);
+        return false;
+    }
+    if (!this->headSeen && this->parser->is_header_done()) {
+        if (this->parser->get().result_int() < informationalStatus) {
+            this->resetParser();
+            return true;
+        }
+        this->headSeen = true;
+        const HeadVerdict verdict = hooks->head(this->parser->get().base());
+        if (!this->open)
+            return false;
+        if (verdict == HeadVerdict::Reject) {
+            this->fail(ConnectionFault::Malformed);
+            return false;
+        }
+        this->skipping = verdict == HeadVerdict::Skip;
+        if (!this->parser->get().keep_alive() || this->skipping)
+            this->reusable = false;
+        if (const auto limit = keepAliveTimeout(std::string(this->parser->get()[http::field::keep_alive])))
+            this->serverIdleLimit = std::max(*limit - idleMargin, Duration::zero());
+    }
+    std::string& piece = this->parser->get().body();
+    if (!piece.empty()) {
+        if (!this->skipping)
+            hooks->body(piece);
+        if (!this->open || !this->busy)
+            return false;
+        piece.clear();
+    }
+    if (!this->parser->is_done())
+        return used > 0 && error != http::error::need_more;
+    if (this->skipping) {
+        this->resetParser();
+        return true;
+    }
+    if (this->input.size() > 0)
+        this->reusable = false; // bytes after the answer belong to no request
+    this->finishAnswer();
+    return this->open && this->busy;
+}
+
+void ClientConnection::finishAnswer()
+{
+    this->busy = false;
+    this->served = true;
+    const bool keep = this->reusable;
+    const auto self = this->shared_from_this();
+    const auto hooks = std::move(this->events);
+    if (!keep)
+        this->close();
+    hooks->complete();
+}
+
+void ClientConnection::fail(ConnectionFault fault)
+{
+    if (!this->open)
+        return;
+    const auto self = this->shared_from_this();
+    const auto hooks = this->events;
+    const bool wasBusy = this->busy;
+    const bool sent = this->anyByteSent;
+    this->close();
+    if (wasBusy)
+        hooks->failed(fault, sent);
+}
+
+void ClientConnection::close()
+{
+    if (!this->open)
+        return;
+    this->open = false;
+    this->busy = false;
+    this->events.reset();
+    this->timer.cancel();
+    boost::system::error_code ignored; // the socket is gone either way
+    this->socket.close(ignored);
+}
+
+void ClientConnection::pauseReading() { this->paused = true; }
+
+void ClientConnection::resumeReading()
+{
+    if (!this->paused)
+        return;
+    this->paused = false;
+    this->read();
+}
+
+ConnectionPool::ConnectionPool(net::io_context& loop, const ConnectionSettings& settings)
+    : loop(loop)
+    , settings(settings)
+{
+}
+
+ConnectionPointer ConnectionPool::take(const Address& address, Duration maxIdle, TimePoint now)
+{
+    auto& connections = this->idle[{ address.ip, address.port }];
+    while (!connections.empty()) {
+        const Idle candidate = connections.back();
+        connections.pop_back();
+        if (!candidate.connection->isReusable())
+            continue;
+        if (now - candidate.since <= std::min(maxIdle, candidate.connection->idleLimit()))
+            return candidate.connection;
+        candidate.connection->close();
+    }
+    ++this->openedCount;
+    return std::make_shared<ClientConnection>(this->loop, address, this->settings);
+}
+
+void ConnectionPool::give(const ConnectionPointer& connection, TimePoint now)
+{
+    if (connection->isReusable())
+        this->idle[{ connection->address().ip, connection->address().port }].push_back({ connection, now });
+}
+
+void ConnectionPool::drop(const Address& address)
+{
+    const auto found = this->idle.find({ address.ip, address.port });
+    if (found == this->idle.end())
+        return;
+    for (const Idle& item : found->second)
+        item.connection->close();
+    this->idle.erase(found);
+}
+
+void ConnectionPool::expire(TimePoint now)
+{
+    for (auto& [address, connections] : this->idle) {
+        std::erase_if(connections, [&](const Idle& item) {
+            const bool old = !item.connection->isReusable() || now - item.since > item.connection->idleLimit();
+            if (old)
+                item.connection->close();
+            return old;
+        });
+    }
+    std::erase_if(this->idle, [](const auto& item) { return item.second.empty(); });
+}
+
+size_t ConnectionPool::idleCount() const
+{
+    size_t count = 0;
+    for (const auto& item : this->idle)
+        count += item.second.size();
+    return count;
+}
+
+} // namespace guavapond::edge
--- /dev/null
+++ b/src/edge/PeerLink.cpp
@@ -0,0 +1,190 @@
+// Beacons as protobuf datagrams, store items as JSON.
+#include "edge/PeerLink.h"
+
+#include "adapters/Logging.h"
+
+#include <beacon.pb.h>
+#include <nlohmann/json.hpp>
+
+namespace guavapond::edge {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr size_t datagramBytes = 64 * 1024;
+constexpr std::string_view itemsPath = "/store-items";
+
+int64_t microseconds(TimePoint time) { return time.time_since_epoch().count(); }
+TimePoint fromMicroseconds(int64_t value) { return TimePoint(Duration(value)); }
+
+} // namespace
+
+PeerLink::PeerLink(net::io_context& loop, const PeerLinkSettings& settings, Relay& relay, Hooks hooks, uint64_t incarnation)
+    : loop(loop)
+    , settings(settings)
+    , relay(relay)
+    , hooks(std::move(hooks))
+    , incarnation(incarnation)
+    , peers(settings.node, settings.peers)
+    , socket(loop)
+    , buffer(datagramBytes)
+    , itemsListener(
+          loop, { settings.address, 64, std::chrono::seconds(5) },
+          [this](const CallerPointer& caller, const CallerRequest&) {
+              json items = json::array();
+              for (const StoreItem& item : this->hooks.items())
+                  items.push_back({ { "key", item.key }, { "value", item.value }, { "revision", item.revision } });
+              caller->answer(makeAnswer({ 200, items.dump(-1, ' ', false, json::error_handler_t::replace), "application/json", {} }));
+          },
+          [] { return CallerLimits {}; })
+    , connections(loop, {})
+{
+}
+
+void PeerLink::start()
+{
+    const net::ip::udp::endpoint endpoint(net::ip::make_address(this->settings.address.ip), this->settings.address.port);
+    this->socket.open(endpoint.protocol());
+    this->socket.bind(endpoint);
+    this->socket.non_blocking(true);
+    this->itemsListener.listen();
+    this->receive();
+}
+
+void PeerLink::setMembers(std::span<const Member> members) { this->peers.setMembers(members, bootTime()); }
+
+void PeerLink::receive()
+{
+    this->socket.async_receive_from(
+        net::buffer(this->buffer), this->sender, [this](boost::system::error_code error, size_t bytes) {
+            if (error == net::error::operation_aborted)
+                return;
+            // An error report of an earlier send to a node that is gone; the next datagram is unaffected.
+            if (!error)
+                this->onDatagram(bytes);
+            this->receive();
+        });
+}
+
+void PeerLink::onDatagram(size_t bytes)
+{
+    wire::Beacon message;
+    if (!message.ParseFromArray(this->buffer.data(), static_cast<int>(bytes)))
+        return log(LogLevel::Warn, "beacon can't be read", { { "from", this->sender.address().to_string() }, { "bytes", bytes } });
+    const TimePoint now = bootTime();
+    Beacon beacon;
+    beacon.node = message.node();
+    beacon.incarnation = message.incarnation();
+    beacon.sequence = message.sequence();
+    beacon.sentAt = fromMicroseconds(message.sent_at_us());
+    beacon.echo = fromMicroseconds(message.echo_sent_at_us());
+    if (message.proof_age_us() >= 0)
+        beacon.proofAge = Duration(message.proof_age_us());
+    beacon.catalogRevision = message.catalog_revision();
+    beacon.port = static_cast<uint16_t>(message.tcp_port());
+    beacon.stopping = message.stopping();
+    for (const auto& use : message.uses())
+        beacon.uses.push_back({ use.workspace(), use.tokens() });
+    const PeerTable::News news = this->peers.heard(beacon, this->sender.address().to_string(), now);
+    if (!news.accepted)
+        return;
+    if (news.isNew)
+        log(LogLevel::Info, "peer regained", { { "peer", beacon.node }, { "nodes", this->peers.nodeCount() } });
+    for (const auto& [workspace, tokens] : news.uses)
+        this->relay.quota.peerUsed(workspace, tokens);
+    std::vector<TargetLoadReport> loads;
+    for (const auto& load : message.loads())
+        loads.push_back({ load.target(), load.running(), load.prefill_tokens() });
+    this->relay.peerLoads(nameHash(beacon.node), loads);
+    // The peer's proof counts only for the configuration that it holds.
+    if (beacon.proofAge && beacon.echo != TimePoint {} && beacon.catalogRevision == this->hooks.catalogRevision() && beacon.catalogRevision > 0)
+        this->relay.freshness.provedByPeer(beacon.echo, *beacon.proofAge);
+    if (beacon.catalogRevision > this->hooks.catalogRevision() && now - this->itemsAskedAt > this->settings.itemsInterval) {
+        this->itemsAskedAt = now;
+        this->fetchItems({ beacon.node, this->sender.address().to_string(), beacon.port });
+    }
+}
+
+void PeerLink::fetchItems(const Member& member)
+{
+    const auto connection = this->connections.take({ member.ip, member.port }, std::chrono::seconds(1), bootTime());
+    const auto body = std::make_shared<std::string>();
+    AnswerEvents events;
+    events.head = [](const http::response_header<>& head) { return head.result_int() == 200 ? HeadVerdict::Accept : HeadVerdict::Reject; };
+    events.body = [body](std::string_view bytes) { *body += bytes; };
+    events.complete = [this, body, connection, member] {
+        this->connections.give(connection, bootTime());
+        const json items = json::parse(*body, nullptr, false);
+        std::vector<StoreItem> result;
+        for (const json& item : items) {
+            if (item.is_object() && item.contains("key") && item.contains("value") && item.contains("revision"))
+                result.push_back({ item["key"].get<std::string>(), item["value"].get<std::string>(), item["revision"].get<uint64_t>() });
+        }
+        log(LogLevel::Info, "store items from peer", { { "peer", member.node }, { "items", result.size() } });
+        this->hooks.received(result);
+    };
+    events.failed = [member](ConnectionFault fault, bool) {
+        log(LogLevel::Warn, "store items not received", { { "peer", member.node }, { "fault", connectionFaultName(fault) } });
+    };
+    connection->start("GET " + std::string(itemsPath) + " HTTP/1.1\r\nHost: " + member.ip + "\r\n\r\n", "", true, std::move(events));
+}
+
+Duration PeerLink::interval() const
+{
+    const double crowd = static_cast<double>(this->peers.nodeCount()) / static_cast<double>(this->settings.nodesAtBusyInterval);
+    return std::chrono::duration_cast<Duration>(this->settings.busyInterval * std::max(1.0, crowd));
+}
+
+void PeerLink::tick()
+{
+    const TimePoint now = bootTime();
+    for (const std::string& node : this->peers.takeSilent(now)) {
+        log(LogLevel::Warn, "peer lost", { { "peer", node }, { "heard", this->peers.heardCount(now) } });
+        this->relay.peerLoads(nameHash(node), {});
+    }
+    this->relay.quota.setReachable(this->peers.reachableShare(now));
+    this->relay.secondTries.setNodes(this->peers.nodeCount());
+    if (now - this->sentAt >= this->interval())
+        this->sendBeacons(now);
+}
+
+void PeerLink::sendBeacons(TimePoint now)
+{
+    wire::Beacon message;
+    for (const TargetLoadReport& load : this->relay.ownLoads()) {
+        auto* entry = message.add_loads();
+        entry->set_target(load.targetHash);
+        entry->set_running(load.running);
+        entry->set_prefill_tokens(load.prefillTokens);
+    }
+    for (const WorkspaceQuota::Use& use : this->relay.quota.uses()) {
+        auto* entry = message.add_uses();
+        entry->set_workspace(use.workspaceHash);
+        entry->set_tokens(use.tokens);
+    }
+    std::string loads = message.SerializeAsString();
+    if (loads == this->lastLoads && now - this->sentAt < this->settings.idleInterval)
+        return;
+    this->lastLoads = std::move(loads);
+    this->sentAt = now;
+    message.set_node(this->settings.node);
+    message.set_incarnation(this->incarnation);
+    message.set_sequence(++this->sequence);
+    message.set_sent_at_us(microseconds(now));
+    const auto proofAge = this->relay.freshness.age(now);
+    message.set_proof_age_us(proofAge ? proofAge->count() : -1);
+    message.set_catalog_revision(this->hooks.catalogRevision());
+    message.set_tcp_port(this->settings.address.port);
+    message.set_stopping(this->stopping);
+    for (const Member& member : this->peers.members()) {
+        message.set_echo_sent_at_us(microseconds(this->peers.echoFor(member.node)));
+        const std::string datagram = message.SerializeAsString();
+        boost::system::error_code error;
+        const auto ip = net::ip::make_address(member.ip, error);
+        if (!error) // a send that the kernel refuses is a lost datagram, and beacons may be lost
+            this->socket.send_to(net::buffer(datagram), { ip, member.port }, 0, error);
+    }
+}
+
+} // namespace guavapond::edge
--- /dev/null
+++ b/src/edge/PeerLink.h
@@ -0,0 +1,71 @@
+// Exchange between edge nodes: beacons by UDP several times a second, and the newest store items by HTTP when a peer holds newer
+// ones. Beacons are lost, late and repeated; each stands for itself.
+//
+// Index
+//   StoreItem         an item of the store, passed on as bytes
+//   PeerLinkSettings
+//   PeerLink
+#pragma once
+
+#include "edge/PeerTable.h"
+#include "edge/Relay.h"
+
+namespace guavapond::edge {
+
+struct StoreItem {
+    std::string key;
+    std::string value;
+    uint64_t revision = 0;
+};
+
+struct PeerLinkSettings {
+    std::string node;
+    Address address;                                            // of beacons and store items
+    Duration busyInterval = std::chrono::milliseconds(20);      // between beacons while loads change
+    Duration idleInterval = std::chrono::milliseconds(150);     // between beacons otherwise
+    size_t nodesAtBusyInterval = 6;                             // with more nodes the interval grows in proportion
+    Duration itemsInterval = std::chrono::milliseconds(300);    // between two requests for a peer's store items
+    PeerSettings peers;
+};
+
+class PeerLink {
+public:
+    struct Hooks {
+        std::function<std::vector<StoreItem>()> items;             // what this node would pass on
+        std::function<void(std::span<const StoreItem>)> received;  // a peer's items
+        std::function<uint64_t()> catalogRevision;
+    };
+    PeerLink(net::io_context& loop, const PeerLinkSettings& settings, Relay& relay, Hooks hooks, uint64_t incarnation);
+
+    void start(); // throws boost::system::system_error if the address can't be used
+    void setMembers(std::span<const Member> members);
+    void tick();      // sends a beacon when one is due, and notices silent peers
+    void announceStop() { this->stopping = true; }
+    const PeerTable& table() const { return this->peers; }
+
+private:
+    void receive();
+    void onDatagram(size_t bytes);
+    void sendBeacons(TimePoint now);
+    void fetchItems(const Member& member);
+    Duration interval() const;
+
+    net::io_context& loop;
+    PeerLinkSettings settings;
+    Relay& relay;
+    Hooks hooks;
+    uint64_t incarnation;
+    PeerTable peers;
+    net::ip::udp::socket socket;
+    net::ip::udp::endpoint sender;
+    std::vector<char> buffer;
+    HttpListener itemsListener;
+    ConnectionPool connections;
+    uint64_t sequence = 0;
+    TimePoint sentAt {};
+    TimePoint itemsAskedAt {};
+    std::string lastLoads; // serialized, to see a change
+    bool stopping = false;
+};
+
+} // namespace guavapond::edge
--- /dev/null
+++ b/src/edge/PeerTable.cpp
@@ -0,0 +1,97 @@
+// Bookkeeping of peers.
+#include "edge/PeerTable.h"
+
+#include <algorithm>
+
+namespace guavapond::edge {
+
+PeerTable::PeerTable(std::string self, const PeerSettings& settings)
+    : self(std::move(self))
+    , settings(settings)
+{
+}
+
+void PeerTable::setMembers(std::span<const Member> members, TimePoint now)
+{
+    for (const Member& member : members) {
+        if (member.node == this->self)
+            continue;
+        Peer& peer = this->peers[member.node];
+        peer.member = member;
+        peer.listedAt = now;
+    }
+    std::erase_if(this->peers, [&](const auto& item) {
+        const TimePoint lastSign = std::max(item.second.heardAt, item.second.listedAt);
+        return now - lastSign > this->settings.forgetAfter;
+    });
+}
+
+PeerTable::News PeerTable::heard(const Beacon& beacon, const std::string& ip, TimePoint now)
+{
+    News news;
+    if (beacon.node == this->self || beacon.node.empty())
+        return news;
+    Peer& peer = this->peers[beacon.node];
+    const bool restarted = peer.incarnation != beacon.incarnation;
+    if (!restarted && beacon.sequence <= peer.sequence)
+        return news;
+    news.accepted = true;
+    news.isNew = peer.silent;
+    peer.silent = false;
+    // The first report of a process is a baseline: it may have been dispatched long before.
+    const bool baseline = peer.incarnation == 0;
+    for (const WorkspaceQuota::Use& use : beacon.uses) {
+        uint64_t& last = peer.uses[use.workspaceHash];
+        if (restarted)
+            last = 0;
+        if (!baseline)
+            news.uses.emplace_back(use.workspaceHash, static_cast<int64_t>(use.tokens) - static_cast<int64_t>(last));
+        last = use.tokens;
+    }
+    peer.incarnation = beacon.incarnation;
+    peer.sequence = beacon.sequence;
+    peer.heardAt = now;
+    peer.lastSentAt = beacon.sentAt;
+    peer.member = { beacon.node, ip, beacon.port };
+    return news;
+}
+
+std::vector<std::string> PeerTable::takeSilent(TimePoint now)
+{
+    std::vector<std::string> result;
+    for (auto& [node, peer] : this->peers) {
+        if (peer.silent || now - peer.heardAt <= this->settings.silentAfter)
+            continue;
+        peer.silent = true;
+        result.push_back(node);
+    }
+    return result;
+}
+
+std::vector<Member> PeerTable::members() const
+{
+    std::vector<Member> result;
+    for (const auto& [node, peer] : this->peers)
+        result.push_back(peer.member);
+    return result;
+}
+
+TimePoint PeerTable::echoFor(const std::string& node) const
+{
+    const auto found = this->peers.find(node);
+    return found == this->peers.end() ? TimePoint {} : found->second.lastSentAt;
+}
+
+size_t PeerTable::heardCount(TimePoint now) const
+{
+    return static_cast<size_t>(std::count_if(this->peers.begin(), this->peers.end(), [&](const auto& item) {
+        return !item.second.silent && now - item.second.heardAt <= this->settings.silentAfter;
+    }));
+}
+
+double PeerTable::reachableShare(TimePoint now) const
+{
+    return (1.0 + static_cast<double>(this->heardCount(now))) / static_cast<double>(this->nodeCount());
+}
+
+} // namespace guavapond::edge
--- /dev/null
+++ b/src/edge/PeerTable.h
@@ -0,0 +1,78 @@
+// What this node knows of the other edge nodes: which there are, which are heard, and how fresh their reports are. Members come from
+// the store and from beacons; a node that fell silent stays a member for a while, since it may go on serving behind a cut.
+//
+// Index
+//   Member      address of a node
+//   PeerTable   setMembers, heard, reachableShare
+#pragma once
+
+#include "edge/WorkspaceQuota.h"
+
+#include <map>
+#include <string>
+
+namespace guavapond::edge {
+
+struct Member {
+    std::string node;
+    std::string ip;
+    uint16_t port = 0; // of beacons (UDP) and of store items (TCP)
+    bool operator==(const Member&) const = default;
+};
+
+// A beacon in the node's own types.
+struct Beacon {
+    std::string node;
+    uint64_t incarnation = 0;
+    uint64_t sequence = 0;
+    TimePoint sentAt {};                // by the sender's clock
+    TimePoint echo {};                  // by the receiver's clock; the epoch: none
+    std::optional<Duration> proofAge;   // of the sender's configuration
+    uint64_t catalogRevision = 0;
+    uint16_t port = 0;
+    bool stopping = false;
+    std::vector<WorkspaceQuota::Use> uses;
+};
+
+struct PeerSettings {
+    Duration silentAfter = std::chrono::milliseconds(700); // without a beacon
+    Duration forgetAfter = std::chrono::seconds(12);       // a silent node that left the store is no member any longer
+};
+
+class PeerTable {
+public:
+    PeerTable(std::string self, const PeerSettings& settings);
+
+    void setMembers(std::span<const Member> members, TimePoint now); // as the store lists them
+    struct News {
+        bool accepted = false;                     // newer than the last beacon of that node
+        bool isNew = false;                        // first beacon, or first after a silence
+        std::vector<std::pair<uint64_t, int64_t>> uses; // workspace hash, tokens since the last beacon
+    };
+    News heard(const Beacon& beacon, const std::string& ip, TimePoint now);
+    std::vector<std::string> takeSilent(TimePoint now); // nodes that fell silent since the last call
+
+    std::vector<Member> members() const; // without this node
+    TimePoint echoFor(const std::string& node) const; // sentAt of its last beacon; the epoch: none
+    double reachableShare(TimePoint now) const;       // this node and those that are heard, over all members
+    size_t nodeCount() const { return this->peers.size() + 1; }
+    size_t heardCount(TimePoint now) const;
+
+private:
+    struct Peer {
+        Member member;
+        uint64_t incarnation = 0;
+        uint64_t sequence = 0;
+        TimePoint heardAt {};
+        TimePoint lastSentAt {}; // by its clock
+        TimePoint listedAt {};   // last time in the store's list
+        bool silent = true;
+        std::map<uint64_t, uint64_t> uses;
+    };
+
+    std::string self;
+    PeerSettings settings;
+    std::map<std::string, Peer> peers; // by node name; never this node
+};
+
+} // namespace guavapond::edge
--- /dev/null
+++ b/src/edge/Relay.cpp
@@ -0,0 +1,331 @@
+// Admission of requests and the state that they share.
+#include "edge/Relay.h"
+
+#include "adapters/Logging.h"
+#include "edge/Exchange.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace guavapond::edge {
+
+namespace {
+
+constexpr size_t mostPumped = 64;                                     // waiting requests looked at in one round
+constexpr Duration housekeeping = std::chrono::milliseconds(100);     // between checks for silent targets and old connections
+constexpr double eventsBeforeLearning = 30;                           // of an answer
+constexpr uint64_t chainSeed = 0x9e3779b97f4a7c15ULL;
+
+std::string lower(std::string_view text)
+{
+    std::string result(text);
+    std::transform(result.begin(), result.end(), result.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return result;
+}
+
+std::string_view view(boost::beast::string_view text) { return { text.data(), text.size() }; }
+
+template <typename Number> std::optional<Number> parseNumber(std::string_view text)
+{
+    Number value {};
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+struct TokenCount {
+    uint64_t prompt = 0;
+    uint64_t mostOutput = 0;
+};
+
+std::optional<TokenCount> parseTokenCount(std::string_view field)
+{
+    const size_t comma = field.find(',');
+    if (comma == std::string_view::npos)
+        return std::nullopt;
+    std::string_view second = field.substr(comma + 1);
+    while (second.starts_with(' '))
+        second.remove_prefix(1);
+    const auto prompt = parseNumber<uint32_t>(field.substr(0, comma));
+    const auto output = parseNumber<uint32_t>(second);
+    if (!prompt || !output)
+        return std::nullopt;
+    return TokenCount { *prompt, *output };
+}
+
+// Entries that can't be read end the list: a shorter prefix only makes a wrong guess about a cache.
+std::vector<PromptPart> parsePromptParts(std::string_view field, std::string_view model)
+{
+    std::vector<PromptPart> parts;
+    uint64_t chain = chainSeed ^ nameHash(model);
+    while (!field.empty()) {
+        const size_t comma = std::min(field.find(','), field.size());
+        std::string_view entry = field.substr(0, comma);
+        field.remove_prefix(std::min(comma + 1, field.size()));
+        while (entry.starts_with(' '))
+            entry.remove_prefix(1);
+        const size_t colon = entry.find(':');
+        if (colon == std::string_view::npos)
+            break;
+        const auto tokens = parseNumber<uint32_t>(entry.substr(colon + 1));
+        if (!tokens)
+            break;
+        chain = nameHash(std::to_string(chain) + std::string(entry.substr(0, colon)));
+        parts.push_back({ chain, *tokens });
+    }
+    return parts;
+}
+
+std::string hostWithoutPort(std::string_view host)
+{
+    return lower(host.substr(0, host.find(':')));
+}
+
+} // namespace
+
+Relay::Relay(net::io_context& loop, const RelaySettings& initial, EdgeMetrics& metrics, std::function<double()> random)
+    : freshness(initial.keyProofBound)
+    , secondTries(initial.secondTries, bootTime())
+    , loop(loop)
+    , metrics(metrics)
+    , random(std::move(random))
+    , connections(loop, initial.connections)
+{
+    this->configure(initial);
+}
+
+Relay::~Relay() = default;
+
+void Relay::configure(const RelaySettings& value)
+{
+    this->settings = value;
+    this->freshness.setBound(value.keyProofBound);
+    this->secondTries.configure(value.secondTries);
+    this->droppedFields = { "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "expect",
+        "content-length" };
+    const WireHeaders& names = this->settings.headers;
+    for (const std::string& name : { names.callerLimit, names.key, names.workspace, names.expectedTarget })
+        this->droppedFields.insert(lower(name));
+    for (const std::string& name : names.reserved)
+        this->droppedFields.insert(lower(name));
+}
+
+CallerLimits Relay::callerLimits() const { return this->current ? this->current->limits : CallerLimits {}; }
+
+void Relay::setCatalog(CatalogPointer catalog)
+{
+    this->current = std::move(catalog);
+    for (const Service& service : this->current->services)
+        this->service(service.name).targets.setEngine(service.engine.has_value());
+}
+
+ServiceQueue& Relay::service(const std::string& name)
+{
+    auto& entry = this->byService[name];
+    if (!entry) {
+        const Service* service = this->current ? this->current->findService(name) : nullptr;
+        const bool isEngine = service && service->engine;
+        entry = std::make_unique<ServiceQueue>(TargetPool(this->settings.placement, isEngine, this->random));
+    }
+    return *entry;
+}
+
+void Relay::upsertTarget(const TargetInfo& info)
+{
+    const auto known = this->serviceOfTarget.find(info.id);
+    if (known != this->serviceOfTarget.end() && known->second != info.service)
+        this->service(known->second).targets.leave(info.id);
+    this->serviceOfTarget[info.id] = info.service;
+    ServiceQueue& service = this->service(info.service);
+    service.targets.upsert(info, bootTime());
+    this->pump(service);
+}
+
+void Relay::removeTarget(const std::string& id)
+{
+    const auto known = this->serviceOfTarget.find(id);
+    if (known == this->serviceOfTarget.end())
+        return;
+    this->service(known->second).targets.leave(id);
+    this->serviceOfTarget.erase(known);
+}
+
+bool Relay::isReady() const
+{
+    if (!this->current || !this->freshness.holds(bootTime()))
+        return false;
+    return std::any_of(
+        this->byService.begin(), this->byService.end(), [](const auto& item) { return item.second->targets.usableCount() > 0; });
+}
+
+size_t Relay::waiting() const
+{
+    size_t count = 0;
+    for (const auto& item : this->byService)
+        count += item.second->queue.size();
+    return count;
+}
+
+const std::string& Relay::chooseService(const Route& route)
+{
+    double total = 0;
+    for (const ServiceShare& share : route.shares)
+        total += share.weight;
+    double drawn = this->random() * total;
+    for (const ServiceShare& share : route.shares) {
+        if (drawn < share.weight)
+            return share.service;
+        drawn -= share.weight;
+    }
+    return route.shares.back().service;
+}
+
+void Relay::reject(const CallerPointer& caller, const CallerRequest& request, unsigned status, std::string_view reason,
+    std::optional<Duration> retry)
+{
+    OwnAnswer answer;
+    answer.status = status;
+    answer.body = "{\"error\":\"" + std::string(reason) + "\"}";
+    const std::string& idField = this->settings.headers.requestId;
+    const auto id = request.message[idField];
+    if (!id.empty())
+        answer.fields.set(idField, id);
+    if (retry) {
+        char text[32] = {};
+        const int length = std::snprintf(text, sizeof(text), "%.3f", toSeconds(*retry));
+        answer.fields.set(http::field::retry_after, boost::beast::string_view(text, static_cast<size_t>(length)));
+    }
+    const TimePoint now = bootTime();
+    const RequestResult result = status == 429 ? RequestResult::OverQuota : status == 503 ? RequestResult::Refused : RequestResult::Rejected;
+    this->metrics.requestEnded(result, now - request.arrivedAt, std::nullopt);
+    const auto proofAge = this->freshness.age(now);
+    log(LogLevel::Info, "request rejected",
+        { { "request", view(id) }, { "status", status }, { "reason", reason }, { "catalogVersion", this->current ? this->current->version : 0 },
+            { "proofAgeMs", proofAge ? toMilliseconds(*proofAge) : -1 }, { "retryAfterMs", retry ? toMilliseconds(*retry) : -1 } });
+    caller->answer(makeAnswer(answer));
+}
+
+void Relay::handle(const CallerPointer& caller, CallerRequest request)
+{
+    const TimePoint now = bootTime();
+    const WireHeaders& names = this->settings.headers;
+    const auto comeBack = [&] { return retryAfter(this->settings.admission, 1, this->random()); };
+    if (!this->current)
+        return this->reject(caller, request, 503, "no configuration yet", comeBack());
+    if (request.message.count(names.requestId) != 1 || request.message.count(http::field::host) != 1
+        || !request.message.target().starts_with('/'))
+        return this->reject(caller, request, 400, "one request id, one host and a path are needed", std::nullopt);
+    // Saying that a route or a key does not exist takes a young proof: another node may know better.
+    const auto proofAge = this->freshness.age(now);
+    const bool mayDeny = proofAge && *proofAge < this->settings.rejectionProofBound;
+    ExchangePlan plan;
+    plan.catalog = this->current;
+    const std::string_view target = view(request.message.target());
+    plan.route = this->current->findRoute(hostWithoutPort(view(request.message[http::field::host])), target.substr(0, target.find('?')));
+    if (!plan.route || plan.route->shares.empty()) {
+        if (!mayDeny)
+            return this->reject(caller, request, 503, "route unknown here, configuration not proved current", comeBack());
+        return this->reject(caller, request, 404, "no such route", std::nullopt);
+    }
+    plan.demand.priority = plan.route->priority;
+    if (plan.route->needsKey && !this->current->workspaces.empty()) {
+        if (request.message.count(names.key) == 1)
+            plan.workspace = this->current->findWorkspace(view(request.message[names.key]));
+        if (!plan.workspace && !mayDeny)
+            return this->reject(caller, request, 503, "key unknown here, configuration not proved current", comeBack());
+        if (!plan.workspace)
+            return this->reject(caller, request, 401, "unknown key", std::nullopt);
+        if (!this->freshness.holds(now))
+            return this->reject(caller, request, 503, "no young proof of the configuration", comeBack());
+        plan.demand.priority = plan.workspace->priority.value_or(plan.route->priority);
+    }
+    plan.service = this->chooseService(*plan.route);
+    if (const auto limit = parseNumber<int64_t>(view(request.message[names.callerLimit])))
+        plan.callerLimit = std::chrono::milliseconds(std::clamp<int64_t>(*limit, 0, 24 * 3600 * 1000));
+    const auto tokens = parseTokenCount(view(request.message[names.tokenCount]));
+    plan.tokens = 1;
+    if (plan.workspace && plan.workspace->countsTokens)
+        plan.tokens = tokens ? tokens->prompt + tokens->mostOutput : plan.workspace->defaultTokens;
+    if (plan.workspace) {
+        const QuotaVerdict verdict = this->quota.take(*plan.workspace, plan.tokens, now);
+        if (!verdict.allowed)
+            return this->reject(caller, request, 429, "over the workspace's rate",
+                std::max(verdict.retryAfter, this->settings.admission.leastRetryAfter));
+    }
+    if (tokens) {
+        plan.demand.promptTokens = static_cast<uint32_t>(tokens->prompt);
+        const double learned = this->eventsOfRoute.try_emplace(plan.route->name, eventsBeforeLearning).first->second;
+        plan.demand.outputEvents = static_cast<uint32_t>(std::max(1.0, learned));
+        plan.parts = parsePromptParts(view(request.message[names.promptParts]), "");
+    }
+    plan.demand.objective = plan.route->objective;
+    plan.demand.repeatable = plan.route->mayRepeat();
+    const auto exchange = std::make_shared<Exchange>(*this, caller, std::move(request), std::move(plan));
+    this->exchanges.insert(exchange);
+    exchange->begin();
+}
+
+void Relay::pump(ServiceQueue& service)
+{
+    if (service.isPumping || service.queue.empty())
+        return;
+    service.isPumping = true;
+    for (const WaitKey& key : service.queue.first(mostPumped)) {
+        const auto found = service.waiting.find(key);
+        if (found == service.waiting.end())
+            continue;
+        const std::shared_ptr<Exchange> exchange = found->second;
+        exchange->place();
+    }
+    service.isPumping = false;
+}
+
+void Relay::expireWaiting(ServiceQueue& service, TimePoint now)
+{
+    for (const WaitKey& key : service.queue.expired(now)) {
+        const auto found = service.waiting.find(key);
+        const std::shared_ptr<Exchange> exchange = found == service.waiting.end() ? nullptr : found->second;
+        service.queue.remove(key);
+        service.waiting.erase(key);
+        if (exchange)
+            exchange->giveUpWaiting();
+    }
+}
+
+void Relay::tick()
+{
+    const TimePoint now = bootTime();
+    for (auto& [name, service] : this->byService) {
+        this->pump(*service);
+        this->expireWaiting(*service, now);
+    }
+    if (now - this->lastHousekeeping < housekeeping)
+        return;
+    this->lastHousekeeping = now;
+    this->connections.expire(now);
+    const auto copy = this->exchanges;
+    for (const auto& exchange : copy)
+        exchange->checkProgress(now);
+}
+
+void Relay::peerLoads(uint64_t peer, std::span<const TargetLoadReport> loads)
+{
+    const TimePoint now = bootTime();
+    for (auto& [name, service] : this->byService)
+        service->targets.peerLoads(peer, loads, now);
+}
+
+std::vector<TargetLoadReport> Relay::ownLoads() const
+{
+    std::vector<TargetLoadReport> result;
+    for (const auto& [name, service] : this->byService) {
+        const auto loads = service->targets.ownLoads();
+        result.insert(result.end(), loads.begin(), loads.end());
+    }
+    return result;
+}
+
+void Relay::finished(const std::shared_ptr<Exchange>& exchange) { this->exchanges.erase(exchange); }
+
+} // namespace guavapond::edge
--- /dev/null
+++ b/src/edge/Relay.h
@@ -0,0 +1,114 @@
+// The path of a request on an edge node: admission, choice of a target, dispatch, and relaying of the answer. One event loop runs all
+// of it; the decisions are made by RequestLife, TargetPool, Admission, WorkspaceQuota, SecondTryBudget and Freshness.
+//
+// Index
+//   WireHeaders     names of the header fields that the node reads and sets
+//   RelaySettings
+//   Relay           setCatalog, upsertTarget, removeTarget, handle
+#pragma once
+
+#include "edge/Admission.h"
+#include "edge/EdgeMetrics.h"
+#include "edge/Freshness.h"
+#include "edge/HttpListener.h"
+#include "edge/SecondTryBudget.h"
+#include "edge/WorkspaceQuota.h"
+
+#include <unordered_set>
+
+namespace guavapond::edge {
+
+struct WireHeaders {
+    std::string requestId = "Guavapond-Request-Id";         // of one attempt of a caller
+    std::string callerLimit = "Guavapond-Deadline-Ms";      // how long the caller waits, or how much of it is left, ms
+    std::string key = "Guavapond-Api-Key";                  // names the workspace; never passed on
+    std::string workspace = "Guavapond-Workspace";          // set towards targets
+    std::string expectedTarget = "Guavapond-Target";        // set towards targets: any other one declines
+    std::string proof = "Guavapond-Answer-Proof";           // a target's mark on its answer; an answer without it is not trusted
+    std::string notRun = "Guavapond-Not-Run";               // a target says that it did not run the request
+    std::string tokenCount = "Guavapond-Tokens";            // prompt tokens and most output tokens, joined by a comma
+    std::string promptParts = "Guavapond-Prompt-Parts";     // ID:TOKENS entries, joined by commas
+    std::string lastEventId = "Last-Event-Id";
+    std::vector<std::string> reserved;                      // the node's to set: a caller's values are dropped
+};
+
+struct RelaySettings {
+    WireHeaders headers;
+    PlacementSettings placement;
+    AdmissionSettings admission;
+    SecondTrySettings secondTries;
+    ConnectionSettings connections;
+    Duration keyProofBound = std::chrono::milliseconds(4500);  // age of the newest proof with which a key is still honoured
+    Duration rejectionProofBound = std::chrono::seconds(2);    // "no such route" and "no such key" are said with a younger proof only
+    Duration reuseForRepeatable = std::chrono::seconds(3);     // an idle connection is used again within this time
+    Duration reuseForOthers = std::chrono::milliseconds(800);  // the same for work that must not repeat: a stale connection makes it unknown
+    size_t mostBufferedAnswer = 1 << 20;                       // bytes; longer plain answers are relayed as they come
+};
+
+class Exchange;
+
+// A service's targets with the requests that wait for them.
+struct ServiceQueue {
+    explicit ServiceQueue(TargetPool pool)
+        : targets(std::move(pool))
+    {
+    }
+    TargetPool targets;
+    WaitQueue queue;
+    std::map<WaitKey, std::shared_ptr<Exchange>> waiting;
+    bool isPumping = false;
+};
+
+class Relay {
+public:
+    Relay(net::io_context& loop, const RelaySettings& settings, EdgeMetrics& metrics, std::function<double()> random);
+    ~Relay();
+    Relay(const Relay&) = delete;
+    Relay& operator=(const Relay&) = delete;
+
+    void setCatalog(CatalogPointer catalog);
+    void upsertTarget(const TargetInfo& info);
+    void removeTarget(const std::string& id);
+    void handle(const CallerPointer& caller, CallerRequest request);
+    void peerLoads(uint64_t peer, std::span<const TargetLoadReport> loads);
+    std::vector<TargetLoadReport> ownLoads() const;
+    void tick(); // every few milliseconds: waiting requests, silent targets, idle connections
+
+    bool isReady() const; // has a configuration that is proved, and targets
+    void configure(const RelaySettings& value);
+    CallerLimits callerLimits() const;
+    const CatalogPointer& catalog() const { return this->current; }
+    size_t inFlight() const { return this->exchanges.size(); }
+    size_t waiting() const;
+    uint64_t connectionsOpened() const { return this->connections.opened(); }
+    const std::map<std::string, std::unique_ptr<ServiceQueue>>& services() const { return this->byService; }
+
+    Freshness freshness;
+    WorkspaceQuota quota;
+    SecondTryBudget secondTries;
+
+private:
+    friend class Exchange;
+    ServiceQueue& service(const std::string& name);
+    void pump(ServiceQueue& service);
+    void expireWaiting(ServiceQueue& service, TimePoint now);
+    void finished(const std::shared_ptr<Exchange>& exchange);
+    const std::string& chooseService(const Route& route);
+    void reject(const CallerPointer& caller, const CallerRequest& request, unsigned status, std::string_view reason,
+        std::optional<Duration> retryAfter);
+
+    net::io_context& loop;
+    RelaySettings settings;
+    EdgeMetrics& metrics;
+    std::function<double()> random;
+    CatalogPointer current;
+    ConnectionPool connections;
+    std::map<std::string, std::unique_ptr<ServiceQueue>> byService;
+    std::unordered_map<std::string, std::string> serviceOfTarget;
+    std::set<std::shared_ptr<Exchange>> exchanges;
+    std::unordered_map<std::string, double> eventsOfRoute; // mean events of an answer
+    std::unordered_set<std::string> droppedFields;         // lower case; of requests
+    TimePoint lastHousekeeping {};
+};
+
+} // namespace guavapond::edge
--- /dev/null
+++ b/src/edge/RequestLife.h
@@ -0,0 +1,86 @@
+// The life of one request as a state machine: what may happen after each end of a run, and what a caller may be told. It holds the
+// two promises of dispatch: work that must not repeat is sent once, and "not run" is said only where it is certain.
+//
+// Index
+//   RunEnd        how one send to a target ended
+//   NextStep      what the node does then
+//   RequestLife   states, bounds and counts of one request
+//
+// Waiting --send--> Sent --answerBegan--> Answering --> Ended
+//    ^                |  not run, or may repeat  |
+//    +----------------+--------------------------+
+#pragma once
+
+#include "edge/Catalog.h"
+
+#include <functional>
+
+namespace guavapond::edge {
+
+enum class RunEnd : uint8_t {
+    NotSent,  // no byte was handed to the kernel for the target
+    Declined, // the target said that it did not run the request
+    Moved,    // the address belongs to another target, which did not run the request
+    Failed,   // the target answered whole with a server error
+    Broken,   // the connection ended after the first byte was handed over, without a whole answer
+    Invalid,  // the answer can't be bound to the request or trusted
+    Silent,   // the target made no progress for too long and the run was cancelled
+};
+constexpr size_t runEndCount = static_cast<size_t>(RunEnd::Silent) + 1;
+std::string_view runEndName(RunEnd end); // lower_snake_case
+
+enum class NextStep : uint8_t {
+    SendElsewhere, // to another target
+    PassFailureOn, // the target's own failure is the answer
+    AnswerNotRun,  // refuse: has not run and never will
+    AnswerUnknown, // fail: may have run
+    CutOff,        // the answer has begun and can't be finished
+};
+std::string_view nextStepName(NextStep step); // lower_snake_case
+
+enum class LifeState : uint8_t {
+    Waiting,   // no target has it
+    Sent,      // past the point of no return
+    Answering, // the caller has the head of an answer
+    Ended,
+};
+
+class RequestLife {
+public:
+    // Sends that never reached a target are not bounded by the route; this bound keeps a request from going round an outage.
+    static constexpr uint32_t maxSends = 6;
+
+    // `callerLimit` is how long the caller waits, if it said so.
+    RequestLife(const Route& route, std::optional<Duration> callerLimit, TimePoint arrival);
+
+    void sent();        // the first byte is about to be handed to the kernel
+    void answerBegan(); // the head of the answer goes to the caller
+    void ended();
+    // `takeSecondTry` is asked only where a further send would be allowed otherwise.
+    NextStep runEnded(RunEnd end, const std::function<bool()>& takeSecondTry, TimePoint now);
+    NextStep onDue() const;      // the route's timeout or the caller's limit has passed
+    NextStep onNoTarget() const; // no target can take it
+
+    LifeState state() const { return this->current; }
+    TimePoint arrival() const { return this->arrived; }
+    TimePoint due() const { return this->dueAt; }
+    Duration left(TimePoint now) const { return this->dueAt - now; }
+    bool mayHaveRun() const { return this->unknownRun; }
+    uint32_t sends() const { return this->sendCount; }
+    bool isFirstArrival() const { return this->arrivals == 0; }
+
+private:
+    bool allowsFurtherTarget(TimePoint now) const;
+    NextStep giveUp() const;
+
+    LifeState current = LifeState::Waiting;
+    TimePoint arrived;
+    TimePoint dueAt;
+    uint32_t maxTargets;
+    bool mayRepeat;
+    uint32_t sendCount = 0;
+    uint32_t arrivals = 0;   // sends that reached a target; at most maxTargets
+    bool unknownRun = false; // a run may have begun; never becomes false again
+};
+
+} // namespace guavapond::edge
--- /dev/null
+++ b/src/edge/TargetPool.cpp
@@ -0,0 +1,326 @@
+// Load, learned speeds, health and choice of targets.
+#include "edge/TargetPool.h"
+#include "edge/WorkspaceQuota.h"
+
+#include <algorithm>
+#include <bit>
+#include <cassert>
+
+namespace guavapond::edge {
+
+namespace {
+
+constexpr double learnWeight = 0.15;         // of a new sample
+constexpr double gapGrowthPerRequest = 0.03; // an event takes this much longer for each further request that runs
+constexpr uint32_t leastPromptSample = 500;  // shorter prompts say little of the prefill speed
+constexpr double noise = 0.04;               // spreads the choices of nodes that see the same loads
+constexpr uint32_t answersJudged = 12;
+constexpr uint32_t badAnswersToPause = 4;
+constexpr uint32_t badAnswersMask = (1U << answersJudged) - 1;
+constexpr size_t cacheBound = 20000; // chain hashes
+
+void learn(double& value, double sample) { value = value == 0 ? sample : value + learnWeight * (sample - value); }
+
+constexpr double toMs(Duration d) { return static_cast<double>(d.count()) / 1000.0; }
+
+} // namespace
+
+TargetPool::TargetPool(const PlacementSettings& settings, bool isEngine, std::function<double()> random)
+    : settings(settings)
+    , isEngine(isEngine)
+    , random(std::move(random))
+{
+}
+
+TargetPool::Index TargetPool::upsert(const TargetInfo& info, TimePoint now)
+{
+    const auto found = this->byId.find(info.id);
+    Index index = 0;
+    if (found == this->byId.end()) {
+        index = static_cast<Index>(this->targets.size());
+        this->targets.emplace_back();
+        this->byId[info.id] = index;
+        this->targets[index].hash = nameHash(info.id);
+        this->byHash[this->targets[index].hash] = index;
+        this->targets[index].lastProgress = now;
+    } else
+        index = found->second;
+    Target& target = this->targets[index];
+    if (target.info.startedUnixMs != info.startedUnixMs || target.info.address != info.address) {
+        target.failures = 0;
+        target.recentBad = 0;
+        target.recentCount = 0;
+        target.pausedUntil = {};
+        target.probation = false;
+    }
+    target.info = info;
+    target.leaving = info.draining;
+    return index;
+}
+
+void TargetPool::leave(std::string_view id)
+{
+    const auto found = this->byId.find(std::string(id));
+    if (found != this->byId.end())
+        this->targets[found->second].leaving = true;
+}
+
+TargetPool::Load TargetPool::load(const Target& target, TimePoint now) const
+{
+    Load sum { target.running, target.prefillTokens };
+    for (const auto& [peer, report] : target.peers) {
+        if (now - report.at > this->settings.peerLoadLife)
+            continue;
+        sum.running += report.running;
+        sum.prefillTokens += report.prefillTokens;
+    }
+    return sum;
+}
+
+bool TargetPool::isStalled(Index target, TimePoint now) const
+{
+    const Target& t = this->targets[target];
+    return t.running > 0 && now - t.lastProgress > this->settings.stallAfter;
+}
+
+bool TargetPool::isUsable(const Target& target, const Demand& demand, TimePoint now) const
+{
+    if (target.leaving || now < target.pausedUntil)
+        return false;
+    if (target.running > 0 && now - target.lastProgress > this->settings.stallAfter)
+        return false;
+    return !target.probation || (demand.repeatable && target.running == 0);
+}
+
+double TargetPool::learnedOr(double Target::*field, const Target& target, double initial) const
+{
+    if (target.*field > 0)
+        return target.*field;
+    double sum = 0;
+    int known = 0;
+    for (const Target& other : this->targets) {
+        if (other.*field > 0 && !other.leaving) {
+            sum += other.*field;
+            ++known;
+        }
+    }
+    return known > 0 ? sum / known : initial;
+}
+
+Duration TargetPool::predictFirst(const Target& target, const Load& load, uint32_t tokens) const
+{
+    if (!this->isEngine) {
+        const double serviceMs = this->learnedOr(&Target::serviceMs, target, toMs(this->settings.firstServiceTime));
+        const double rounds = 1.0 + static_cast<double>(load.running) / std::max(target.info.slots, 1U);
+        return fromSeconds(serviceMs * rounds / 1000);
+    }
+    const double tokensPerMs = this->learnedOr(&Target::tokensPerMs, target, this->settings.firstTokensPerMs);
+    double ms = (load.prefillTokens + tokens) / std::max(tokensPerMs, 1.0);
+    if (load.running >= target.info.slots) // waits for a slot behind those that run
+        ms += (load.running + 1.0 - target.info.slots) * 1000.0 / std::max(target.info.slots, 1U);
+    return fromSeconds(ms / 1000);
+}
+
+double TargetPool::score(const Target& target, const Load& load, uint32_t tokens, const Demand& demand) const
+{
+    double ms = toMs(this->predictFirst(target, load, tokens));
+    if (this->isEngine) {
+        const double gapMs = this->learnedOr(&Target::gapMs, target, toMs(this->settings.firstEventGap));
+        ms += gapMs * (1 + gapGrowthPerRequest * load.running) * demand.outputEvents;
+    }
+    if (target.info.failureDomain != this->settings.failureDomain)
+        ms *= 1 + this->settings.otherDomainCost;
+    return ms * (1 + noise * this->random());
+}
+
+uint32_t TargetPool::cachedTokens(Index target, const Demand& demand, TimePoint now) const
+{
+    uint32_t tokens = 0;
+    for (const PromptPart& part : demand.parts) {
+        const auto found = this->cache.find(part.chain);
+        if (found == this->cache.end())
+            break;
+        const auto& entries = found->second;
+        const bool held = std::any_of(entries.begin(), entries.end(), [&](const CacheEntry& entry) {
+            return entry.target == target && now - entry.at < this->settings.cacheLife;
+        });
+        if (!held)
+            break;
+        tokens += part.tokens;
+    }
+    return tokens;
+}
+
+std::optional<TargetPool::Choice> TargetPool::choose(const Demand& demand, std::span<const Index> tried, TimePoint now)
+{
+    std::optional<Choice> best;
+    double bestScore = 0;
+    const double factor = demand.priority == 0 ? this->settings.slotsForUrgent : this->settings.slotsForOthers;
+    for (Index i = 0; i < this->targets.size(); ++i) {
+        const Target& target = this->targets[i];
+        if (!this->isUsable(target, demand, now) || std::find(tried.begin(), tried.end(), i) != tried.end())
+            continue;
+        const Load load = this->load(target, now);
+        if (load.running >= target.info.slots * factor)
+            continue;
+        const uint32_t cached = std::min(this->cachedTokens(i, demand, now), demand.promptTokens);
+        const uint32_t tokens = demand.promptTokens - cached;
+        const double score = this->score(target, load, tokens, demand);
+        if (!best || score < bestScore) {
+            best = Choice { i, this->predictFirst(target, load, tokens) };
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+bool TargetPool::hasUsable(TimePoint now) const
+{
+    Demand any;
+    any.repeatable = true;
+    return std::any_of(this->targets.begin(), this->targets.end(), [&](const Target& t) { return this->isUsable(t, any, now); });
+}
+
+void TargetPool::started(Index target, const Demand& demand, TimePoint now)
+{
+    Target& t = this->targets[target];
+    if (t.running == 0)
+        t.lastProgress = now;
+    ++t.running;
+    t.prefillTokens += demand.promptTokens;
+}
+
+void TargetPool::progress(Index target, TimePoint now) { this->targets[target].lastProgress = now; }
+
+void TargetPool::firstEvent(Index target, uint32_t promptTokens, Duration afterStart, TimePoint now)
+{
+    Target& t = this->targets[target];
+    const uint32_t backlog = std::max(t.prefillTokens, promptTokens);
+    t.prefillTokens -= std::min(t.prefillTokens, promptTokens);
+    t.lastProgress = now;
+    if (promptTokens >= leastPromptSample && afterStart.count() > 0)
+        learn(t.tokensPerMs, std::min(backlog, 2 * promptTokens) / std::max(toMs(afterStart), 1.0));
+}
+
+void TargetPool::eventGap(Index target, Duration gap, TimePoint now)
+{
+    Target& t = this->targets[target];
+    const Load load = this->load(t, now);
+    learn(t.gapMs, toMs(gap) / (1 + gapGrowthPerRequest * load.running));
+}
+
+void TargetPool::pause(Target& target, TimePoint now)
+{
+    const Duration pause = this->settings.firstPause * (1 << std::min(target.failures, 5U));
+    ++target.failures;
+    target.pausedUntil = now + std::min(pause, this->settings.longestPause);
+    target.probation = true;
+}
+
+void TargetPool::ended(Index target, uint32_t prefillPending, TargetOutcome outcome, std::optional<Duration> serviceTime, TimePoint now)
+{
+    Target& t = this->targets[target];
+    assert(t.running > 0);
+    --t.running;
+    t.prefillTokens -= std::min(t.prefillTokens, prefillPending);
+    const bool failed = outcome == TargetOutcome::Failed;
+    switch (outcome) {
+    case TargetOutcome::Answered:
+        t.failures = 0;
+        t.probation = false;
+        t.lastProgress = now;
+        if (serviceTime)
+            learn(t.serviceMs, toMs(*serviceTime));
+        break;
+    case TargetOutcome::Failed:
+        break;
+    case TargetOutcome::Unreachable:
+    case TargetOutcome::Broken:
+    case TargetOutcome::Silent:
+        this->pause(t, now);
+        break;
+    case TargetOutcome::Declined:
+        t.lastProgress = now;
+        return;
+    case TargetOutcome::Cancelled:
+        return;
+    }
+    t.recentBad = ((t.recentBad << 1) | (failed ? 1U : 0U)) & badAnswersMask;
+    t.recentCount = std::min(t.recentCount + 1, answersJudged);
+    if (failed && std::popcount(t.recentBad) >= static_cast<int>(badAnswersToPause)) {
+        const auto paused = std::count_if(this->targets.begin(), this->targets.end(),
+            [&](const Target& other) { return !other.leaving && (other.probation || now < other.pausedUntil); });
+        if (static_cast<double>(paused + 1) <= this->settings.mostPaused * static_cast<double>(this->usableCount())) {
+            t.failures = std::max(t.failures, 1U);
+            this->pause(t, now);
+            t.recentBad = 0;
+        }
+    }
+}
+
+void TargetPool::remember(Index target, std::span<const PromptPart> parts, TimePoint now)
+{
+    if (this->cache.size() > cacheBound)
+        std::erase_if(this->cache, [&](const auto& item) { return now - item.second.back().at >= this->settings.cacheLife; });
+    if (this->cache.size() > cacheBound)
+        return;
+    for (const PromptPart& part : parts) {
+        auto& entries = this->cache[part.chain];
+        std::erase_if(entries,
+            [&](const CacheEntry& entry) { return entry.target == target || now - entry.at >= this->settings.cacheLife; });
+        entries.push_back({ target, now });
+    }
+}
+
+void TargetPool::peerLoads(uint64_t peer, std::span<const TargetLoadReport> loads, TimePoint now)
+{
+    for (Target& target : this->targets)
+        target.peers.erase(peer);
+    for (const TargetLoadReport& report : loads) {
+        const auto found = this->byHash.find(report.targetHash);
+        if (found != this->byHash.end())
+            this->targets[found->second].peers[peer] = { report.running, report.prefillTokens, now };
+    }
+}
+
+std::vector<TargetLoadReport> TargetPool::ownLoads() const
+{
+    std::vector<TargetLoadReport> result;
+    for (const Target& target : this->targets) {
+        if (target.running > 0)
+            result.push_back({ target.hash, target.running, target.prefillTokens });
+    }
+    return result;
+}
+
+size_t TargetPool::usableCount() const
+{
+    return static_cast<size_t>(std::count_if(this->targets.begin(), this->targets.end(), [](const Target& t) { return !t.leaving; }));
+}
+
+double TargetPool::occupancy(TimePoint now) const
+{
+    double taken = 0;
+    double slots = 0;
+    for (const Target& target : this->targets) {
+        if (target.leaving || now < target.pausedUntil)
+            continue;
+        taken += this->load(target, now).running;
+        slots += target.info.slots;
+    }
+    return slots > 0 ? taken / slots : 1;
+}
+
+std::vector<TargetPool::View> TargetPool::view(TimePoint now) const
+{
+    std::vector<View> result;
+    for (const Target& target : this->targets) {
+        const Load load = this->load(target, now);
+        const double gapMs = this->learnedOr(&Target::gapMs, target, 0);
+        result.push_back({ &target.info, load.running, load.prefillTokens, target.tokensPerMs, fromSeconds(gapMs / 1000),
+            now < target.pausedUntil, target.leaving });
+    }
+    return result;
+}
+
+} // namespace guavapond::edge
--- /dev/null
+++ b/src/edge/TargetPool.h
@@ -0,0 +1,180 @@
+// The targets of one service as this node believes them to be, and the choice among them. Load is what all nodes have in flight:
+// this node's own work and what its peers report. Speeds are learned from answers.
+//
+// Index
+//   TargetInfo      what a target says of itself
+//   Demand          what a request needs
+//   PlacementSettings
+//   TargetPool      upsert and leave; choose; started, firstEvent, event, ended; peers' loads
+//
+//   if (auto choice = pool.choose(demand, tried, now))
+//       pool.started(choice->target, demand, now);
+#pragma once
+
+#include "edge/Catalog.h"
+
+#include <functional>
+#include <map>
+#include <span>
+
+namespace guavapond::edge {
+
+struct Address {
+    std::string ip;
+    uint16_t port = 0;
+    bool operator==(const Address&) const = default;
+};
+
+struct TargetInfo {
+    std::string id;
+    std::string service;
+    Address address;
+    std::string failureDomain;
+    std::string version;
+    uint32_t slots = 1;
+    bool draining = false;
+    int64_t startedUnixMs = 0; // changes when the target starts again under its id; 0: not told
+    uint64_t revision = 0;     // of the store's item
+};
+
+struct PromptPart {
+    uint64_t chain;  // hash of this part and all before it
+    uint32_t tokens;
+};
+
+struct Demand {
+    uint32_t promptTokens = 0;
+    uint32_t outputEvents = 1;  // expected
+    int priority = 0;           // 0 is the highest
+    bool repeatable = false;    // may be sent to a target on probation
+    Duration objective = std::chrono::seconds(1);
+    std::span<const PromptPart> parts; // of the prompt, in order
+};
+
+struct PlacementSettings {
+    std::string failureDomain;                              // of this node
+    double slotsForUrgent = 1.15;                           // requests at a target, as a multiple of its slots, for priority 0
+    double slotsForOthers = 1.0;                            // the same for all other priorities
+    double otherDomainCost = 0.05;                          // added to the predicted time at another failure domain, as a part of it
+    double firstTokensPerMs = 60;                           // prefill speed before anything was learned, tokens/ms
+    Duration firstEventGap = std::chrono::milliseconds(20); // time between events before anything was learned
+    Duration firstServiceTime = std::chrono::milliseconds(15);
+    Duration peerLoadLife = std::chrono::milliseconds(1500); // a peer's report is dropped when it is older
+    Duration stallAfter = std::chrono::milliseconds(700);    // without a byte while work is in flight, a target gets no new work
+    Duration firstPause = std::chrono::milliseconds(300);    // after a connection failure; doubles with each further one
+    Duration longestPause = std::chrono::seconds(4);
+    Duration cacheLife = std::chrono::seconds(10);           // a prompt part is expected in a target's memory for that long
+    double mostPaused = 0.5;                                 // part of the targets that may be paused for failing answers
+};
+
+enum class TargetOutcome : uint8_t {
+    Answered,    // whole answer
+    Declined,    // full, or on its way out
+    Unreachable, // no connection
+    Broken,      // connection lost under a request
+    Failed,      // an error, or an answer that can't be used
+    Silent,      // no progress
+    Cancelled,   // by this node or the caller
+};
+
+struct TargetLoadReport {
+    uint64_t targetHash;
+    uint32_t running;
+    uint32_t prefillTokens;
+};
+
+class TargetPool {
+public:
+    using Index = uint32_t; // stable while the target is known
+
+    TargetPool(const PlacementSettings& settings, bool isEngine, std::function<double()> random); // random: uniform in [0, 1)
+
+    void setEngine(bool value) { this->isEngine = value; }
+    Index upsert(const TargetInfo& info, TimePoint now);
+    void leave(std::string_view id); // draining or gone: no new work; what runs there goes on
+
+    struct Choice {
+        Index target;
+        Duration firstEvent; // predicted time to the first event, or to the answer of a plain service
+    };
+    // Empty: no usable target has room. `tried` are left out.
+    std::optional<Choice> choose(const Demand& demand, std::span<const Index> tried, TimePoint now);
+    bool hasUsable(TimePoint now) const; // some target would be chosen if it had room
+
+    void started(Index target, const Demand& demand, TimePoint now);
+    void progress(Index target, TimePoint now); // any byte of an answer
+    void firstEvent(Index target, uint32_t promptTokens, Duration afterStart, TimePoint now);
+    void eventGap(Index target, Duration gap, TimePoint now); // mean over the events of an answer
+    // `prefillPending` is the part of the prompt that was not known to be read yet.
+    void ended(Index target, uint32_t prefillPending, TargetOutcome outcome, std::optional<Duration> serviceTime, TimePoint now);
+    void remember(Index target, std::span<const PromptPart> parts, TimePoint now); // the target has read this prompt
+
+    void peerLoads(uint64_t peer, std::span<const TargetLoadReport> loads, TimePoint now); // replaces the peer's earlier report
+    std::vector<TargetLoadReport> ownLoads() const;
+
+    const TargetInfo& info(Index target) const { return this->targets[target].info; }
+    bool isStalled(Index target, TimePoint now) const;
+    size_t usableCount() const;
+    double occupancy(TimePoint now) const; // part of all usable slots that is taken; above 1: overloaded
+
+    struct View { // for metrics and logs
+        const TargetInfo* info;
+        uint32_t running;
+        uint32_t prefillTokens;
+        double tokensPerMs;
+        Duration gap;
+        bool paused;
+        bool leaving;
+    };
+    std::vector<View> view(TimePoint now) const;
+
+private:
+    struct PeerLoad {
+        uint32_t running = 0;
+        uint32_t prefillTokens = 0;
+        TimePoint at {};
+    };
+    struct Target {
+        TargetInfo info;
+        uint64_t hash = 0;
+        bool leaving = false;
+        uint32_t running = 0;
+        uint32_t prefillTokens = 0;
+        std::map<uint64_t, PeerLoad> peers;
+        double tokensPerMs = 0;  // 0: not learned yet
+        double gapMs = 0;        // with one request; 0: not learned yet
+        double serviceMs = 0;    // 0: not learned yet
+        uint32_t failures = 0;   // connection failures in a row
+        uint32_t recentBad = 0;  // bits of the last answers, 1: failed
+        uint32_t recentCount = 0;
+        TimePoint pausedUntil {};
+        bool probation = false; // paused before and not yet answered again
+        TimePoint lastProgress {};
+    };
+    struct CacheEntry {
+        Index target;
+        TimePoint at;
+    };
+    struct Load {
+        uint32_t running;
+        uint32_t prefillTokens;
+    };
+
+    Load load(const Target& target, TimePoint now) const;
+    bool isUsable(const Target& target, const Demand& demand, TimePoint now) const;
+    Duration predictFirst(const Target& target, const Load& load, uint32_t tokens) const;
+    double score(const Target& target, const Load& load, uint32_t tokens, const Demand& demand) const;
+    uint32_t cachedTokens(Index target, const Demand& demand, TimePoint now) const;
+    void pause(Target& target, TimePoint now);
+    double learnedOr(double Target::*field, const Target& target, double initial) const; // the target's, else the mean of all
+
+    PlacementSettings settings;
+    bool isEngine;
+    std::function<double()> random;
+    std::vector<Target> targets; // never shrinks while a run may refer to an index; a slot of one that left is reused by its id only
+    std::unordered_map<std::string, Index> byId;
+    std::unordered_map<uint64_t, Index> byHash;
+    std::unordered_map<uint64_t, std::vector<CacheEntry>> cache; // by chain hash; bounded
+};
+
+} // namespace guavapond::edge
