--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -12,7 +12,8 @@
 constexpr Duration revocationMargin = std::chrono::milliseconds(250);
 // The balancer asks once a second and takes a node out after two misses.
 constexpr Duration balancerNotices = std::chrono::milliseconds(3200);
-constexpr double refuseAfter = 0.5;                                // part of the grace after which further requests are refused
+// The balancer may still send new connections for this long after a stop began.
+constexpr Duration takesAllFor = std::chrono::milliseconds(2700);
 constexpr Duration stopMargin = std::chrono::milliseconds(300);    // before the end of the grace
 constexpr uint32_t reservedDescriptors = 260;                      // files, the store, peers
 constexpr double callerDescriptors = 0.6;                          // part of the rest that callers may take; targets get the others
@@ -107,11 +108,8 @@
 
 void EdgeNode::onRequest(const CallerPointer& caller, CallerRequest request)
 {
-    if (this->stoppingSince && bootTime() - *this->stoppingSince > this->settings.stopGrace * refuseAfter) {
-        OwnAnswer answer { statusUnavailable, R"({"error":"the node is stopping"})", "application/json", {} };
-        answer.fields.set(http::field::retry_after, "0.1");
-        return caller->answer(makeAnswer(answer));
-    }
+    if (this->stoppingSince && bootTime() - *this->stoppingSince > takesAllFor)
+        this->requests.refuseBeyond(*this->stoppingSince + this->settings.stopGrace - stopMargin);
     this->requests.handle(caller, std::move(request));
 }
 
--- a/src/edge/HttpListener.h
+++ b/src/edge/HttpListener.h
@@ -49,7 +49,7 @@
     void onDrained(std::function<void()> hook) { this->drained = std::move(hook); }
     size_t unsentBytes() const { return this->output.size() + this->writing.size(); }
     bool isOpen() const { return this->open; }
-    bool isIdle() const { return this->open && !this->handling && !this->receiving; }
+    bool isIdle() const { return this->open && !this->handling && !this->receiving && this->unsentBytes() == 0; }
     void closeWhenAnswered() { this->closing = true; } // the current answer, or the next one, is the last
     void close();
 
--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -243,6 +243,8 @@
     plan.service = this->chooseService(*plan.route);
     if (const auto limit = parseNumber<int64_t>(view(request.message[names.callerLimit])))
         plan.callerLimit = std::chrono::milliseconds(std::clamp<int64_t>(*limit, 0, 24 * 3600 * 1000));
+    if (this->endsAt && now + std::min(plan.route->timeout, plan.callerLimit.value_or(plan.route->timeout)) > *this->endsAt)
+        return this->reject(caller, request, 503, "the node is stopping", Duration::zero());
     const auto tokens = parseTokenCount(view(request.message[names.tokenCount]));
     plan.tokens = 1;
     if (plan.workspace && plan.workspace->countsTokens)
--- a/src/edge/Relay.h
+++ b/src/edge/Relay.h
@@ -74,6 +74,8 @@
     std::vector<TargetLoadReport> ownLoads() const;
     void tick(); // every few milliseconds: waiting requests, silent targets, idle connections
 
+    // From now on a request is taken only if its answer is due before `end`, when the process ends.
+    void refuseBeyond(TimePoint end) { this->endsAt = end; }
     bool isReady() const; // has a configuration that is proved, and targets
     void configure(const RelaySettings& value);
     CallerLimits callerLimits() const;
@@ -109,6 +111,7 @@
     std::unordered_map<std::string, double> eventsOfRoute; // mean events of an answer
     std::unordered_set<std::string> droppedFields;         // lower case; of requests
     TimePoint lastHousekeeping {};
+    std::optional<TimePoint> endsAt; // of the process, once it is near
 };
 
 } // namespace guavapond::edge
