--- a/src/edge/Admission.cpp
+++ b/src/edge/Admission.cpp
@@ -12,9 +12,9 @@
 
 } // namespace
 
-WaitKey WaitQueue::add(int priority, TimePoint giveUpAt)
+WaitKey WaitQueue::add(const Rank& rank, TimePoint giveUpAt)
 {
-    const WaitKey key { priority, this->nextTicket++ };
+    const WaitKey key { rank, this->nextTicket++ };
     this->waiting[key] = giveUpAt;
     return key;
 }
--- a/src/edge/Admission.h
+++ b/src/edge/Admission.h
@@ -3,7 +3,8 @@
 //
 // Index
 //   AdmissionSettings
-//   WaitQueue      requests of one service that wait for room: by priority, then by arrival
+//   Rank           order of urgency
+//   WaitQueue      requests of one service that wait for room: by rank, then by arrival
 //   retryAfter     when a refused caller should come back
 #pragma once
 
@@ -18,20 +19,27 @@
 struct AdmissionSettings {
     double longestWait = 0.125;    // part of the objective that a request may wait for room
     double latestFirstEvent = 1.2; // refused when the first event is predicted later than this multiple of the objective
-    Duration leastRetryAfter = std::chrono::milliseconds(300);
-    Duration retryAfterSpread = std::chrono::milliseconds(500); // random addition, so that callers don't return together
+    Duration leastRetryAfter = std::chrono::milliseconds(120);
+    Duration retryAfterSpread = std::chrono::milliseconds(400); // random addition, so that callers don't return together
 };
 
-// Identifies a waiting request: lower priority numbers first, then in order of arrival.
+// The workspace's priority goes before the route's; within one workspace's priority the route's decides. 0 is the highest.
+struct Rank {
+    int workspace = 0;
+    int route = 0;
+    auto operator<=>(const Rank&) const = default;
+};
+
+// Identifies a waiting request: by rank, then in order of arrival.
 struct WaitKey {
-    int priority = 0;
+    Rank rank;
     uint64_t ticket = 0;
     auto operator<=>(const WaitKey&) const = default;
 };
 
 class WaitQueue {
 public:
-    WaitKey add(int priority, TimePoint giveUpAt);
+    WaitKey add(const Rank& rank, TimePoint giveUpAt);
     void remove(const WaitKey& key) { this->waiting.erase(key); }
     bool empty() const { return this->waiting.empty(); }
     size_t size() const { return this->waiting.size(); }
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -41,7 +41,8 @@
 {
     RelaySettings result;
     result.headers = headers;
-    result.placement.failureDomain = settings.failureDomain;
+    result.placement = settings.placement;
+    result.admission = settings.admission;
     result.secondTries = settings.secondTries;
     result.keyProofBound = settings.checksRevocation ? settings.keyRevocation - revocationMargin : Duration::max();
     return result;
--- a/src/edge/EdgeSettings.cpp
+++ b/src/edge/EdgeSettings.cpp
@@ -76,6 +76,27 @@
 
 Duration milliseconds(double value) { return fromSeconds(value / 1000); }
 
+double inMs(Duration value) { return toSeconds(value) * 1000; }
+
+void readPlacement(Reader& reader, PlacementSettings& placement)
+{
+    placement.mostPerSlot = reader.number("placement.mostPerSlot", 0.1, 10, placement.mostPerSlot);
+    placement.queueForUrgent = milliseconds(reader.number("placement.queueForUrgentMs", 0, longestMs, inMs(placement.queueForUrgent)));
+    placement.queueForOthers = milliseconds(reader.number("placement.queueForOthersMs", 0, longestMs, inMs(placement.queueForOthers)));
+    placement.otherDomainCost = reader.number("placement.otherDomainCost", 0, 10, placement.otherDomainCost);
+    placement.stallAfter = milliseconds(reader.number("placement.stallAfterMs", 10, longestMs, inMs(placement.stallAfter)));
+    placement.firstPause = milliseconds(reader.number("placement.firstPauseMs", 1, longestMs, inMs(placement.firstPause)));
+    placement.longestPause = milliseconds(reader.number("placement.longestPauseMs", 1, longestMs, inMs(placement.longestPause)));
+}
+
+void readAdmission(Reader& reader, AdmissionSettings& admission)
+{
+    admission.longestWait = reader.number("admission.longestWait", 0, 1, admission.longestWait);
+    admission.latestFirstEvent = reader.number("admission.latestFirstEvent", 0.1, 100, admission.latestFirstEvent);
+    admission.leastRetryAfter = milliseconds(reader.number("admission.leastRetryAfterMs", 0, longestMs, inMs(admission.leastRetryAfter)));
+    admission.retryAfterSpread = milliseconds(reader.number("admission.retryAfterSpreadMs", 0, longestMs, inMs(admission.retryAfterSpread)));
+}
+
 } // namespace
 
 EdgeSettingsResult parseEdgeSettings(std::string_view text)
@@ -106,6 +127,9 @@
     settings.secondTries.ratio = reader.number("secondTries.ratio", 0, 10, 0.2);
     settings.secondTries.window = fromSeconds(reader.number("secondTries.windowSeconds", 0.1, 3600, 10));
     settings.secondTries.allowance = reader.number("secondTries.allowance", 0, 1e6, 0);
+    readPlacement(reader, settings.placement);
+    settings.placement.failureDomain = settings.failureDomain;
+    readAdmission(reader, settings.admission);
     settings.logLevel = reader.text("log.level", "info");
     if (!reader.faults.empty())
         return { std::nullopt, reader.faults };
--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -94,7 +94,7 @@
         return this->follow(this->life.onNoTarget(), "no usable target");
     const Duration bound = waitBound(this->relay.settings.admission, this->plan.route->objective);
     this->waitingSince = now;
-    this->waitKey = this->service.queue.add(this->plan.demand.priority, now + bound);
+    this->waitKey = this->service.queue.add(this->plan.rank, now + bound);
     this->service.waiting[*this->waitKey] = this->shared_from_this();
 }
 
@@ -158,6 +158,7 @@
     this->run.emplace();
     this->run->target = choice.target;
     this->run->sentAt = now;
+    this->run->backlogTokens = choice.backlogTokens;
     this->run->eventsBefore = this->scanner.events();
     this->run->prefillPending = this->plan.demand.promptTokens;
     this->run->connection = this->relay.connections.take(target.address, reuse, now);
@@ -236,7 +237,7 @@
     const TimePoint now = bootTime();
     if (!this->run->firstEventAt) {
         this->run->firstEventAt = now;
-        this->targets().firstEvent(this->run->target, this->run->prefillPending, now - this->run->sentAt, now);
+        this->targets().firstEvent(this->run->target, this->run->prefillPending, this->run->backlogTokens, now - this->run->sentAt, now);
         this->targets().remember(this->run->target, this->plan.parts, now);
         this->run->prefillPending = 0;
         if (!this->firstEventAfter)
@@ -481,7 +482,7 @@
         { { "request", textOf(this->request.message[this->relay.settings.headers.requestId]) }, { "result", requestResultName(result) },
             { "reason", reason }, { "route", this->plan.route->name },
             { "workspace", this->plan.workspace ? std::string_view(this->plan.workspace->name) : std::string_view() },
-            { "priority", this->plan.demand.priority }, { "tokens", this->plan.tokens }, { "target", this->lastTarget },
+            { "workspaceRank", this->plan.rank.workspace }, { "routeRank", this->plan.rank.route }, { "tokens", this->plan.tokens }, { "target", this->lastTarget },
             { "sends", this->life.sends() }, { "ms", toMilliseconds(total) },
             { "firstEventMs", this->firstEventAfter ? toMilliseconds(*this->firstEventAfter) : -1 },
             { "predictedFirstMs", this->predictedFirst ? toMilliseconds(*this->predictedFirst) : -1 },
--- a/src/edge/Exchange.h
+++ b/src/edge/Exchange.h
@@ -18,6 +18,7 @@
     uint64_t tokens = 0; // counted against the workspace's rate
     std::optional<Duration> callerLimit;
     std::vector<PromptPart> parts;
+    Rank rank;
     Demand demand;
 };
 
@@ -40,6 +41,7 @@
         TimePoint lastEventAt {};
         uint64_t eventsBefore = 0;
         uint32_t prefillPending = 0;
+        uint32_t backlogTokens = 0;
         std::optional<RunEnd> verdict; // already certain, while the rest of the answer is read
         bool headSeen = false;
         bool reusedConnection = false;
--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -86,6 +86,7 @@
 
 Relay::Relay(net::io_context& loop, const RelaySettings& initial, EdgeMetrics& metrics, std::function<double()> random)
     : freshness(initial.keyProofBound)
+    , quota(bootTime())
     , secondTries(initial.secondTries, bootTime())
     , loop(loop)
     , metrics(metrics)
@@ -228,7 +229,7 @@
             return this->reject(caller, request, 503, "route unknown here, configuration not proved current", comeBack());
         return this->reject(caller, request, 404, "no such route", std::nullopt);
     }
-    plan.demand.priority = plan.route->priority;
+    plan.rank = { plan.route->priority, plan.route->priority };
     if (plan.route->needsKey && !this->current->workspaces.empty()) {
         if (request.message.count(names.key) == 1)
             plan.workspace = this->current->findWorkspace(view(request.message[names.key]));
@@ -238,7 +239,7 @@
             return this->reject(caller, request, 401, "unknown key", std::nullopt);
         if (!this->freshness.holds(now))
             return this->reject(caller, request, 503, "no young proof of the configuration", comeBack());
-        plan.demand.priority = plan.workspace->priority.value_or(plan.route->priority);
+        plan.rank.workspace = plan.workspace->priority.value_or(plan.route->priority);
     }
     plan.service = this->chooseService(*plan.route);
     if (const auto limit = parseNumber<int64_t>(view(request.message[names.callerLimit])))
@@ -261,6 +262,7 @@
         plan.demand.outputEvents = static_cast<uint32_t>(std::max(1.0, learned));
         plan.parts = parsePromptParts(view(request.message[names.promptParts]), "");
     }
+    plan.demand.urgent = plan.rank.workspace == 0 || plan.rank.route == 0;
     plan.demand.objective = plan.route->objective;
     plan.demand.repeatable = plan.route->mayRepeat();
     const auto exchange = std::make_shared<Exchange>(*this, caller, std::move(request), std::move(plan));
--- a/src/edge/TargetPool.cpp
+++ b/src/edge/TargetPool.cpp
@@ -13,6 +13,7 @@
 constexpr double learnWeight = 0.15;         // of a new sample
 constexpr double gapGrowthPerRequest = 0.03; // an event takes this much longer for each further request that runs
 constexpr uint32_t leastPromptSample = 500;  // shorter prompts say little of the prefill speed
+constexpr double leastReadingPart = 0.3;      // of the time to a first event that went into reading prompts
 constexpr double noise = 0.04;               // spreads the choices of nodes that see the same loads
 constexpr uint32_t answersJudged = 12;
 constexpr uint32_t badAnswersToPause = 4;
@@ -107,27 +108,41 @@
     return known > 0 ? sum / known : initial;
 }
 
+double TargetPool::gapMs(const Target& target, uint32_t running) const
+{
+    return this->learnedOr(&Target::gapMs, target, toMs(this->settings.firstEventGap)) * (1 + gapGrowthPerRequest * running);
+}
+
+Duration TargetPool::slotWait(const Target& target, const Load& load) const
+{
+    const uint32_t slots = std::max(target.info.slots, 1U);
+    if (load.running < slots)
+        return Duration::zero();
+    // Slots become free at the rate at which a full target ends requests.
+    const double serviceMs = this->learnedOr(&Target::serviceMs, target, toMs(this->settings.firstServiceTime));
+    return fromSeconds((load.running + 1.0 - slots) * serviceMs / slots / 1000);
+}
+
 Duration TargetPool::predictFirst(const Target& target, const Load& load, uint32_t tokens) const
 {
+    const Duration wait = this->slotWait(target, load);
     if (!this->isEngine) {
         const double serviceMs = this->learnedOr(&Target::serviceMs, target, toMs(this->settings.firstServiceTime));
-        const double rounds = 1.0 + static_cast<double>(load.running) / std::max(target.info.slots, 1U);
-        return fromSeconds(serviceMs * rounds / 1000);
+        return wait + fromSeconds(serviceMs / 1000);
     }
+    // The prompts ahead and its own are read, then the tokens of the first event are made.
     const double tokensPerMs = this->learnedOr(&Target::tokensPerMs, target, this->settings.firstTokensPerMs);
-    double ms = (load.prefillTokens + tokens) / std::max(tokensPerMs, 1.0);
-    if (load.running >= target.info.slots) // waits for a slot behind those that run
-        ms += (load.running + 1.0 - target.info.slots) * 1000.0 / std::max(target.info.slots, 1U);
-    return fromSeconds(ms / 1000);
+    const double ms = (load.prefillTokens + tokens) / std::max(tokensPerMs, 1.0) + this->gapMs(target, load.running);
+    return wait + fromSeconds(ms / 1000);
 }
 
 double TargetPool::score(const Target& target, const Load& load, uint32_t tokens, const Demand& demand) const
 {
     double ms = toMs(this->predictFirst(target, load, tokens));
-    if (this->isEngine) {
-        const double gapMs = this->learnedOr(&Target::gapMs, target, toMs(this->settings.firstEventGap));
-        ms += gapMs * (1 + gapGrowthPerRequest * load.running) * demand.outputEvents;
-    }
+    if (this->isEngine)
+        ms += this->gapMs(target, load.running) * demand.outputEvents;
+    else
+        ms += load.running; // spreads work over idle targets that are alike
     if (target.info.failureDomain != this->settings.failureDomain)
         ms *= 1 + this->settings.otherDomainCost;
     return ms * (1 + noise * this->random());
@@ -155,19 +170,19 @@
 {
     std::optional<Choice> best;
     double bestScore = 0;
-    const double factor = demand.priority == 0 ? this->settings.slotsForUrgent : this->settings.slotsForOthers;
+    const Duration longestQueue = demand.urgent ? this->settings.queueForUrgent : this->settings.queueForOthers;
     for (Index i = 0; i < this->targets.size(); ++i) {
         const Target& target = this->targets[i];
         if (!this->isUsable(target, demand, now) || std::find(tried.begin(), tried.end(), i) != tried.end())
             continue;
         const Load load = this->load(target, now);
-        if (load.running >= target.info.slots * factor)
+        if (load.running >= target.info.slots * this->settings.mostPerSlot || this->slotWait(target, load) > longestQueue)
             continue;
         const uint32_t cached = std::min(this->cachedTokens(i, demand, now), demand.promptTokens);
         const uint32_t tokens = demand.promptTokens - cached;
         const double score = this->score(target, load, tokens, demand);
         if (!best || score < bestScore) {
-            best = Choice { i, this->predictFirst(target, load, tokens) };
+            best = Choice { i, this->predictFirst(target, load, tokens), load.prefillTokens + tokens };
             bestScore = score;
         }
     }
@@ -192,14 +207,15 @@
 
 void TargetPool::progress(Index target, TimePoint now) { this->targets[target].lastProgress = now; }
 
-void TargetPool::firstEvent(Index target, uint32_t promptTokens, Duration afterStart, TimePoint now)
+void TargetPool::firstEvent(Index target, uint32_t promptTokens, uint32_t backlogTokens, Duration afterStart, TimePoint now)
 {
     Target& t = this->targets[target];
-    const uint32_t backlog = std::max(t.prefillTokens, promptTokens);
     t.prefillTokens -= std::min(t.prefillTokens, promptTokens);
     t.lastProgress = now;
-    if (promptTokens >= leastPromptSample && afterStart.count() > 0)
-        learn(t.tokensPerMs, std::min(backlog, 2 * promptTokens) / std::max(toMs(afterStart), 1.0));
+    if (backlogTokens < leastPromptSample)
+        return;
+    const double readingMs = toMs(afterStart) - this->gapMs(t, this->load(t, now).running);
+    learn(t.tokensPerMs, backlogTokens / std::max(readingMs, leastReadingPart * toMs(afterStart)));
 }
 
 void TargetPool::eventGap(Index target, Duration gap, TimePoint now)
--- a/src/edge/TargetPool.h
+++ b/src/edge/TargetPool.h
@@ -45,7 +45,7 @@
 struct Demand {
     uint32_t promptTokens = 0;
     uint32_t outputEvents = 1;  // expected
-    int priority = 0;           // 0 is the highest
+    bool urgent = false;        // of the highest priority
     bool repeatable = false;    // may be sent to a target on probation
     Duration objective = std::chrono::seconds(1);
     std::span<const PromptPart> parts; // of the prompt, in order
@@ -53,8 +53,9 @@
 
 struct PlacementSettings {
     std::string failureDomain;                              // of this node
-    double slotsForUrgent = 1.15;                           // requests at a target, as a multiple of its slots, for priority 0
-    double slotsForOthers = 1.0;                            // the same for all other priorities
+    double mostPerSlot = 1.5;                               // requests at a target, as a multiple of its slots
+    Duration queueForUrgent = std::chrono::milliseconds(60); // predicted wait for a slot at a target, for urgent requests
+    Duration queueForOthers = std::chrono::milliseconds(30); // the same for all others
     double otherDomainCost = 0.05;                          // added to the predicted time at another failure domain, as a part of it
     double firstTokensPerMs = 60;                           // prefill speed before anything was learned, tokens/ms
     Duration firstEventGap = std::chrono::milliseconds(20); // time between events before anything was learned
@@ -95,7 +96,8 @@
 
     struct Choice {
         Index target;
-        Duration firstEvent; // predicted time to the first event, or to the answer of a plain service
+        Duration firstEvent;    // predicted time to the first event, or to the answer of a plain service
+        uint32_t backlogTokens; // prompt tokens to be read there until then, the request's own included
     };
     // Empty: no usable target has room. `tried` are left out.
     std::optional<Choice> choose(const Demand& demand, std::span<const Index> tried, TimePoint now);
@@ -103,7 +105,7 @@
 
     void started(Index target, const Demand& demand, TimePoint now);
     void progress(Index target, TimePoint now); // any byte of an answer
-    void firstEvent(Index target, uint32_t promptTokens, Duration afterStart, TimePoint now);
+    void firstEvent(Index target, uint32_t promptTokens, uint32_t backlogTokens, Duration afterStart, TimePoint now);
     void eventGap(Index target, Duration gap, TimePoint now); // mean over the events of an answer
     // `prefillPending` is the part of the prompt that was not known to be read yet.
     void ended(Index target, uint32_t prefillPending, TargetOutcome outcome, std::optional<Duration> serviceTime, TimePoint now);
@@ -163,6 +165,8 @@
     Load load(const Target& target, TimePoint now) const;
     bool isUsable(const Target& target, const Demand& demand, TimePoint now) const;
     Duration predictFirst(const Target& target, const Load& load, uint32_t tokens) const;
+    Duration slotWait(const Target& target, const Load& load) const; // predicted, until a slot is free
+    double gapMs(const Target& target, uint32_t running) const;
     double score(const Target& target, const Load& load, uint32_t tokens, const Demand& demand) const;
     uint32_t cachedTokens(Index target, const Demand& demand, TimePoint now) const;
     void pause(Target& target, TimePoint now);
--- a/src/edge/WorkspaceQuota.cpp
+++ b/src/edge/WorkspaceQuota.cpp
@@ -20,8 +20,8 @@
     const double burst = workspace.burst * this->reachable;
     if (!bucket.filledAt)
         bucket.level += burst * levelAtStart;
-    else
-        bucket.level += toSeconds(now - *bucket.filledAt) * workspace.ratePerSecond * this->reachable;
+    const TimePoint since = bucket.filledAt.value_or(this->started);
+    bucket.level += toSeconds(now - since) * workspace.ratePerSecond * this->reachable;
     bucket.level = std::min(bucket.level, burst);
     bucket.burst = burst;
     bucket.filledAt = now;
--- a/src/edge/WorkspaceQuota.h
+++ b/src/edge/WorkspaceQuota.h
@@ -16,6 +16,10 @@
 
 class WorkspaceQuota {
 public:
+    explicit WorkspaceQuota(TimePoint started) // of this process: buckets fill from then on
+        : started(started)
+    {
+    }
     QuotaVerdict take(const Workspace& workspace, uint64_t tokens, TimePoint now);
     void refund(const Workspace& workspace, uint64_t tokens); // the request has not run
     void peerUsed(uint64_t workspaceHash, int64_t tokens);    // a peer reports that it dispatched this much more; below zero: refunds
@@ -37,6 +41,7 @@
     void fill(Bucket& bucket, const Workspace& workspace, TimePoint now) const;
 
     std::unordered_map<uint64_t, Bucket> buckets; // by hash of the workspace's name
+    TimePoint started;
     double reachable = 1;
 };
 
