--- a/cmake/Programs.cmake
+++ b/cmake/Programs.cmake
@@ -21,9 +21,10 @@
 endif()
 
 file(GLOB ADAPTER_SOURCES CONFIGURE_DEPENDS src/adapters/*.cpp)
+list(FILTER ADAPTER_SOURCES EXCLUDE REGEX "Logging.cpp$") # a library of its own, in cmake/Edge.cmake
 if(ADAPTER_SOURCES)
     add_library(guavapondAdapters STATIC ${ADAPTER_SOURCES})
-    target_link_libraries(guavapondAdapters PUBLIC guavapondNode guavapondRest prometheus-cpp::core log4cxx tomlplusplus::tomlplusplus
+    target_link_libraries(guavapondAdapters PUBLIC guavapondNode guavapondRest prometheus-cpp::core guavapondLogging log4cxx tomlplusplus::tomlplusplus
         PRIVATE guavapondWarnings)
     if(TARGET guavapondProto)
         target_link_libraries(guavapondAdapters PUBLIC guavapondProto)
--- a/src/edge/Catalog.h
+++ b/src/edge/Catalog.h
@@ -44,9 +44,9 @@
 };
 
 struct EngineSpec {
-    uint32_t slots = 1;        // requests that run at once
-    uint64_t cacheTokens = 0;  // memory for prompts and answers, tokens
-    uint32_t eventTokens = 1;  // tokens in one event of a stream
+    uint32_t slots = 1;       // requests that run at once
+    uint64_t cacheTokens = 0; // memory for prompts and answers, tokens
+    uint32_t eventTokens = 1; // tokens in one event of a stream
 };
 
 struct Service {
@@ -66,11 +66,11 @@
 struct Workspace {
     std::string name;
     std::vector<std::string> keys;
-    std::optional<int> priority;  // goes before the route's
-    bool countsTokens = false;    // false: each request counts as one
-    uint64_t defaultTokens = 1;   // of a request that states no size
-    double ratePerSecond = 0;     // tokens or requests; 0: no limit
-    double burst = 0;             // tokens or requests
+    std::optional<int> priority; // goes before the route's
+    bool countsTokens = false;   // false: each request counts as one
+    uint64_t defaultTokens = 1;  // of a request that states no size
+    double ratePerSecond = 0;    // tokens or requests; 0: no limit
+    double burst = 0;            // tokens or requests
 };
 
 class Catalog {
@@ -82,7 +82,7 @@
     std::vector<Workspace> workspaces;
     CallerLimits limits;
 
-    void index(); // call once, after the last change
+    void index();                                                               // call once, after the last change
     const Route* findRoute(std::string_view host, std::string_view path) const; // longest prefix of that host
     const Workspace* findWorkspace(std::string_view key) const;
     const Service* findService(std::string_view name) const;
--- a/src/edge/EdgeMetrics.cpp
+++ b/src/edge/EdgeMetrics.cpp
@@ -37,9 +37,10 @@
         = BuildCounter().Name("guavapond_edge_failed_runs_total").Help("Sends to targets that failed, by reason").Register(this->registry);
     Family<Counter>& storeCalls
         = BuildCounter().Name("guavapond_edge_store_calls_total").Help("Calls to the store, by call and result").Register(this->registry);
-    Family<Histogram>& seconds
-        = BuildHistogram().Name("guavapond_edge_request_seconds").Help("Time from the request's head to the end of its answer, s").Register(
-            this->registry);
+    Family<Histogram>& seconds = BuildHistogram()
+                                     .Name("guavapond_edge_request_seconds")
+                                     .Help("Time from the request's head to the end of its answer, s")
+                                     .Register(this->registry);
     Histogram& firstEvent = BuildHistogram()
                                 .Name("guavapond_edge_first_event_seconds")
                                 .Help("Time from the request's head to the first event of its stream, s")
--- a/src/edge/EdgeMetrics.h
+++ b/src/edge/EdgeMetrics.h
@@ -16,9 +16,9 @@
     FailureRelayed, // the target's own failure
     Refused,        // not run
     OverQuota,
-    Rejected,       // not allowed or not well formed
-    Unknown,        // may have run
-    CutOff,         // the answer was broken off
+    Rejected, // not allowed or not well formed
+    Unknown,  // may have run
+    CutOff,   // the answer was broken off
     CallerGone,
 };
 constexpr size_t requestResultCount = static_cast<size_t>(RequestResult::CallerGone) + 1;
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -14,9 +14,9 @@
 constexpr Duration balancerNotices = std::chrono::milliseconds(3200);
 // The balancer may still send new connections for this long after a stop began.
 constexpr Duration takesAllFor = std::chrono::milliseconds(2700);
-constexpr Duration stopMargin = std::chrono::milliseconds(300);    // before the end of the grace
-constexpr uint32_t reservedDescriptors = 260;                      // files, the store, peers
-constexpr double callerDescriptors = 0.6;                          // part of the rest that callers may take; targets get the others
+constexpr Duration stopMargin = std::chrono::milliseconds(300); // before the end of the grace
+constexpr uint32_t reservedDescriptors = 260;                   // files, the store, peers
+constexpr double callerDescriptors = 0.6;                       // part of the rest that callers may take; targets get the others
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusUnavailable = 503;
 constexpr unsigned statusNotFound = 404;
@@ -31,7 +31,8 @@
 
 size_t mostCallers(const EdgeSettings& settings)
 {
-    const uint32_t free = settings.descriptors > 2 * reservedDescriptors ? settings.descriptors - reservedDescriptors : settings.descriptors / 2;
+    const uint32_t free
+        = settings.descriptors > 2 * reservedDescriptors ? settings.descriptors - reservedDescriptors : settings.descriptors / 2;
     return static_cast<size_t>(free * callerDescriptors);
 }
 
@@ -97,11 +98,13 @@
     EdgeMetrics& gauges = this->counters;
     gauges.setGauge("guavapond_edge_in_flight", "Requests under way", static_cast<double>(this->requests.inFlight()));
     gauges.setGauge("guavapond_edge_waiting", "Requests that wait for room at a target", static_cast<double>(this->requests.waiting()));
-    gauges.setGauge("guavapond_edge_peers_heard", "Other nodes that are heard", static_cast<double>(this->peerLink.table().heardCount(now)));
+    gauges.setGauge(
+        "guavapond_edge_peers_heard", "Other nodes that are heard", static_cast<double>(this->peerLink.table().heardCount(now)));
     gauges.setGauge("guavapond_edge_catalog_version", "Version of the configuration in force",
         this->requests.catalog() ? static_cast<double>(this->requests.catalog()->version) : 0);
     const auto age = this->requests.freshness.age(now);
-    gauges.setGauge("guavapond_edge_proof_age_seconds", "Age of the proof that the configuration is current; -1: none", age ? toSeconds(*age) : -1);
+    gauges.setGauge(
+        "guavapond_edge_proof_age_seconds", "Age of the proof that the configuration is current; -1: none", age ? toSeconds(*age) : -1);
     gauges.setGauge("guavapond_edge_connections_opened", "Connections to targets since the start",
         static_cast<double>(this->requests.connectionsOpened()));
     caller->answer(makeAnswer({ statusOk, gauges.page(), "text/plain; version=0.0.4", {} }));
--- a/src/edge/EdgeNode.h
+++ b/src/edge/EdgeNode.h
@@ -20,8 +20,8 @@
     EdgeNode(net::io_context& loop, const EdgeSettings& settings, const WireHeaders& headers, const EdgePaths& paths,
         PeerLink::Hooks peerHooks, uint64_t incarnation, std::function<double()> random);
 
-    void start();                            // throws boost::system::system_error if an address can't be used
-    void stop(std::function<void()> drained); // planned stop: `drained` is called once nothing is under way, or the grace is over
+    void start();                                     // throws boost::system::system_error if an address can't be used
+    void stop(std::function<void()> drained);         // planned stop: `drained` is called once nothing is under way, or the grace is over
     void applySettings(const EdgeSettings& settings); // bounds only; addresses need a restart
 
     Relay& relay() { return this->requests; }
--- a/src/edge/EdgeSettings.cpp
+++ b/src/edge/EdgeSettings.cpp
@@ -46,7 +46,7 @@
         const auto node = this->root.at_path(key);
         if (!node)
             return fallback;
-        const auto value = node.value<bool>();
+        const auto value = node.value_exact<bool>();
         if (!value)
             this->faults.push_back({ std::string(key), "true or false is needed" });
         return value.value_or(fallback);
@@ -94,7 +94,8 @@
     admission.longestWait = reader.number("admission.longestWait", 0, 1, admission.longestWait);
     admission.latestFirstEvent = reader.number("admission.latestFirstEvent", 0.1, 100, admission.latestFirstEvent);
     admission.leastRetryAfter = milliseconds(reader.number("admission.leastRetryAfterMs", 0, longestMs, inMs(admission.leastRetryAfter)));
-    admission.retryAfterSpread = milliseconds(reader.number("admission.retryAfterSpreadMs", 0, longestMs, inMs(admission.retryAfterSpread)));
+    admission.retryAfterSpread
+        = milliseconds(reader.number("admission.retryAfterSpreadMs", 0, longestMs, inMs(admission.retryAfterSpread)));
 }
 
 } // namespace
--- a/src/edge/EdgeSettings.h
+++ b/src/edge/EdgeSettings.h
@@ -12,12 +12,12 @@
 struct EdgeSettings {
     std::string node;
     std::string failureDomain;
-    Address callers;  // where requests come in
-    Address ready;    // where the balancer asks whether the node takes requests
-    Address peers;    // beacons and store items
+    Address callers; // where requests come in
+    Address ready;   // where the balancer asks whether the node takes requests
+    Address peers;   // beacons and store items
     Address metrics;
     Address store;
-    uint32_t descriptors = 1024; // that the process may open
+    uint32_t descriptors = 1024;                                // that the process may open
     Duration keyRevocation = std::chrono::milliseconds(5000);   // a key that was taken away is not honoured for longer
     bool checksRevocation = true;                               // false: keys are honoured without a proof
     Duration stopGrace = std::chrono::seconds(8);               // from SIGTERM to SIGKILL
--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -24,10 +24,7 @@
 
 std::string textOf(boost::beast::string_view view) { return std::string(view.data(), view.size()); }
 
-bool isEventStream(const http::response_header<>& head)
-{
-    return textOf(head[http::field::content_type]).starts_with("text/event-stream");
-}
+bool isEventStream(const http::response_header<>& head) { return textOf(head[http::field::content_type]).starts_with("text/event-stream"); }
 
 } // namespace
 
@@ -105,10 +102,7 @@
     this->follow(this->life.onNoTarget(), "no room at any target");
 }
 
-bool Exchange::maySend(TimePoint now) const
-{
-    return !this->plan.workspace || this->relay.freshness.holds(now);
-}
+bool Exchange::maySend(TimePoint now) const { return !this->plan.workspace || this->relay.freshness.holds(now); }
 
 std::string Exchange::requestHead(const TargetInfo& target, TimePoint now) const
 {
@@ -362,8 +356,8 @@
     this->scanner.restart();
     this->relay.metrics.runEnded(end);
     const TimePoint now = bootTime();
-    const NextStep step
-        = this->life.runEnded(end, [&] { return this->relay.secondTries.take(this->plan.service, now); }, now);
+    const NextStep step = this->life.runEnded(
+        end, [&] { return this->relay.secondTries.take(this->plan.service, now); }, now);
     log(LogLevel::Info, "run failed",
         { { "request", textOf(this->request.message[this->relay.settings.headers.requestId]) }, { "target", this->lastTarget },
             { "end", runEndName(end) }, { "sends", this->life.sends() }, { "leftMs", toMilliseconds(this->life.left(now)) },
@@ -482,8 +476,8 @@
         { { "request", textOf(this->request.message[this->relay.settings.headers.requestId]) }, { "result", requestResultName(result) },
             { "reason", reason }, { "route", this->plan.route->name },
             { "workspace", this->plan.workspace ? std::string_view(this->plan.workspace->name) : std::string_view() },
-            { "workspaceRank", this->plan.rank.workspace }, { "routeRank", this->plan.rank.route }, { "tokens", this->plan.tokens }, { "target", this->lastTarget },
-            { "sends", this->life.sends() }, { "ms", toMilliseconds(total) },
+            { "workspaceRank", this->plan.rank.workspace }, { "routeRank", this->plan.rank.route }, { "tokens", this->plan.tokens },
+            { "target", this->lastTarget }, { "sends", this->life.sends() }, { "ms", toMilliseconds(total) },
             { "firstEventMs", this->firstEventAfter ? toMilliseconds(*this->firstEventAfter) : -1 },
             { "predictedFirstMs", this->predictedFirst ? toMilliseconds(*this->predictedFirst) : -1 },
             { "waitedMs", this->waitingSince ? toMilliseconds(now - *this->waitingSince) : 0 },
--- a/src/edge/Exchange.h
+++ b/src/edge/Exchange.h
@@ -90,7 +90,7 @@
     std::optional<Duration> predictedFirst;
     std::optional<Duration> firstEventAfter;
     std::string lastTarget;
-    bool streaming = false;     // the answer is relayed as it comes
+    bool streaming = false; // the answer is relayed as it comes
     bool quotaTaken = false;
     bool finishedFlag = false;
     std::optional<http::response<http::string_body>> failure; // of the last target that answered with one
--- a/src/edge/HttpClient.cpp
+++ b/src/edge/HttpClient.cpp
@@ -52,7 +52,8 @@
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     socket.set_option(net::socket_base::keep_alive(true), ignored);
-    const auto probe = static_cast<int>(std::max<int64_t>(1, std::chrono::duration_cast<std::chrono::seconds>(settings.keepAliveProbe).count()));
+    const auto probe
+        = static_cast<int>(std::max<int64_t>(1, std::chrono::duration_cast<std::chrono::seconds>(settings.keepAliveProbe).count()));
     socket.set_option(IntegerOption<IPPROTO_TCP, TCP_KEEPIDLE>(probe), ignored);
     socket.set_option(IntegerOption<IPPROTO_TCP, TCP_KEEPINTVL>(probe), ignored);
     socket.set_option(IntegerOption<IPPROTO_TCP, TCP_KEEPCNT>(keepAliveProbes), ignored);
--- a/src/edge/HttpListener.cpp
+++ b/src/edge/HttpListener.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr size_t readBytes = 16 * 1024;
-constexpr size_t mostBuffered = 64 * 1024; // of further requests while one is being answered
+constexpr size_t mostBuffered = 64 * 1024;                      // of further requests while one is being answered
 constexpr Duration acceptRetry = std::chrono::milliseconds(50); // after descriptors ran out
 constexpr unsigned httpOneOne = 11;
 
@@ -290,8 +290,7 @@
         hook();
 }
 
-HttpListener::HttpListener(
-    net::io_context& loop, const ListenerSettings& settings, Handler handler, std::function<CallerLimits()> limits)
+HttpListener::HttpListener(net::io_context& loop, const ListenerSettings& settings, Handler handler, std::function<CallerLimits()> limits)
     : loop(loop)
     , settings(settings)
     , handler(std::move(handler))
--- a/src/edge/HttpListener.h
+++ b/src/edge/HttpListener.h
@@ -20,7 +20,7 @@
 
 struct ListenerSettings {
     Address address;
-    size_t mostConnections = 4000; // further ones wait in the kernel's queue
+    size_t mostConnections = 4000;                    // further ones wait in the kernel's queue
     Duration longestWrite = std::chrono::seconds(10); // a caller that does not read its answer is cut off
 };
 
@@ -76,15 +76,15 @@
     std::optional<http::request_parser<http::string_body>> parser;
     std::function<void()> gone;
     std::function<void()> drained;
-    std::string output;  // waits for the write under way
-    std::string writing; // handed to the socket
+    std::string output;      // waits for the write under way
+    std::string writing;     // handed to the socket
     uint64_t timerRound = 0; // an earlier round's expiry is void
     unsigned version = 11;
     bool open = true;
     bool reading = false;
     bool receiving = false; // a request has begun to arrive
     bool headDone = false;
-    bool handling = false;  // a request is being answered
+    bool handling = false; // a request is being answered
     bool keepAlive = true;
     bool closing = false;
     bool chunked = false; // framing of the stream
@@ -101,7 +101,7 @@
 
     HttpListener(net::io_context& loop, const ListenerSettings& settings, Handler handler, std::function<CallerLimits()> limits);
 
-    void listen(); // throws boost::system::system_error if the address can't be used
+    void listen();                 // throws boost::system::system_error if the address can't be used
     void stopKeepingConnections(); // answers end their connections from now on
     void closeIdle();
     void shutDown(); // accepts no further connection
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -56,15 +56,14 @@
 
 void PeerLink::receive()
 {
-    this->socket.async_receive_from(
-        net::buffer(this->buffer), this->sender, [this](boost::system::error_code error, size_t bytes) {
-            if (error == net::error::operation_aborted)
-                return;
-            // An error report of an earlier send to a node that is gone; the next datagram is unaffected.
-            if (!error)
-                this->onDatagram(bytes);
-            this->receive();
-        });
+    this->socket.async_receive_from(net::buffer(this->buffer), this->sender, [this](boost::system::error_code error, size_t bytes) {
+        if (error == net::error::operation_aborted)
+            return;
+        // An error report of an earlier send to a node that is gone; the next datagram is unaffected.
+        if (!error)
+            this->onDatagram(bytes);
+        this->receive();
+    });
 }
 
 void PeerLink::onDatagram(size_t bytes)
@@ -98,7 +97,8 @@
         loads.push_back({ load.target(), load.running(), load.prefill_tokens() });
     this->relay.peerLoads(nameHash(beacon.node), loads);
     // The peer's proof counts only for the configuration that it holds.
-    if (beacon.proofAge && beacon.echo != TimePoint {} && beacon.catalogRevision == this->hooks.catalogRevision() && beacon.catalogRevision > 0)
+    if (beacon.proofAge && beacon.echo != TimePoint {} && beacon.catalogRevision == this->hooks.catalogRevision()
+        && beacon.catalogRevision > 0)
         this->relay.freshness.provedByPeer(beacon.echo, *beacon.proofAge);
     if (beacon.catalogRevision > this->hooks.catalogRevision() && now - this->itemsAskedAt > this->settings.itemsInterval) {
         this->itemsAskedAt = now;
--- a/src/edge/PeerLink.h
+++ b/src/edge/PeerLink.h
@@ -20,26 +20,26 @@
 
 struct PeerLinkSettings {
     std::string node;
-    Address address;                                            // of beacons and store items
-    Duration busyInterval = std::chrono::milliseconds(20);      // between beacons while loads change
-    Duration idleInterval = std::chrono::milliseconds(150);     // between beacons otherwise
-    size_t nodesAtBusyInterval = 6;                             // with more nodes the interval grows in proportion
-    Duration itemsInterval = std::chrono::milliseconds(300);    // between two requests for a peer's store items
+    Address address;                                         // of beacons and store items
+    Duration busyInterval = std::chrono::milliseconds(20);   // between beacons while loads change
+    Duration idleInterval = std::chrono::milliseconds(150);  // between beacons otherwise
+    size_t nodesAtBusyInterval = 6;                          // with more nodes the interval grows in proportion
+    Duration itemsInterval = std::chrono::milliseconds(300); // between two requests for a peer's store items
     PeerSettings peers;
 };
 
 class PeerLink {
 public:
     struct Hooks {
-        std::function<std::vector<StoreItem>()> items;             // what this node would pass on
-        std::function<void(std::span<const StoreItem>)> received;  // a peer's items
+        std::function<std::vector<StoreItem>()> items;            // what this node would pass on
+        std::function<void(std::span<const StoreItem>)> received; // a peer's items
         std::function<uint64_t()> catalogRevision;
     };
     PeerLink(net::io_context& loop, const PeerLinkSettings& settings, Relay& relay, Hooks hooks, uint64_t incarnation);
 
     void start(); // throws boost::system::system_error if the address can't be used
     void setMembers(std::span<const Member> members);
-    void tick();      // sends a beacon when one is due, and notices silent peers
+    void tick(); // sends a beacon when one is due, and notices silent peers
     void announceStop() { this->stopping = true; }
     const PeerTable& table() const { return this->peers; }
 
--- a/src/edge/PeerTable.cpp
+++ b/src/edge/PeerTable.cpp
@@ -84,9 +84,8 @@
 
 size_t PeerTable::heardCount(TimePoint now) const
 {
-    return static_cast<size_t>(std::count_if(this->peers.begin(), this->peers.end(), [&](const auto& item) {
-        return !item.second.silent && now - item.second.heardAt <= this->settings.silentAfter;
-    }));
+    return static_cast<size_t>(std::count_if(this->peers.begin(), this->peers.end(),
+        [&](const auto& item) { return !item.second.silent && now - item.second.heardAt <= this->settings.silentAfter; }));
 }
 
 double PeerTable::reachableShare(TimePoint now) const
--- a/src/edge/PeerTable.h
+++ b/src/edge/PeerTable.h
@@ -25,9 +25,9 @@
     std::string node;
     uint64_t incarnation = 0;
     uint64_t sequence = 0;
-    TimePoint sentAt {};                // by the sender's clock
-    TimePoint echo {};                  // by the receiver's clock; the epoch: none
-    std::optional<Duration> proofAge;   // of the sender's configuration
+    TimePoint sentAt {};              // by the sender's clock
+    TimePoint echo {};                // by the receiver's clock; the epoch: none
+    std::optional<Duration> proofAge; // of the sender's configuration
     uint64_t catalogRevision = 0;
     uint16_t port = 0;
     bool stopping = false;
@@ -45,14 +45,14 @@
 
     void setMembers(std::span<const Member> members, TimePoint now); // as the store lists them
     struct News {
-        bool accepted = false;                     // newer than the last beacon of that node
-        bool isNew = false;                        // first beacon, or first after a silence
+        bool accepted = false;                          // newer than the last beacon of that node
+        bool isNew = false;                             // first beacon, or first after a silence
         std::vector<std::pair<uint64_t, int64_t>> uses; // workspace hash, tokens since the last beacon
     };
     News heard(const Beacon& beacon, const std::string& ip, TimePoint now);
     std::vector<std::string> takeSilent(TimePoint now); // nodes that fell silent since the last call
 
-    std::vector<Member> members() const; // without this node
+    std::vector<Member> members() const;              // without this node
     TimePoint echoFor(const std::string& node) const; // sentAt of its last beacon; the epoch: none
     double reachableShare(TimePoint now) const;       // this node and those that are heard, over all members
     size_t nodeCount() const { return this->peers.size() + 1; }
--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -11,9 +11,9 @@
 
 namespace {
 
-constexpr size_t mostPumped = 64;                                     // waiting requests looked at in one round
-constexpr Duration housekeeping = std::chrono::milliseconds(100);     // between checks for silent targets and old connections
-constexpr double eventsBeforeLearning = 30;                           // of an answer
+constexpr size_t mostPumped = 64;                                 // waiting requests looked at in one round
+constexpr Duration housekeeping = std::chrono::milliseconds(100); // between checks for silent targets and old connections
+constexpr double eventsBeforeLearning = 30;                       // of an answer
 constexpr uint64_t chainSeed = 0x9e3779b97f4a7c15ULL;
 
 std::string lower(std::string_view text)
@@ -77,10 +77,7 @@
     return parts;
 }
 
-std::string hostWithoutPort(std::string_view host)
-{
-    return lower(host.substr(0, host.find(':')));
-}
+std::string hostWithoutPort(std::string_view host) { return lower(host.substr(0, host.find(':'))); }
 
 } // namespace
 
@@ -103,8 +100,8 @@
     this->settings = value;
     this->freshness.setBound(value.keyProofBound);
     this->secondTries.configure(value.secondTries);
-    this->droppedFields = { "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "expect",
-        "content-length" };
+    this->droppedFields
+        = { "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "expect", "content-length" };
     const WireHeaders& names = this->settings.headers;
     for (const std::string& name : { names.callerLimit, names.key, names.workspace, names.expectedTarget })
         this->droppedFields.insert(lower(name));
@@ -182,8 +179,8 @@
     return route.shares.back().service;
 }
 
-void Relay::reject(const CallerPointer& caller, const CallerRequest& request, unsigned status, std::string_view reason,
-    std::optional<Duration> retry)
+void Relay::reject(
+    const CallerPointer& caller, const CallerRequest& request, unsigned status, std::string_view reason, std::optional<Duration> retry)
 {
     OwnAnswer answer;
     answer.status = status;
@@ -198,12 +195,15 @@
         answer.fields.set(http::field::retry_after, boost::beast::string_view(text, static_cast<size_t>(length)));
     }
     const TimePoint now = bootTime();
-    const RequestResult result = status == 429 ? RequestResult::OverQuota : status == 503 ? RequestResult::Refused : RequestResult::Rejected;
+    const RequestResult result = status == 429 ? RequestResult::OverQuota
+        : status == 503                        ? RequestResult::Refused
+                                               : RequestResult::Rejected;
     this->metrics.requestEnded(result, now - request.arrivedAt, std::nullopt);
     const auto proofAge = this->freshness.age(now);
     log(LogLevel::Info, "request rejected",
-        { { "request", view(id) }, { "status", status }, { "reason", reason }, { "catalogVersion", this->current ? this->current->version : 0 },
-            { "proofAgeMs", proofAge ? toMilliseconds(*proofAge) : -1 }, { "retryAfterMs", retry ? toMilliseconds(*retry) : -1 } });
+        { { "request", view(id) }, { "status", status }, { "reason", reason },
+            { "catalogVersion", this->current ? this->current->version : 0 }, { "proofAgeMs", proofAge ? toMilliseconds(*proofAge) : -1 },
+            { "retryAfterMs", retry ? toMilliseconds(*retry) : -1 } });
     caller->answer(makeAnswer(answer));
 }
 
@@ -253,8 +253,8 @@
     if (plan.workspace) {
         const QuotaVerdict verdict = this->quota.take(*plan.workspace, plan.tokens, now);
         if (!verdict.allowed)
-            return this->reject(caller, request, 429, "over the workspace's rate",
-                std::max(verdict.retryAfter, this->settings.admission.leastRetryAfter));
+            return this->reject(
+                caller, request, 429, "over the workspace's rate", std::max(verdict.retryAfter, this->settings.admission.leastRetryAfter));
     }
     if (tokens) {
         plan.demand.promptTokens = static_cast<uint32_t>(tokens->prompt);
--- a/src/edge/Relay.h
+++ b/src/edge/Relay.h
@@ -19,17 +19,17 @@
 namespace guavapond::edge {
 
 struct WireHeaders {
-    std::string requestId = "Guavapond-Request-Id";         // of one attempt of a caller
-    std::string callerLimit = "Guavapond-Deadline-Ms";      // how long the caller waits, or how much of it is left, ms
-    std::string key = "Guavapond-Api-Key";                  // names the workspace; never passed on
-    std::string workspace = "Guavapond-Workspace";          // set towards targets
-    std::string expectedTarget = "Guavapond-Target";        // set towards targets: any other one declines
-    std::string proof = "Guavapond-Answer-Proof";           // a target's mark on its answer; an answer without it is not trusted
-    std::string notRun = "Guavapond-Not-Run";               // a target says that it did not run the request
-    std::string tokenCount = "Guavapond-Tokens";            // prompt tokens and most output tokens, joined by a comma
-    std::string promptParts = "Guavapond-Prompt-Parts";     // ID:TOKENS entries, joined by commas
+    std::string requestId = "Guavapond-Request-Id";     // of one attempt of a caller
+    std::string callerLimit = "Guavapond-Deadline-Ms";  // how long the caller waits, or how much of it is left, ms
+    std::string key = "Guavapond-Api-Key";              // names the workspace; never passed on
+    std::string workspace = "Guavapond-Workspace";      // set towards targets
+    std::string expectedTarget = "Guavapond-Target";    // set towards targets: any other one declines
+    std::string proof = "Guavapond-Answer-Proof";       // a target's mark on its answer; an answer without it is not trusted
+    std::string notRun = "Guavapond-Not-Run";           // a target says that it did not run the request
+    std::string tokenCount = "Guavapond-Tokens";        // prompt tokens and most output tokens, joined by a comma
+    std::string promptParts = "Guavapond-Prompt-Parts"; // ID:TOKENS entries, joined by commas
     std::string lastEventId = "Last-Event-Id";
-    std::vector<std::string> reserved;                      // the node's to set: a caller's values are dropped
+    std::vector<std::string> reserved; // the node's to set: a caller's values are dropped
 };
 
 struct RelaySettings {
@@ -38,11 +38,11 @@
     AdmissionSettings admission;
     SecondTrySettings secondTries;
     ConnectionSettings connections;
-    Duration keyProofBound = std::chrono::milliseconds(4500);  // age of the newest proof with which a key is still honoured
-    Duration rejectionProofBound = std::chrono::seconds(2);    // "no such route" and "no such key" are said with a younger proof only
-    Duration reuseForRepeatable = std::chrono::seconds(3);     // an idle connection is used again within this time
-    Duration reuseForOthers = std::chrono::milliseconds(800);  // the same for work that must not repeat: a stale connection makes it unknown
-    size_t mostBufferedAnswer = 1 << 20;                       // bytes; longer plain answers are relayed as they come
+    Duration keyProofBound = std::chrono::milliseconds(4500); // age of the newest proof with which a key is still honoured
+    Duration rejectionProofBound = std::chrono::seconds(2);   // "no such route" and "no such key" are said with a younger proof only
+    Duration reuseForRepeatable = std::chrono::seconds(3);    // an idle connection is used again within this time
+    Duration reuseForOthers = std::chrono::milliseconds(800); // the same for work that must not repeat: a stale connection makes it unknown
+    size_t mostBufferedAnswer = 1 << 20;                      // bytes; longer plain answers are relayed as they come
 };
 
 class Exchange;
--- a/src/edge/SecondTryBudget.h
+++ b/src/edge/SecondTryBudget.h
@@ -14,10 +14,10 @@
 namespace guavapond::edge {
 
 struct SecondTrySettings {
-    double ratio = 0.2;                                // further sends per request
-    Duration window = std::chrono::seconds(10);        // sliding
-    double allowance = 0;                              // further sends of all nodes together in a window
-    double safety = 0.8;                               // part of both that is used: windows of nodes do not line up
+    double ratio = 0.2;                         // further sends per request
+    Duration window = std::chrono::seconds(10); // sliding
+    double allowance = 0;                       // further sends of all nodes together in a window
+    double safety = 0.8;                        // part of both that is used: windows of nodes do not line up
 };
 
 class SecondTryBudget {
--- a/src/edge/TargetPool.cpp
+++ b/src/edge/TargetPool.cpp
@@ -13,7 +13,7 @@
 constexpr double learnWeight = 0.15;         // of a new sample
 constexpr double gapGrowthPerRequest = 0.03; // an event takes this much longer for each further request that runs
 constexpr uint32_t leastPromptSample = 500;  // shorter prompts say little of the prefill speed
-constexpr double leastReadingPart = 0.3;      // of the time to a first event that went into reading prompts
+constexpr double leastReadingPart = 0.3;     // of the time to a first event that went into reading prompts
 constexpr double noise = 0.04;               // spreads the choices of nodes that see the same loads
 constexpr uint32_t answersJudged = 12;
 constexpr uint32_t badAnswersToPause = 4;
@@ -156,9 +156,8 @@
         if (found == this->cache.end())
             break;
         const auto& entries = found->second;
-        const bool held = std::any_of(entries.begin(), entries.end(), [&](const CacheEntry& entry) {
-            return entry.target == target && now - entry.at < this->settings.cacheLife;
-        });
+        const bool held = std::any_of(entries.begin(), entries.end(),
+            [&](const CacheEntry& entry) { return entry.target == target && now - entry.at < this->settings.cacheLife; });
         if (!held)
             break;
         tokens += part.tokens;
@@ -282,8 +281,8 @@
         return;
     for (const PromptPart& part : parts) {
         auto& entries = this->cache[part.chain];
-        std::erase_if(entries,
-            [&](const CacheEntry& entry) { return entry.target == target || now - entry.at >= this->settings.cacheLife; });
+        std::erase_if(
+            entries, [&](const CacheEntry& entry) { return entry.target == target || now - entry.at >= this->settings.cacheLife; });
         entries.push_back({ target, now });
     }
 }
--- a/src/edge/TargetPool.h
+++ b/src/edge/TargetPool.h
@@ -38,34 +38,34 @@
 };
 
 struct PromptPart {
-    uint64_t chain;  // hash of this part and all before it
+    uint64_t chain; // hash of this part and all before it
     uint32_t tokens;
 };
 
 struct Demand {
     uint32_t promptTokens = 0;
-    uint32_t outputEvents = 1;  // expected
-    bool urgent = false;        // of the highest priority
-    bool repeatable = false;    // may be sent to a target on probation
+    uint32_t outputEvents = 1; // expected
+    bool urgent = false;       // of the highest priority
+    bool repeatable = false;   // may be sent to a target on probation
     Duration objective = std::chrono::seconds(1);
     std::span<const PromptPart> parts; // of the prompt, in order
 };
 
 struct PlacementSettings {
-    std::string failureDomain;                              // of this node
-    double mostPerSlot = 1.5;                               // requests at a target, as a multiple of its slots
-    Duration queueForUrgent = std::chrono::milliseconds(60); // predicted wait for a slot at a target, for urgent requests
-    Duration queueForOthers = std::chrono::milliseconds(30); // the same for all others
-    double otherDomainCost = 0.05;                          // added to the predicted time at another failure domain, as a part of it
-    double firstTokensPerMs = 60;                           // prefill speed before anything was learned, tokens/ms
-    Duration firstEventGap = std::chrono::milliseconds(20); // time between events before anything was learned
+    std::string failureDomain;                                // of this node
+    double mostPerSlot = 1.5;                                 // requests at a target, as a multiple of its slots
+    Duration queueForUrgent = std::chrono::milliseconds(120); // predicted wait for a slot at a target, for urgent requests
+    Duration queueForOthers = std::chrono::milliseconds(15);  // the same for all others
+    double otherDomainCost = 0.05;                            // added to the predicted time at another failure domain, as a part of it
+    double firstTokensPerMs = 60;                             // prefill speed before anything was learned, tokens/ms
+    Duration firstEventGap = std::chrono::milliseconds(20);   // time between events before anything was learned
     Duration firstServiceTime = std::chrono::milliseconds(15);
     Duration peerLoadLife = std::chrono::milliseconds(1500); // a peer's report is dropped when it is older
     Duration stallAfter = std::chrono::milliseconds(700);    // without a byte while work is in flight, a target gets no new work
     Duration firstPause = std::chrono::milliseconds(300);    // after a connection failure; doubles with each further one
     Duration longestPause = std::chrono::seconds(4);
-    Duration cacheLife = std::chrono::seconds(10);           // a prompt part is expected in a target's memory for that long
-    double mostPaused = 0.5;                                 // part of the targets that may be paused for failing answers
+    Duration cacheLife = std::chrono::seconds(10); // a prompt part is expected in a target's memory for that long
+    double mostPaused = 0.5;                       // part of the targets that may be paused for failing answers
 };
 
 enum class TargetOutcome : uint8_t {
@@ -143,11 +143,11 @@
         uint32_t running = 0;
         uint32_t prefillTokens = 0;
         std::map<uint64_t, PeerLoad> peers;
-        double tokensPerMs = 0;  // 0: not learned yet
-        double gapMs = 0;        // with one request; 0: not learned yet
-        double serviceMs = 0;    // 0: not learned yet
-        uint32_t failures = 0;   // connection failures in a row
-        uint32_t recentBad = 0;  // bits of the last answers, 1: failed
+        double tokensPerMs = 0; // 0: not learned yet
+        double gapMs = 0;       // with one request; 0: not learned yet
+        double serviceMs = 0;   // 0: not learned yet
+        uint32_t failures = 0;  // connection failures in a row
+        uint32_t recentBad = 0; // bits of the last answers, 1: failed
         uint32_t recentCount = 0;
         TimePoint pausedUntil {};
         bool probation = false; // paused before and not yet answered again
--- a/src/edge/WorkspaceQuota.h
+++ b/src/edge/WorkspaceQuota.h
@@ -21,8 +21,8 @@
     {
     }
     QuotaVerdict take(const Workspace& workspace, uint64_t tokens, TimePoint now);
-    void refund(const Workspace& workspace, uint64_t tokens); // the request has not run
-    void peerUsed(uint64_t workspaceHash, int64_t tokens);    // a peer reports that it dispatched this much more; below zero: refunds
+    void refund(const Workspace& workspace, uint64_t tokens);    // the request has not run
+    void peerUsed(uint64_t workspaceHash, int64_t tokens);       // a peer reports that it dispatched this much more; below zero: refunds
     void setReachable(double share) { this->reachable = share; } // heard nodes, this one included, over all nodes; 0 to 1
 
     struct Use {
--- /dev/null
+++ b/standins/edge/PlatformRunner.cpp
@@ -0,0 +1,136 @@
+// Answers and faults of the runner.
+#include "edge/PlatformRunner.h"
+
+namespace guavapond::standins {
+
+namespace {
+
+namespace http = edge::http;
+
+constexpr const char* idField = "Guavapond-Attempt-Id";
+constexpr const char* sealField = "Guavapond-Response-Seal";
+constexpr const char* notRunField = "Guavapond-Not-Executed";
+constexpr const char* targetField = "Guavapond-Target-Instance";
+constexpr const char* instanceField = "Guavapond-Instance-Id";
+
+std::string eventText(int id) { return "id: " + std::to_string(id) + "\ndata: piece " + std::to_string(id) + "\n\n"; }
+
+bool isStream(const http::request<http::string_body>& request)
+{
+    return request.target().find("/stream") != boost::beast::string_view::npos;
+}
+
+} // namespace
+
+PlatformRunner::PlatformRunner(edge::net::io_context& loop, const RunnerSettings& settings)
+    : loop(loop)
+    , settings(settings)
+    , listener(
+          loop, { settings.address, 256 },
+          [this](const edge::CallerPointer& caller, edge::CallerRequest request) { this->onRequest(caller, std::move(request)); },
+          [] { return edge::CallerLimits {}; })
+{
+}
+
+size_t PlatformRunner::runsOf(const std::string& attempt) const
+{
+    return static_cast<size_t>(std::count_if(this->runs.begin(), this->runs.end(), [&](const Run& run) { return run.attempt == attempt; }));
+}
+
+void PlatformRunner::after(Duration delay, std::function<void()> action)
+{
+    auto& timer = this->timers.emplace_back(this->loop);
+    timer.expires_after(delay);
+    timer.async_wait([action = std::move(action)](boost::system::error_code error) {
+        if (!error)
+            action();
+    });
+}
+
+http::response<http::string_body> PlatformRunner::makeHead(size_t run, unsigned status) const
+{
+    http::response<http::string_body> message;
+    message.result(status);
+    message.set(idField, this->runs[run].attempt);
+    message.set(sealField, "seal-of-" + this->settings.id);
+    return message;
+}
+
+void PlatformRunner::onRequest(const edge::CallerPointer& caller, edge::CallerRequest request)
+{
+    ++this->asked;
+    const std::string attempt(request.message[idField]);
+    RunnerFault now = RunnerFault::None;
+    if (this->fault != RunnerFault::None && *this->faultsLeft > 0) {
+        now = this->fault;
+        --*this->faultsLeft;
+    }
+    const auto expected = request.message[targetField];
+    if (now == RunnerFault::OtherOwner || (!expected.empty() && expected != this->settings.id)) {
+        auto answer = edge::makeAnswer({ 421, "", "", {} });
+        answer.set(instanceField, this->settings.id);
+        return caller->answer(std::move(answer));
+    }
+    if (now == RunnerFault::Declines) {
+        auto answer = edge::makeAnswer({ 503, "", "", {} });
+        answer.set(notRunField, "1");
+        return caller->answer(std::move(answer));
+    }
+    const size_t run = this->runs.size();
+    const bool stream = isStream(request.message);
+    this->runs.push_back({ attempt, std::move(request.message), false });
+    caller->onGone([this, run] { this->runs[run].cancelled = true; });
+    if (now == RunnerFault::Hangs)
+        return this->hanging.push_back(caller);
+    if (now == RunnerFault::BreaksBefore)
+        return this->after(this->settings.work, [caller] { caller->cutOff(); });
+    if (stream)
+        this->answerStream(caller, run, now);
+    else
+        this->after(this->settings.work, [this, caller, run, now] { this->answerPlain(caller, run, now); });
+}
+
+void PlatformRunner::answerPlain(const edge::CallerPointer& caller, size_t run, RunnerFault now)
+{
+    auto message = this->makeHead(run, now == RunnerFault::Fails ? 500 : now == RunnerFault::BareBusy ? 503 : 200);
+    message.body() = "answer of " + this->settings.id;
+    if (now == RunnerFault::Unsealed)
+        message.erase(sealField);
+    if (now == RunnerFault::Encoded)
+        message.set(http::field::content_encoding, "gzip");
+    if (now == RunnerFault::WrongId)
+        message.set(idField, "somebody-else");
+    if (now == RunnerFault::BreaksMidway) {
+        caller->beginStream(message.base());
+        caller->sendPiece("half");
+        return this->after(this->settings.work, [caller] { caller->cutOff(); });
+    }
+    caller->answer(std::move(message));
+}
+
+void PlatformRunner::answerStream(const edge::CallerPointer& caller, size_t run, RunnerFault now)
+{
+    if (now == RunnerFault::Fails || now == RunnerFault::Unsealed)
+        return this->answerPlain(caller, run, now);
+    auto message = this->makeHead(run, 200);
+    message.set(http::field::content_type, "text/event-stream");
+    caller->beginStream(message.base());
+    const auto last = this->runs[run].request["Last-Event-Id"];
+    this->sendEvent(caller, run, last.empty() ? 1 : std::stoi(std::string(last)) + 1, now);
+}
+
+void PlatformRunner::sendEvent(const edge::CallerPointer& caller, size_t run, int next, RunnerFault now)
+{
+    if (this->runs[run].cancelled)
+        return;
+    if (next > this->settings.events)
+        return caller->endStream();
+    if (now == RunnerFault::BreaksMidway && next == 2) {
+        caller->sendPiece(eventText(next).substr(0, 6));
+        return this->after(this->settings.eventGap, [caller] { caller->cutOff(); });
+    }
+    caller->sendPiece(eventText(next));
+    this->after(this->settings.eventGap, [this, caller, run, next, now] { this->sendEvent(caller, run, next + 1, now); });
+}
+
+} // namespace guavapond::standins
--- /dev/null
+++ b/standins/edge/PlatformRunner.h
@@ -0,0 +1,72 @@
+// Stand-in for a runner of the platform: a streaming engine or a plain service that records what it ran and misbehaves on demand.
+//
+// Index
+//   RunnerFault      what it does wrong with the next requests
+//   RunnerSettings
+//   PlatformRunner
+#pragma once
+
+#include "edge/HttpListener.h"
+
+#include <list>
+
+namespace guavapond::standins {
+
+enum class RunnerFault : uint8_t {
+    None,
+    Declines,     // 503 with its word that the request has not run
+    OtherOwner,   // 421: the address has another owner
+    Fails,        // 500 after it ran
+    BareBusy,     // 503 without its word: it ran
+    Unsealed,     // 200 without its mark
+    Encoded,      // 200 with a content encoding
+    WrongId,      // an answer to another request, then nothing
+    BreaksBefore, // closes the connection without an answer
+    BreaksMidway, // closes it in the middle of the second event, or of the body
+    Hangs,        // never answers
+};
+
+struct RunnerSettings {
+    std::string id = "r1";
+    edge::Address address;
+    int events = 5; // of a stream
+    Duration eventGap = std::chrono::milliseconds(5);
+    Duration work = std::chrono::milliseconds(5); // of a plain request
+};
+
+class PlatformRunner {
+public:
+    struct Run {
+        std::string attempt;
+        edge::http::request<edge::http::string_body> request;
+        bool cancelled = false; // the caller's connection closed before the answer was whole
+    };
+
+    PlatformRunner(edge::net::io_context& loop, const RunnerSettings& settings);
+
+    void start() { this->listener.listen(); }
+    void stop() { this->listener.shutDown(); }
+    edge::Address address() const { return { this->settings.address.ip, this->listener.port() }; }
+    size_t runsOf(const std::string& attempt) const;
+
+    RunnerFault fault = RunnerFault::None;
+    std::shared_ptr<size_t> faultsLeft = std::make_shared<size_t>(SIZE_MAX); // requests that meet the fault; may be shared by runners
+    std::vector<Run> runs;                                                   // that began, in order
+    size_t asked = 0;                                                        // requests that arrived
+
+private:
+    void onRequest(const edge::CallerPointer& caller, edge::CallerRequest request);
+    void answerPlain(const edge::CallerPointer& caller, size_t run, RunnerFault now);
+    void answerStream(const edge::CallerPointer& caller, size_t run, RunnerFault now);
+    void sendEvent(const edge::CallerPointer& caller, size_t run, int next, RunnerFault now);
+    edge::http::response<edge::http::string_body> makeHead(size_t run, unsigned status) const;
+    void after(Duration delay, std::function<void()> action);
+
+    edge::net::io_context& loop;
+    RunnerSettings settings;
+    edge::HttpListener listener;
+    std::list<edge::net::steady_timer> timers;
+    std::vector<edge::CallerPointer> hanging;
+};
+
+} // namespace guavapond::standins
--- /dev/null
+++ b/standins/edge/ScriptedServer.h
@@ -0,0 +1,46 @@
+// A server that answers each request on a connection with the bytes of a script, whatever they are. For answers that no well-behaved
+// server sends.
+//
+// Index
+//   ScriptedEnd      what follows the bytes
+//   ScriptedServer
+#pragma once
+
+#include "edge/HttpClient.h"
+
+namespace guavapond::standins {
+
+enum class ScriptedEnd : uint8_t {
+    KeepOpen,
+    Close,
+    Reset,
+};
+
+class ScriptedServer {
+public:
+    // `{id}` in the bytes stands for the request's Guavapond-Attempt-Id.
+    ScriptedServer(edge::net::io_context& loop, std::string bytes, ScriptedEnd end);
+
+    edge::Address address() const { return { "127.0.0.1", this->acceptor.local_endpoint().port() }; }
+    size_t requests = 0;
+
+private:
+    struct Peer {
+        explicit Peer(edge::tcp::socket connected)
+            : socket(std::move(connected))
+        {
+        }
+        edge::tcp::socket socket;
+        std::string input;
+        std::string output;
+    };
+    void accept();
+    void read(const std::shared_ptr<Peer>& peer);
+    void answer(const std::shared_ptr<Peer>& peer, const std::string& head);
+
+    std::string bytes;
+    ScriptedEnd end;
+    edge::tcp::acceptor acceptor;
+};
+
+} // namespace guavapond::standins
--- /dev/null
+++ b/tests/edge/EdgeSettingsTest.cpp
@@ -0,0 +1,54 @@
+// Tests of the checks of an edge node's settings.
+#include "edge/EdgeSettings.h"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace guavapond;
+using namespace guavapond::edge;
+
+namespace {
+
+const std::string good = R"(
+node = "edge-1"
+failureDomain = "lalitpur"
+[listen]
+callers = "127.0.0.1:8221"
+ready = "127.0.0.1:8224"
+peers = "127.0.0.1:7600"
+metrics = "127.0.0.1:7601"
+[store]
+address = "127.0.0.1:8225"
+)";
+
+bool hasFault(const EdgeSettingsResult& result, const std::string& key)
+{
+    return std::any_of(result.faults.begin(), result.faults.end(), [&](const SettingsFault& fault) { return fault.key == key; });
+}
+
+} // namespace
+
+TEST_GROUP(EdgeSettings) {};
+
+TEST(EdgeSettings, ReadsAGoodFileWithDefaults)
+{
+    const auto result = parseEdgeSettings(good);
+    CHECK(result.settings.has_value());
+    LONGS_EQUAL(8221, result.settings->callers.port);
+    STRCMP_EQUAL("lalitpur", result.settings->placement.failureDomain.c_str());
+}
+
+// Guards against a start with wrong settings, and against faults that are told one at a time.
+TEST(EdgeSettings, NamesAllFaultsAtOnce)
+{
+    std::string text = good;
+    text.replace(text.find("127.0.0.1:8221"), 14, "127.0.0.1");
+    const auto result = parseEdgeSettings(text + "[stop]\ngraceSeconds = 0\n[keys]\ncheckRevocation = 3\nrevocationMs = \"x\"\n");
+    CHECK_FALSE(result.settings.has_value());
+    LONGS_EQUAL(4, result.faults.size());
+    for (const char* key : { "listen.callers", "stop.graceSeconds", "keys.checkRevocation", "keys.revocationMs" })
+        CHECK_TEXT(hasFault(result, key), key);
+}
+
+TEST(EdgeSettings, TellsWhereAFileIsNoToml) { CHECK_FALSE(parseEdgeSettings("node = ").faults.empty()); }
--- /dev/null
+++ b/tests/edge/EdgeWorld.h
@@ -0,0 +1,163 @@
+// An edge node's relay on an event loop with stand-ins for targets, and a caller. Everything runs on loopback in one thread.
+#pragma once
+
+#include "edge/PlatformRunner.h"
+#include "edge/Relay.h"
+#include "edge/ScriptedServer.h"
+#include "platform/Names.h"
+
+#include <random>
+
+namespace guavapond::edge {
+
+struct CallerAnswer {
+    unsigned status = 0;
+    http::fields fields;
+    std::string body;
+    bool whole = false; // false: the connection ended before the answer did
+    bool ended = false;
+};
+
+class EdgeWorld {
+public:
+    static constexpr const char* host = "paint.example";
+
+    EdgeWorld()
+        : relay(this->loop, settings(), this->metrics, [this] { return this->uniform(this->generator); })
+        , listener(
+              this->loop, { { "127.0.0.1", 0 }, 100 },
+              [this](const CallerPointer& caller, CallerRequest request) { this->relay.handle(caller, std::move(request)); },
+              [this] { return this->relay.callerLimits(); })
+    {
+        this->listener.listen();
+        this->relay.freshness.prove(bootTime());
+        this->tick();
+    }
+
+    static RelaySettings settings()
+    {
+        RelaySettings result;
+        result.headers = platform::wireHeaders();
+        result.secondTries.allowance = 1000;
+        result.secondTries.window = std::chrono::milliseconds(1);
+        return result;
+    }
+
+    // Routes "/plain/" (idempotent), "/once/" (not), "/stream/" (not resumable) and "/resume/stream/" of one service "drafts".
+    Catalog catalog() const
+    {
+        Catalog result;
+        result.version = 1;
+        result.revision = 1;
+        const auto add = [&](const char* prefix, RouteKind kind, bool resumable, uint32_t maxTargets) {
+            Route route;
+            route.name = prefix;
+            route.host = host;
+            route.prefix = prefix;
+            route.kind = kind;
+            route.resumable = resumable;
+            route.maxTargets = maxTargets;
+            route.timeout = std::chrono::milliseconds(1500);
+            route.objective = std::chrono::milliseconds(400);
+            route.shares = { { "drafts", 1 } };
+            result.routes.push_back(route);
+        };
+        add("/plain/", RouteKind::Idempotent, false, 2);
+        add("/once/", RouteKind::NonIdempotent, false, 2);
+        add("/stream/", RouteKind::Streaming, false, 2);
+        add("/resume/stream/", RouteKind::Streaming, true, 2);
+        Workspace workspace;
+        workspace.name = "inspectors";
+        workspace.keys = { "key-1" };
+        result.workspaces.push_back(workspace);
+        Service service;
+        service.name = "drafts";
+        result.services.push_back(service);
+        result.index();
+        return result;
+    }
+
+    void setCatalog(Catalog value) { this->relay.setCatalog(std::make_shared<const Catalog>(std::move(value))); }
+
+    standins::PlatformRunner& addRunner(const std::string& id, uint32_t slots = 4)
+    {
+        standins::RunnerSettings runnerSettings;
+        runnerSettings.id = id;
+        runnerSettings.address = { "127.0.0.1", 0 };
+        auto& runner = *this->runners.emplace_back(std::make_unique<standins::PlatformRunner>(this->loop, runnerSettings));
+        runner.start();
+        this->addTarget(id, runner.address(), slots);
+        return runner;
+    }
+
+    void addTarget(const std::string& id, const Address& address, uint32_t slots = 4)
+    {
+        TargetInfo info;
+        info.id = id;
+        info.service = "drafts";
+        info.address = address;
+        info.slots = slots;
+        this->relay.upsertTarget(info);
+    }
+
+    // Sends a request; the answer fills as it comes. `raw` replaces the whole text.
+    std::shared_ptr<CallerAnswer> send(const std::string& path, const std::string& attempt,
+        const std::string& fields = "Guavapond-Key: key-1\r\n", const std::string& method = "POST", const std::string& body = "text")
+    {
+        const auto answer = std::make_shared<CallerAnswer>();
+        const auto connection
+            = std::make_shared<ClientConnection>(this->loop, Address { "127.0.0.1", this->listener.port() }, ConnectionSettings {});
+        AnswerEvents events;
+        events.head = [answer](const http::response_header<>& head) {
+            answer->status = head.result_int();
+            answer->fields = head;
+            return HeadVerdict::Accept;
+        };
+        events.body = [answer](std::string_view bytes) { answer->body += bytes; };
+        events.complete = [answer] { answer->whole = answer->ended = true; };
+        events.failed = [answer](ConnectionFault, bool) { answer->ended = true; };
+        const std::string length = body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n";
+        connection->start(
+            method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\nGuavapond-Attempt-Id: " + attempt + "\r\n" + fields + length + "\r\n",
+            body, method != "HEAD", std::move(events));
+        this->callers.push_back(connection);
+        return answer;
+    }
+
+    // Runs the loop until the condition holds; false: it did not within the bound.
+    bool runUntil(const std::function<bool()>& condition, Duration bound = std::chrono::seconds(5))
+    {
+        const TimePoint end = bootTime() + bound;
+        while (!condition() && bootTime() < end)
+            this->loop.run_for(std::chrono::milliseconds(1));
+        return condition();
+    }
+    bool runUntilEnded(const std::shared_ptr<CallerAnswer>& answer)
+    {
+        return this->runUntil([&] { return answer->ended; });
+    }
+    void runFor(Duration span) { this->loop.run_for(span); }
+
+    net::io_context loop;
+    std::mt19937_64 generator { 3 };
+    std::uniform_real_distribution<double> uniform { 0, 1 };
+    EdgeMetrics metrics;
+    Relay relay;
+    HttpListener listener;
+    std::vector<std::unique_ptr<standins::PlatformRunner>> runners;
+    std::vector<ConnectionPointer> callers;
+
+private:
+    void tick()
+    {
+        this->relay.tick();
+        this->timer.expires_after(std::chrono::milliseconds(5));
+        this->timer.async_wait([this](boost::system::error_code error) {
+            if (!error)
+                this->tick();
+        });
+    }
+    net::steady_timer timer { this->loop };
+};
+
+} // namespace guavapond::edge
--- /dev/null
+++ b/tests/edge/PeerTableTest.cpp
@@ -0,0 +1,65 @@
+// Tests of what a node knows of its peers.
+#include "edge/PeerTable.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace guavapond;
+using namespace guavapond::edge;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint start {};
+
+Beacon beacon(uint64_t incarnation, uint64_t sequence, uint64_t used)
+{
+    Beacon result;
+    result.node = "node-b";
+    result.incarnation = incarnation;
+    result.sequence = sequence;
+    result.sentAt = start + 1s;
+    result.port = 7600;
+    result.uses = { { 1, used } };
+    return result;
+}
+
+} // namespace
+
+TEST_GROUP(PeerTable) { PeerTable table { "node-a", {} }; };
+
+// Guards against use that is counted twice, lost, or counted from long ago.
+TEST(PeerTable, ReportsUseOnceAndFromABaseline)
+{
+    CHECK(table.heard(beacon(9, 1, 500), "10.0.0.2", start).uses.empty());
+    CHECK(table.heard(beacon(9, 2, 700), "10.0.0.2", start).uses.front().second == 200);
+    CHECK_FALSE(table.heard(beacon(9, 2, 700), "10.0.0.2", start).accepted);
+    CHECK_FALSE(table.heard(beacon(9, 1, 500), "10.0.0.2", start).accepted);
+    CHECK(table.heard(beacon(9, 5, 650), "10.0.0.2", start).uses.front().second == -50);
+    CHECK_TEXT(table.heard(beacon(10, 1, 30), "10.0.0.2", start).uses.front().second == 30, "a restart counts from nothing");
+}
+
+// Guards against a node behind a cut that is taken for gone while it may still serve.
+TEST(PeerTable, ASilentNodeStaysAMember)
+{
+    const Member members[] = { { "node-a", "10.0.0.1", 7600 }, { "node-b", "10.0.0.2", 7600 }, { "node-c", "10.0.0.3", 7600 } };
+    table.setMembers(members, start);
+    LONGS_EQUAL(3, table.nodeCount());
+    table.heard(beacon(9, 1, 0), "10.0.0.2", start);
+    DOUBLES_EQUAL(2.0 / 3, table.reachableShare(start + 100ms), 1e-9);
+    CHECK(table.takeSilent(start + 800ms) == std::vector<std::string> { "node-b" });
+    CHECK(table.takeSilent(start + 900ms).empty());
+    DOUBLES_EQUAL(1.0 / 3, table.reachableShare(start + 900ms), 1e-9);
+    table.setMembers({ members, 1 }, start + 5s);
+    LONGS_EQUAL(3, table.nodeCount());
+    table.setMembers({ members, 1 }, start + 20s);
+    LONGS_EQUAL(1, table.nodeCount());
+    DOUBLES_EQUAL(1, table.reachableShare(start + 20s), 1e-9);
+}
+
+// Guards against a proof of a peer that is dated by its clock.
+TEST(PeerTable, EchoesTheLastSendTimeOfAPeer)
+{
+    CHECK(table.echoFor("node-b") == TimePoint {});
+    table.heard(beacon(9, 1, 0), "10.0.0.2", start + 7s);
+    CHECK(table.echoFor("node-b") == start + 1s);
+}
--- /dev/null
+++ b/tests/edge/StoreSyncTest.cpp
@@ -0,0 +1,225 @@
+// Contract tests of the adapter to the platform's store, against the stand-in: what is read, believed and proved, also in outages.
+#include "platform/StoreSync.h"
+#include "edge/PlatformStore.h"
+#include "platform/Decode.h"
+
+#include <CppUTest/TestHarness.h>
+#include <random>
+
+using namespace guavapond;
+using namespace guavapond::platform;
+using namespace std::chrono_literals;
+using edge::bootTime;
+using standins::StoreMode;
+
+namespace {
+
+std::string configText(int version, const std::string& route)
+{
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[{"name":")" + route
+        + R"(","host":"A.example","prefix":"/x/","route_type":"streaming","timeout_ms":12000,"target_latency_ms":250,"priority":1,)"
+          R"("service":"s1","max_attempts":2,"anonymous":false,"resumable":true,"itl_target_ms":200}],)"
+          R"("services":[{"name":"s1","health_path":"/h","max_conns":360,"engine":{"slots":13,"kv_capacity":1000,"stride":6}}],)"
+          R"("limits":{"max_header_bytes":1000,"max_body_bytes":2000,"header_timeout_ms":3000,"idle_timeout_ms":15000},)"
+          R"("tenants":[{"name":"t1","api_keys":["k"],"priority":1,"unit":"token_count","uncached_tokens":200,"rate_per_s":310,"burst":620}]})";
+}
+
+std::string targetText(const std::string& state, int sequence)
+{
+    return R"({"service":"s1","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":13,"state":")" + state
+        + R"(","cold_left_ms":0,"sequence":)" + std::to_string(sequence) + "}";
+}
+
+} // namespace
+
+TEST_GROUP(StoreSync)
+{
+    edge::net::io_context loop;
+    edge::EdgeMetrics metrics;
+    std::mt19937_64 generator { 4 };
+    std::unique_ptr<standins::PlatformStore> store
+        = std::make_unique<standins::PlatformStore>(this->loop, edge::Address { "127.0.0.1", 0 });
+    std::unique_ptr<StoreClient> client;
+    std::unique_ptr<StoreSync> sync;
+    edge::CatalogPointer catalog;
+    std::map<std::string, bool> usable; // target id, false: draining
+    std::vector<edge::Member> members;
+    std::optional<TimePoint> proof;
+
+    void begin()
+    {
+        this->store->start();
+        this->client = std::make_unique<StoreClient>(this->loop, edge::Address { "127.0.0.1", this->store->port() }, 200ms, this->metrics);
+        StoreSyncSettings settings;
+        settings.self = { "n1", "10.0.0.1", 7600 };
+        settings.leaseTtl = 1s;
+        settings.operatorInterval = 20ms;
+        settings.targetInterval = 20ms;
+        settings.memberInterval = 50ms;
+        settings.retryInterval = 20ms;
+        settings.returnGrace = 300ms;
+        settings.shortestOutage = 100ms;
+        StoreSync::Hooks hooks;
+        hooks.catalog = [this](edge::CatalogPointer value) { this->catalog = std::move(value); };
+        hooks.target = [this](const edge::TargetInfo& target) { this->usable[target.id] = !target.draining; };
+        hooks.targetGone = [this](const std::string& id) { this->usable.erase(id); };
+        hooks.members = [this](std::span<const edge::Member> list) { this->members.assign(list.begin(), list.end()); };
+        hooks.proof = [this](TimePoint started) { this->proof = started; };
+        hooks.random = [this] { return std::uniform_real_distribution<double>()(this->generator); };
+        this->sync = std::make_unique<StoreSync>(this->loop, *this->client, settings, std::move(hooks));
+        this->sync->start();
+    }
+    bool runUntil(const std::function<bool()>& condition, Duration bound = 3s)
+    {
+        const TimePoint end = bootTime() + bound;
+        while (!condition() && bootTime() < end)
+            this->loop.run_for(1ms);
+        return condition();
+    }
+};
+
+// Guards against a wire name that is decoded into the wrong field.
+TEST(StoreSync, DecodesAConfiguration)
+{
+    const auto decoded = decodeCatalog(configText(7, "r"), 30);
+    CHECK(decoded.value.has_value());
+    const edge::Route* route = decoded.value->findRoute("a.example", "/x/1");
+    CHECK(route != nullptr);
+    CHECK(route->kind == edge::RouteKind::Streaming && route->resumable && route->needsKey);
+    CHECK(route->timeout == 12s && route->objective == 250ms && route->longestGap == 200ms);
+    LONGS_EQUAL(2, route->maxTargets);
+    const edge::Workspace* workspace = decoded.value->findWorkspace("k");
+    CHECK(workspace->countsTokens && workspace->priority == 1);
+    DOUBLES_EQUAL(310, workspace->ratePerSecond, 0);
+    DOUBLES_EQUAL(620, workspace->burst, 0);
+    LONGS_EQUAL(200, workspace->defaultTokens);
+    LONGS_EQUAL(1000, decoded.value->limits.headerBytes);
+    LONGS_EQUAL(6, decoded.value->findService("s1")->engine->eventTokens);
+}
+
+// Guards against entries of other writers that name a target, and against one bad entry that hides the others.
+TEST(StoreSync, IgnoresEntriesThatCannotBeRead)
+{
+    store->model.put("op/config", configText(1, "r"));
+    store->model.put("servers/good", targetText("ready", 1));
+    store->model.put("servers/bytes", std::string("\x00\xff{", 3));
+    store->model.put("servers/list", "[]");
+    store->model.put("servers/state", targetText("resting", 1));
+    store->model.put("servers/slots", R"({"service":"s1","address":"10.0.0.9:8080","slots":"many","state":"ready"})");
+    store->model.put("servers/address", R"({"service":"s1","address":7,"slots":2,"state":"ready"})");
+    begin();
+    CHECK(runUntil([&] { return this->catalog && this->usable.contains("good"); }));
+    this->loop.run_for(60ms);
+    LONGS_EQUAL(1, usable.size());
+}
+
+// Guards against a configuration that goes back, and against a bad one that replaces the good one or is called current.
+TEST(StoreSync, TakesOnlyNewerConfigurationsThatCanBeRead)
+{
+    store->model.put("op/config", configText(5, "five"));
+    begin();
+    CHECK(runUntil([&] { return this->catalog && this->proof; }));
+    store->model.put("op/config", "{");
+    this->loop.run_for(60ms);
+    const auto lastProof = proof;
+    this->loop.run_for(100ms);
+    CHECK(proof == lastProof);
+    STRCMP_EQUAL("five", catalog->routes[0].name.c_str());
+    store->model.put("op/config", configText(4, "four"));
+    this->loop.run_for(60ms);
+    STRCMP_EQUAL("five", catalog->routes[0].name.c_str());
+    store->model.put("op/config", configText(9, "nine"));
+    CHECK(runUntil([&] { return this->catalog->version == 9 && *this->proof > *lastProof; }));
+    const edge::StoreItem old { "op/config", configText(99, "old"), 1 };
+    sync->merge({ &old, 1 });
+    LONGS_EQUAL(9, catalog->version);
+}
+
+// Guards against new work for a target that drains or is gone.
+TEST(StoreSync, FollowsTargetsThatDrainAndLeave)
+{
+    store->model.put("servers/a", targetText("ready", 1));
+    store->model.put("servers/b", targetText("ready", 1));
+    begin();
+    CHECK(runUntil([&] { return this->usable.size() == 2; }));
+    store->model.put("servers/a", targetText("draining", 2));
+    CHECK(runUntil([&] { return !this->usable.at("a"); }));
+    store->model.remove("servers/b");
+    CHECK(runUntil([&] { return !this->usable.contains("b"); }));
+}
+
+// Guards against entries that lapsed in an outage being taken for gone at once, and against their being kept for ever.
+TEST(StoreSync, KeepsLapsedEntriesForAWhileAfterAnOutage)
+{
+    store->model.put("servers/a", targetText("ready", 1));
+    store->model.put("servers/b", targetText("ready", 1));
+    begin();
+    CHECK(runUntil([&] { return this->usable.size() == 2; }));
+    store->mode = StoreMode::Busy;
+    this->loop.run_for(200ms);
+    store->model.remove("servers/a");
+    store->model.remove("servers/b");
+    store->mode = StoreMode::Up;
+    const size_t before = store->calls;
+    CHECK(runUntil([&] { return this->store->calls > before + 4; }));
+    LONGS_EQUAL(2, usable.size());
+    store->model.put("servers/a", targetText("ready", 2));
+    CHECK(runUntil([&] { return !this->usable.contains("b"); }));
+    CHECK(usable.contains("a"));
+}
+
+// Guards against a short loss of one connection that delays the removal of targets.
+TEST(StoreSync, AShortLossDelaysNothing)
+{
+    store->model.put("servers/a", targetText("ready", 1));
+    begin();
+    CHECK(runUntil([&] { return this->usable.size() == 1; }));
+    store->mode = StoreMode::Busy;
+    const size_t before = store->calls;
+    CHECK(runUntil([&] { return this->store->calls > before; }));
+    store->mode = StoreMode::Up;
+    store->model.remove("servers/a");
+    CHECK(runUntil([&] { return this->usable.empty(); }, 250ms));
+}
+
+// Guards against a proof that is dated from an answer, or that an outage renews.
+TEST(StoreSync, ProvesFromTheStartOfACallOnly)
+{
+    store->model.put("op/config", configText(1, "r"));
+    begin();
+    CHECK(runUntil([&] { return this->proof.has_value(); }));
+    store->mode = StoreMode::Silent;
+    const TimePoint silentAt = bootTime();
+    this->loop.run_for(300ms);
+    CHECK(*proof <= silentAt);
+}
+
+// Guards against a node that its peers can't find: after a lapsed lease, and when the answer to its entry is lost.
+TEST(StoreSync, RegistersAgainAfterALapsedLease)
+{
+    store->mode = StoreMode::LosesAnswers;
+    begin();
+    this->loop.run_for(500ms);
+    store->mode = StoreMode::Up;
+    CHECK(runUntil([&] { return this->members.size() == 1; }));
+    for (const auto& [key, item] : std::map(store->model.items()))
+        store->model.end(item.lease);
+    CHECK(runUntil([&] { return this->members.empty(); }));
+    CHECK(runUntil([&] { return this->members.size() == 1; }));
+    bool done = false;
+    sync->stop([&] { done = true; });
+    CHECK(runUntil([&] { return done; }));
+    CHECK(store->model.items().empty());
+}
+
+// Guards against items beyond the first page being taken for gone.
+TEST(StoreSync, ReadsAllPages)
+{
+    store->model.pageItems = 3;
+    for (int i = 0; i < 10; ++i)
+        store->model.put("servers/t" + std::to_string(i), targetText("ready", 1));
+    begin();
+    CHECK(runUntil([&] { return this->usable.size() == 10; }));
+    this->loop.run_for(60ms);
+    LONGS_EQUAL(10, usable.size());
+}
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -41,7 +41,7 @@
     local sanitizer=$1 directory="build-${1%%,*}"
     shift
     section "sanitizer $sanitizer"
-    cmake -S . -B "$directory" -G Ninja -DGUAVAPOND_CORE_ONLY=ON -DGUAVAPOND_SANITIZE="$sanitizer" >/dev/null
+    cmake -S . -B "$directory" -G Ninja -DGUAVAPOND_CORE_ONLY=ON -DGUAVAPOND_WITH_EDGE=ON -DGUAVAPOND_SANITIZE="$sanitizer" >/dev/null
     cmake --build "$directory" -j "$jobs" >/dev/null
     runTests "$directory" "$jobs" "$@"
 }
