--- a/src/cli/Main.cpp
+++ b/src/cli/Main.cpp
@@ -2,11 +2,13 @@
 #include "adapters/Settings.h"
 #include "cli/NodeCommands.h"
 #include "cli/TableCommands.h"
+#include "edge/Explain.h"
 
 #include <CLI/CLI.hpp>
 #include <cstdio>
 #include <cstdlib>
 #include <functional>
+#include <iostream>
 #include <unistd.h>
 
 using namespace guavapond;
@@ -32,6 +34,7 @@
   guavapond drain runner-1 --reason 'disk fault'
   guavapond --node http://127.0.0.1:8080 request chat --workspace assessors --model dossier 'What is a fire door?'
   guavapond --node http://127.0.0.1:8080 request service register/certificates -X POST -d '{"n":1}' --workspace assessors
+  guavapond explain 9c41d07be2a35f68 <node.log
   guavapond --node http://127.0.0.1:8080 ticket gp1.lalitpur-1.9f.1.w
 
 GUAVAPOND_PLATFORM and GUAVAPOND_NODE give the addresses when the options are absent.)";
@@ -233,6 +236,9 @@
     CLI::App* check = app.add_subcommand("check", "check a node's settings file");
     check->add_option("file", a.name)->required();
     check->callback([&a] { a.run = [&a] { return checkFile(a.name, a.json); }; });
+    CLI::App* explain = app.add_subcommand("explain", "tell the story of a request from log lines on standard input");
+    explain->add_option("request", a.name, "id of the request")->required();
+    explain->callback([&a] { a.run = [&a] { return edge::explainRequest(std::cin, a.name, std::cout) > 0 ? Done : Absent; }; });
     addTableCommands(app, a);
     addMoveCommands(app, a);
     addNodeCommands(app, a);
@@ -254,7 +260,7 @@
     const bool asksNode = app.got_subcommand("status") || app.got_subcommand("ticket") || app.got_subcommand("request");
     if (asksNode && a.node.nodes.empty())
         return fail(Usage, "--node URL is missing");
-    if (!asksNode && !app.got_subcommand("check") && a.table.platformUrls.empty())
+    if (!asksNode && !app.got_subcommand("check") && !app.got_subcommand("explain") && a.table.platformUrls.empty())
         return fail(Usage, "--platform URL is missing");
     a.table.json = a.node.json = a.json;
     a.table.timeout = a.node.timeout = std::chrono::milliseconds(a.timeoutMs);
--- a/src/edge/Exchange.h
+++ b/src/edge/Exchange.h
@@ -16,6 +16,8 @@
     const Workspace* workspace = nullptr; // null: the route needs no key
     std::string service;
     uint64_t tokens = 0; // counted against the workspace's rate
+    uint64_t mostOutputTokens = 0;     // as the caller states; 0: not stated
+    uint64_t expectedOutputTokens = 0; // the same
     std::optional<Duration> callerLimit;
     std::vector<PromptPart> parts;
     Rank rank;
--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -258,8 +258,13 @@
     }
     if (tokens) {
         plan.demand.promptTokens = static_cast<uint32_t>(tokens->prompt);
+        plan.mostOutputTokens = tokens->mostOutput;
         const double learned = this->eventsOfRoute.try_emplace(plan.route->name, eventsBeforeLearning).first->second;
         plan.demand.outputEvents = static_cast<uint32_t>(std::max(1.0, learned));
+        const Service* service = this->current->findService(plan.service);
+        plan.expectedOutputTokens = parseNumber<uint32_t>(view(request.message[names.lengthHint])).value_or(0);
+        if (plan.expectedOutputTokens > 0 && service && service->engine)
+            plan.demand.outputEvents = static_cast<uint32_t>(1 + plan.expectedOutputTokens / std::max(service->engine->eventTokens, 1U));
         plan.parts = parsePromptParts(view(request.message[names.promptParts]), "");
     }
     plan.demand.urgent = plan.rank.workspace == 0 || plan.rank.route == 0;
--- a/src/edge/Relay.h
+++ b/src/edge/Relay.h
@@ -28,6 +28,7 @@
     std::string notRun = "Guavapond-Not-Run";           // a target says that it did not run the request
     std::string tokenCount = "Guavapond-Tokens";        // prompt tokens and most output tokens, joined by a comma
     std::string promptParts = "Guavapond-Prompt-Parts"; // ID:TOKENS entries, joined by commas
+    std::string lengthHint = "Guavapond-Length-Hint";       // output tokens that the caller expects
     std::string lastEventId = "Last-Event-Id";
     std::vector<std::string> reserved; // the node's to set: a caller's values are dropped
 };
