Move a service to a new version by its deadline

A small share of requests tries the new version; outcomes by route at all nodes decide, and travel in beacons. A bad version gets nothing further; a good one gets everything as late as the bound on exposure allows. One node writes the state to the store under a condition; the next one takes over.

--- a/src/edge/Admission.h
+++ b/src/edge/Admission.h
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <map>
+#include <tuple>
 #include <vector>
 
 namespace guavapond::edge {
@@ -27,14 +28,16 @@
 struct Rank {
     int workspace = 0;
     int route = 0;
-    auto operator<=>(const Rank&) const = default;
+    bool operator==(const Rank&) const = default;
+    bool operator<(const Rank& other) const { return std::tie(this->workspace, this->route) < std::tie(other.workspace, other.route); }
 };
 
 // Identifies a waiting request: by rank, then in order of arrival.
 struct WaitKey {
     Rank rank;
-    uint64_t ticket = 0;
-    auto operator<=>(const WaitKey&) const = default;
+    uint64_t ticket = 0; // grows with each request
+    bool operator==(const WaitKey&) const = default;
+    bool operator<(const WaitKey& other) const { return std::tie(this->rank, this->ticket) < std::tie(other.rank, other.ticket); }
 };
 
 class WaitQueue {
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -17,6 +17,7 @@
 constexpr Duration stopMargin = std::chrono::milliseconds(300); // before the end of the grace
 constexpr uint32_t reservedDescriptors = 260;                   // files, the store, peers
 constexpr double callerDescriptors = 0.6;                       // part of the rest that callers may take; targets get the others
+constexpr Duration driverTurn = std::chrono::milliseconds(300); // a store call and its answer
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusUnavailable = 503;
 constexpr unsigned statusNotFound = 404;
@@ -158,12 +159,36 @@
             { "stopping", this->stoppingSince.has_value() } });
 }
 
+void EdgeNode::orderMove(const MoveOrder& order, TimePoint earliest) { this->requests.orderMove(order, this->settings.moves, earliest); }
+
+void EdgeNode::driveMoves(TimePoint now)
+{
+    for (auto& [service, move] : this->requests.moves()) {
+        const uint64_t oldInFlight = this->requests.inFlightOutside(service, move.plan.order().version);
+        const MoveState state = move.plan.advance(oldInFlight, now);
+        if (state != move.lastState || !move.changedAt) {
+            const RouteCounts counts = move.plan.counts();
+            log(LogLevel::Info, "move",
+                { { "service", service }, { "version", move.plan.order().version }, { "state", moveStateName(state) },
+                    { "newRequests", counts.fresh.requests }, { "newBad", counts.fresh.bad }, { "oldRequests", counts.settled.requests },
+                    { "oldBad", counts.settled.bad }, { "oldInFlight", oldInFlight } });
+            move.lastState = state;
+            move.changedAt = now;
+        }
+        // One node writes; the next one in order does it if the state has not come into the store meanwhile.
+        const Duration turn = driverTurn * static_cast<int64_t>(this->peerLink.table().namesBefore(now));
+        if (this->publishMove && now - *move.changedAt >= turn)
+            this->publishMove(move.plan.order(), state);
+    }
+}
+
 void EdgeNode::tick()
 {
     const TimePoint now = bootTime();
     this->requests.tick();
     this->peerLink.tick();
     this->noteReadiness();
+    this->driveMoves(now);
     this->checkStop(now);
     this->timer.expires_after(tickInterval);
     this->timer.async_wait([this](boost::system::error_code error) {
--- a/src/edge/EdgeNode.h
+++ b/src/edge/EdgeNode.h
@@ -25,6 +25,8 @@
     void applySettings(const EdgeSettings& settings); // bounds only; addresses need a restart
 
     Relay& relay() { return this->requests; }
+    void onMoveResult(std::function<void(const MoveOrder&, MoveState)> hook) { this->publishMove = std::move(hook); }
+    void orderMove(const MoveOrder& order, TimePoint earliest);
     PeerLink& peers() { return this->peerLink; }
     EdgeMetrics& metrics() { return this->counters; }
 
@@ -36,6 +38,7 @@
     void tick();
     void checkStop(TimePoint now);
     void noteReadiness();
+    void driveMoves(TimePoint now);
 
     net::io_context& loop;
     EdgeSettings settings;
@@ -50,6 +53,7 @@
     net::steady_timer timer;
     std::optional<TimePoint> stoppingSince;
     std::function<void()> drained;
+    std::function<void(const MoveOrder&, MoveState)> publishMove; // writes the state to the store; repeats are harmless
     bool wasReady = false;
 };
 
--- a/src/edge/EdgeSettings.cpp
+++ b/src/edge/EdgeSettings.cpp
@@ -128,6 +128,8 @@
     settings.secondTries.ratio = reader.number("secondTries.ratio", 0, 10, 0.2);
     settings.secondTries.window = fromSeconds(reader.number("secondTries.windowSeconds", 0.1, 3600, 10));
     settings.secondTries.allowance = reader.number("secondTries.allowance", 0, 1e6, 0);
+    settings.moves.mostExposed = reader.number("moves.mostExposed", 0, 1, settings.moves.mostExposed);
+    settings.moves.exposedAllowance = reader.number("moves.exposedAllowance", 0, 1e6, settings.moves.exposedAllowance);
     readPlacement(reader, settings.placement);
     settings.placement.failureDomain = settings.failureDomain;
     readAdmission(reader, settings.admission);
--- a/src/edge/EdgeSettings.h
+++ b/src/edge/EdgeSettings.h
@@ -24,6 +24,7 @@
     Duration targetHeartbeat = std::chrono::milliseconds(1200); // of targets' entries in the store
     Duration leaseTtl = std::chrono::seconds(5);                // of this node's entry in the store
     SecondTrySettings secondTries;
+    MoveSettings moves;
     PlacementSettings placement; // failureDomain is set from the one above
     AdmissionSettings admission;
     std::string logLevel = "info";
--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -61,9 +61,38 @@
 {
     Demand demand = this->plan.demand;
     demand.parts = this->plan.parts;
+    this->ruleVersion(demand);
     return demand;
 }
 
+void Exchange::ruleVersion(Demand& demand) const
+{
+    const auto found = this->relay.movesByService.find(this->plan.service);
+    if (found == this->relay.movesByService.end())
+        return;
+    const VersionMove& move = found->second.plan;
+    const std::string& version = move.order().version;
+    const bool isKnown = this->service.targets.hasVersion(version);
+    if (move.state() == MoveState::Switching || move.state() == MoveState::Completed) {
+        if (isKnown) // else there is nobody but the old version to ask
+            demand.onlyVersion = version;
+    } else if (move.state() == MoveState::Trying && this->plan.triesNewVersion && isKnown)
+        demand.onlyVersion = version;
+    else
+        demand.notVersion = version;
+}
+
+void Exchange::countForMove(const Run& ended, TargetOutcome outcome, TimePoint now)
+{
+    const auto found = this->relay.movesByService.find(this->plan.service);
+    if (found == this->relay.movesByService.end() || outcome == TargetOutcome::Cancelled || outcome == TargetOutcome::Declined)
+        return;
+    VersionMove& move = found->second.plan;
+    const bool isNew = this->service.targets.info(ended.target).version == move.order().version;
+    const Duration time = ended.firstEventAt.value_or(now) - ended.sentAt;
+    move.count(isNew, this->plan.route->name, outcome != TargetOutcome::Answered, time);
+}
+
 bool Exchange::place()
 {
     const TimePoint now = bootTime();
@@ -72,7 +101,11 @@
         return true;
     }
     const Demand demand = this->demand();
-    const auto choice = this->targets().choose(demand, this->tried, now);
+    auto choice = this->targets().choose(demand, this->tried, now);
+    if (!choice && this->plan.triesNewVersion) {
+        this->plan.triesNewVersion = false; // the old version answers where the new one has no room
+        choice = this->targets().choose(this->demand(), this->tried, now);
+    }
     if (!choice)
         return false;
     const Duration waited = now - this->life.arrival();
@@ -341,6 +374,8 @@
     const TimePoint now = bootTime();
     const Run finished = std::move(*this->run);
     this->run.reset();
+    this->countForMove(finished, outcome, now);
+    this->plan.triesNewVersion = false; // a second try goes to the old version
     this->targets().ended(finished.target, finished.prefillPending, outcome, now - finished.sentAt, now);
     if (finished.connection->isReusable())
         this->relay.connections.give(finished.connection, now);
@@ -476,8 +511,10 @@
         { { "request", textOf(this->request.message[this->relay.settings.headers.requestId]) }, { "result", requestResultName(result) },
             { "reason", reason }, { "route", this->plan.route->name },
             { "workspace", this->plan.workspace ? std::string_view(this->plan.workspace->name) : std::string_view() },
-            { "workspaceRank", this->plan.rank.workspace }, { "routeRank", this->plan.rank.route }, { "tokens", this->plan.tokens }, { "mostOutputTokens", this->plan.mostOutputTokens }, { "hintTokens", this->plan.expectedOutputTokens }, { "events", this->scanner.events() }, { "target", this->lastTarget }, { "sends", this->life.sends() }, { "ms", toMilliseconds(total) },
-            { "firstEventMs", this->firstEventAfter ? toMilliseconds(*this->firstEventAfter) : -1 },
+            { "workspaceRank", this->plan.rank.workspace }, { "routeRank", this->plan.rank.route }, { "tokens", this->plan.tokens },
+            { "mostOutputTokens", this->plan.mostOutputTokens }, { "hintTokens", this->plan.expectedOutputTokens },
+            { "events", this->scanner.events() }, { "target", this->lastTarget }, { "sends", this->life.sends() },
+            { "ms", toMilliseconds(total) }, { "firstEventMs", this->firstEventAfter ? toMilliseconds(*this->firstEventAfter) : -1 },
             { "predictedFirstMs", this->predictedFirst ? toMilliseconds(*this->predictedFirst) : -1 },
             { "waitedMs", this->waitingSince ? toMilliseconds(now - *this->waitingSince) : 0 },
             { "occupancy", this->targets().occupancy(now) }, { "catalogVersion", this->plan.catalog->version },
--- a/src/edge/Exchange.h
+++ b/src/edge/Exchange.h
@@ -15,12 +15,13 @@
     const Route* route = nullptr;
     const Workspace* workspace = nullptr; // null: the route needs no key
     std::string service;
-    uint64_t tokens = 0; // counted against the workspace's rate
+    uint64_t tokens = 0;               // counted against the workspace's rate
     uint64_t mostOutputTokens = 0;     // as the caller states; 0: not stated
     uint64_t expectedOutputTokens = 0; // the same
     std::optional<Duration> callerLimit;
     std::vector<PromptPart> parts;
     Rank rank;
+    bool triesNewVersion = false; // while a move is unproved
     Demand demand;
 };
 
@@ -53,6 +54,8 @@
 
     TargetPool& targets() { return this->service.targets; }
     Demand demand() const;
+    void ruleVersion(Demand& demand) const;
+    void countForMove(const Run& ended, TargetOutcome outcome, TimePoint now);
     void wait(TimePoint now);
     void send(const TargetPool::Choice& choice, TimePoint now);
     std::string requestHead(const TargetInfo& target, TimePoint now) const;
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -96,6 +96,12 @@
     for (const auto& load : message.loads())
         loads.push_back({ load.target(), load.running(), load.prefill_tokens() });
     this->relay.peerLoads(nameHash(beacon.node), loads);
+    for (const auto& move : message.moves()) {
+        VersionMove::Report report { move.order_revision(), move.arrivals(), {}, move.old_in_flight(), move.called_bad() };
+        for (const auto& route : move.routes())
+            report.routes[route.route()] = { { route.new_requests(), route.new_bad() }, { route.old_requests(), route.old_bad() } };
+        this->relay.peerMove(nameHash(beacon.node), move.service(), report);
+    }
     // The peer's proof counts only for the configuration that it holds.
     if (beacon.proofAge && beacon.echo != TimePoint {} && beacon.catalogRevision == this->hooks.catalogRevision()
         && beacon.catalogRevision > 0)
@@ -149,6 +155,27 @@
         this->sendBeacons(now);
 }
 
+void PeerLink::addMoves(wire::Beacon& message)
+{
+    for (const auto& [service, move] : this->relay.moves()) {
+        const auto report = move.plan.report(this->relay.inFlightOutside(service, move.plan.order().version));
+        auto* entry = message.add_moves();
+        entry->set_service(nameHash(service));
+        entry->set_order_revision(report.revision);
+        entry->set_arrivals(report.arrivals);
+        for (const auto& [route, counts] : report.routes) {
+            auto* outcomes = entry->add_routes();
+            outcomes->set_route(route);
+            outcomes->set_new_requests(counts.fresh.requests);
+            outcomes->set_new_bad(counts.fresh.bad);
+            outcomes->set_old_requests(counts.settled.requests);
+            outcomes->set_old_bad(counts.settled.bad);
+        }
+        entry->set_old_in_flight(report.oldInFlight);
+        entry->set_called_bad(report.calledBad);
+    }
+}
+
 void PeerLink::sendBeacons(TimePoint now)
 {
     wire::Beacon message;
@@ -163,6 +190,7 @@
         entry->set_workspace(use.workspaceHash);
         entry->set_tokens(use.tokens);
     }
+    this->addMoves(message);
     std::string loads = message.SerializeAsString();
     if (loads == this->lastLoads && now - this->sentAt < this->settings.idleInterval)
         return;
--- a/src/edge/PeerLink.h
+++ b/src/edge/PeerLink.h
@@ -12,6 +12,10 @@
 
 namespace guavapond::edge {
 
+namespace wire {
+class Beacon;
+}
+
 struct StoreItem {
     std::string key;
     std::string value;
@@ -47,6 +51,7 @@
     void receive();
     void onDatagram(size_t bytes);
     void sendBeacons(TimePoint now);
+    void addMoves(wire::Beacon& message);
     void fetchItems(const Member& member);
     Duration interval() const;
 
--- a/src/edge/PeerTable.cpp
+++ b/src/edge/PeerTable.cpp
@@ -88,6 +88,13 @@
         [&](const auto& item) { return !item.second.silent && now - item.second.heardAt <= this->settings.silentAfter; }));
 }
 
+size_t PeerTable::namesBefore(TimePoint now) const
+{
+    return static_cast<size_t>(std::count_if(this->peers.begin(), this->peers.end(), [&](const auto& item) {
+        return item.first < this->self && !item.second.silent && now - item.second.heardAt <= this->settings.silentAfter;
+    }));
+}
+
 double PeerTable::reachableShare(TimePoint now) const
 {
     return (1.0 + static_cast<double>(this->heardCount(now))) / static_cast<double>(this->nodeCount());
--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -242,6 +242,10 @@
         plan.rank.workspace = plan.workspace->priority.value_or(plan.route->priority);
     }
     plan.service = this->chooseService(*plan.route);
+    if (const auto move = this->movesByService.find(plan.service); move != this->movesByService.end()) {
+        move->second.plan.onRequest();
+        plan.triesNewVersion = move->second.plan.sendToNew(this->random());
+    }
     if (const auto limit = parseNumber<int64_t>(view(request.message[names.callerLimit])))
         plan.callerLimit = std::chrono::milliseconds(std::clamp<int64_t>(*limit, 0, 24 * 3600 * 1000));
     if (this->endsAt && now + std::min(plan.route->timeout, plan.callerLimit.value_or(plan.route->timeout)) > *this->endsAt)
@@ -318,6 +322,31 @@
         exchange->checkProgress(now);
 }
 
+void Relay::orderMove(const MoveOrder& order, const MoveSettings& bounds, TimePoint earliest)
+{
+    const auto known = this->movesByService.find(order.service);
+    if (known != this->movesByService.end() && known->second.plan.order().revision >= order.revision)
+        return;
+    log(LogLevel::Info, "move ordered",
+        { { "service", order.service }, { "version", order.version }, { "revision", order.revision },
+            { "spanMs", toMilliseconds(order.span) } });
+    this->movesByService.insert_or_assign(order.service, RunningMove { VersionMove(order, bounds, earliest), MoveState::Trying, {} });
+}
+
+void Relay::peerMove(uint64_t peer, uint64_t serviceHash, const VersionMove::Report& report)
+{
+    for (auto& [service, move] : this->movesByService) {
+        if (nameHash(service) == serviceHash)
+            move.plan.peer(peer, report);
+    }
+}
+
+uint64_t Relay::inFlightOutside(const std::string& service, std::string_view version) const
+{
+    const auto found = this->byService.find(service);
+    return found == this->byService.end() ? 0 : found->second->targets.inFlightOutside(version);
+}
+
 void Relay::peerLoads(uint64_t peer, std::span<const TargetLoadReport> loads)
 {
     const TimePoint now = bootTime();
--- a/src/edge/Relay.h
+++ b/src/edge/Relay.h
@@ -12,6 +12,7 @@
 #include "edge/Freshness.h"
 #include "edge/HttpListener.h"
 #include "edge/SecondTryBudget.h"
+#include "edge/VersionMove.h"
 #include "edge/WorkspaceQuota.h"
 
 #include <unordered_set>
@@ -28,7 +29,7 @@
     std::string notRun = "Guavapond-Not-Run";           // a target says that it did not run the request
     std::string tokenCount = "Guavapond-Tokens";        // prompt tokens and most output tokens, joined by a comma
     std::string promptParts = "Guavapond-Prompt-Parts"; // ID:TOKENS entries, joined by commas
-    std::string lengthHint = "Guavapond-Length-Hint";       // output tokens that the caller expects
+    std::string lengthHint = "Guavapond-Length-Hint";   // output tokens that the caller expects
     std::string lastEventId = "Last-Event-Id";
     std::vector<std::string> reserved; // the node's to set: a caller's values are dropped
 };
@@ -71,6 +72,17 @@
     void upsertTarget(const TargetInfo& info);
     void removeTarget(const std::string& id);
     void handle(const CallerPointer& caller, CallerRequest request);
+    // A move of a service to a new version. `earliest` is the first moment at which the order may have been given.
+    void orderMove(const MoveOrder& order, const MoveSettings& bounds, TimePoint earliest);
+    struct RunningMove {
+        VersionMove plan;
+        MoveState lastState = MoveState::Trying;
+        std::optional<TimePoint> changedAt; // when lastState was reached
+    };
+    std::map<std::string, RunningMove>& moves() { return this->movesByService; }
+    void peerMove(uint64_t peer, uint64_t serviceHash, const VersionMove::Report& report);
+    uint64_t inFlightOutside(const std::string& service, std::string_view version) const;
+
     void peerLoads(uint64_t peer, std::span<const TargetLoadReport> loads);
     std::vector<TargetLoadReport> ownLoads() const;
     void tick(); // every few milliseconds: waiting requests, silent targets, idle connections
@@ -111,6 +123,7 @@
     std::set<std::shared_ptr<Exchange>> exchanges;
     std::unordered_map<std::string, double> eventsOfRoute; // mean events of an answer
     std::unordered_set<std::string> droppedFields;         // lower case; of requests
+    std::map<std::string, RunningMove> movesByService;
     TimePoint lastHousekeeping {};
     std::optional<TimePoint> endsAt; // of the process, once it is near
 };
--- a/src/edge/TargetPool.cpp
+++ b/src/edge/TargetPool.cpp
@@ -88,6 +88,10 @@
 {
     if (target.leaving || now < target.pausedUntil)
         return false;
+    if (!demand.onlyVersion.empty() && target.info.version != demand.onlyVersion)
+        return false;
+    if (!demand.notVersion.empty() && target.info.version == demand.notVersion)
+        return false;
     if (target.running > 0 && now - target.lastProgress > this->settings.stallAfter)
         return false;
     return !target.probation || (demand.repeatable && target.running == 0);
@@ -308,6 +312,20 @@
     return result;
 }
 
+bool TargetPool::hasVersion(std::string_view version) const
+{
+    return std::any_of(
+        this->targets.begin(), this->targets.end(), [&](const Target& t) { return !t.leaving && t.info.version == version; });
+}
+
+uint64_t TargetPool::inFlightOutside(std::string_view version) const
+{
+    uint64_t count = 0;
+    for (const Target& target : this->targets)
+        count += target.info.version == version ? 0 : target.running;
+    return count;
+}
+
 size_t TargetPool::usableCount() const
 {
     return static_cast<size_t>(std::count_if(this->targets.begin(), this->targets.end(), [](const Target& t) { return !t.leaving; }));
--- a/src/edge/TargetPool.h
+++ b/src/edge/TargetPool.h
@@ -49,6 +49,8 @@
     bool repeatable = false;   // may be sent to a target on probation
     Duration objective = std::chrono::seconds(1);
     std::span<const PromptPart> parts; // of the prompt, in order
+    std::string_view onlyVersion;      // of targets; empty: any
+    std::string_view notVersion;       // of targets that are left out; empty: none
 };
 
 struct PlacementSettings {
@@ -116,6 +118,8 @@
 
     const TargetInfo& info(Index target) const { return this->targets[target].info; }
     bool isStalled(Index target, TimePoint now) const;
+    bool hasVersion(std::string_view version) const;          // a target of it takes work
+    uint64_t inFlightOutside(std::string_view version) const; // this node's work at targets of other versions
     size_t usableCount() const;
     double occupancy(TimePoint now) const; // part of all usable slots that is taken; above 1: overloaded
 
--- a/tests/edge/StoreSyncTest.cpp
+++ b/tests/edge/StoreSyncTest.cpp
@@ -45,6 +45,8 @@
     std::map<std::string, bool> usable; // target id, false: draining
     std::vector<edge::Member> members;
     std::optional<TimePoint> proof;
+    std::optional<edge::MoveOrder> order;
+    std::optional<edge::MoveState> ended;
 
     void begin()
     {
@@ -65,6 +67,8 @@
         hooks.targetGone = [this](const std::string& id) { this->usable.erase(id); };
         hooks.members = [this](std::span<const edge::Member> list) { this->members.assign(list.begin(), list.end()); };
         hooks.proof = [this](TimePoint started) { this->proof = started; };
+        hooks.move = [this](const edge::MoveOrder& value, TimePoint) { this->order = value; };
+        hooks.moveEnded = [this](const edge::MoveOrder&, edge::MoveState state) { this->ended = state; };
         hooks.random = [this] { return std::uniform_real_distribution<double>()(this->generator); };
         this->sync = std::make_unique<StoreSync>(this->loop, *this->client, settings, std::move(hooks));
         this->sync->start();
@@ -223,3 +227,30 @@
     this->loop.run_for(60ms);
     LONGS_EQUAL(10, usable.size());
 }
+
+// Guards against a final state of a move that is overwritten, lost with an answer, or taken from an earlier move.
+TEST(StoreSync, WritesAndReadsTheStateOfAMove)
+{
+    store->model.put("status/rollout/s1", R"({"target":"v2","state":"reverted"})");
+    store->model.put("op/rollout/s1", R"({"service":"s1","target":"v2","duration_s":12})");
+    begin();
+    CHECK(runUntil([&] { return this->order.has_value(); }));
+    CHECK(order->span == 12s);
+    this->loop.run_for(60ms);
+    CHECK_TEXT(!ended, "the state in the store speaks of an earlier order");
+    const auto stateInStore = [&] { return this->store->model.items().at("status/rollout/s1").value; };
+    CHECK(runUntil([&] {
+        this->sync->publishMove(*this->order, edge::MoveState::Switching);
+        return stateInStore().find("in_progress") != std::string::npos;
+    }));
+    store->mode = StoreMode::LosesAnswers;
+    sync->publishMove(*order, edge::MoveState::Completed);
+    CHECK(runUntil([&] { return stateInStore().find("completed") != std::string::npos; }));
+    this->loop.run_for(250ms);
+    store->mode = StoreMode::Up;
+    CHECK(runUntil([&] { return this->ended == edge::MoveState::Completed; }));
+    const uint64_t revision = store->model.items().at("status/rollout/s1").revision;
+    sync->publishMove(*order, edge::MoveState::Reverted);
+    this->loop.run_for(100ms);
+    LONGS_EQUAL(revision, store->model.items().at("status/rollout/s1").revision);
+}
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -4,6 +4,8 @@
 cd "$(dirname "$0")/.."
 tools/setup.sh
 
+# Clones in other folders share compiled objects.
+export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
 jobs=${JOBS:-$(nproc)}
 started=$(date +%s)
 section() { echo "== $1 ($(($(date +%s) - started)) s)"; }
