Keep targets that are gone from coming back through peers

Ruled out: an entry that came back (its revision is the same). Change: a node remembers what is gone by revision, passes that on, and asks its peers for items while the store does not answer it. The new test of EdgeStoreSyncTest fails before and passes after.

--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -34,7 +34,7 @@
           [this](const CallerPointer& caller, const CallerRequest&) {
               json items = json::array();
               for (const StoreItem& item : this->hooks.items())
-                  items.push_back({ { "key", item.key }, { "value", item.value }, { "revision", item.revision } });
+                  items.push_back({ { "key", item.key }, { "value", item.value }, { "revision", item.revision }, { "gone", item.gone } });
               caller->answer(makeAnswer({ 200, items.dump(-1, ' ', false, json::error_handler_t::replace), "application/json", {} }));
           },
           [] { return CallerLimits {}; })
@@ -106,7 +106,9 @@
     if (beacon.proofAge && beacon.echo != TimePoint {} && beacon.catalogRevision == this->hooks.catalogRevision()
         && beacon.catalogRevision > 0)
         this->relay.freshness.provedByPeer(beacon.echo, *beacon.proofAge);
-    if (beacon.catalogRevision > this->hooks.catalogRevision() && now - this->itemsAskedAt > this->settings.itemsInterval) {
+    const bool hasNewer = beacon.catalogRevision > this->hooks.catalogRevision() && now - this->itemsAskedAt > this->settings.itemsInterval;
+    const bool isAhead = beacon.proofAge && this->hooks.isBehind() && now - this->itemsAskedAt > this->settings.behindInterval;
+    if (hasNewer || isAhead) {
         this->itemsAskedAt = now;
         this->fetchItems({ beacon.node, this->sender.address().to_string(), beacon.port });
     }
@@ -125,7 +127,8 @@
         std::vector<StoreItem> result;
         for (const json& item : items) {
             if (item.is_object() && item.contains("key") && item.contains("value") && item.contains("revision"))
-                result.push_back({ item["key"].get<std::string>(), item["value"].get<std::string>(), item["revision"].get<uint64_t>() });
+                result.push_back({ item["key"].get<std::string>(), item["value"].get<std::string>(), item["revision"].get<uint64_t>(),
+                    item.value("gone", false) });
         }
         log(LogLevel::Info, "store items from peer", { { "peer", member.node }, { "items", result.size() } });
         this->hooks.received(result);
--- a/src/edge/PeerLink.h
+++ b/src/edge/PeerLink.h
@@ -20,15 +20,17 @@
     std::string key;
     std::string value;
     uint64_t revision = 0;
+    bool gone = false; // the item was there with this revision, and is no more
 };
 
 struct PeerLinkSettings {
     std::string node;
-    Address address;                                         // of beacons and store items
-    Duration busyInterval = std::chrono::milliseconds(20);   // between beacons while loads change
-    Duration idleInterval = std::chrono::milliseconds(150);  // between beacons otherwise
-    size_t nodesAtBusyInterval = 6;                          // with more nodes the interval grows in proportion
-    Duration itemsInterval = std::chrono::milliseconds(300); // between two requests for a peer's store items
+    Address address;                                          // of beacons and store items
+    Duration busyInterval = std::chrono::milliseconds(20);    // between beacons while loads change
+    Duration idleInterval = std::chrono::milliseconds(150);   // between beacons otherwise
+    size_t nodesAtBusyInterval = 6;                           // with more nodes the interval grows in proportion
+    Duration behindInterval = std::chrono::milliseconds(800); // the same while this node is behind, whatever peers announce
+    Duration itemsInterval = std::chrono::milliseconds(300);  // between two requests for a peer's store items
     PeerSettings peers;
 };
 
@@ -38,6 +40,7 @@
         std::function<std::vector<StoreItem>()> items;            // what this node would pass on
         std::function<void(std::span<const StoreItem>)> received; // a peer's items
         std::function<uint64_t()> catalogRevision;
+        std::function<bool()> isBehind; // the store does not answer this node: peers' items are asked for now and then
     };
     PeerLink(net::io_context& loop, const PeerLinkSettings& settings, Relay& relay, Hooks hooks, uint64_t incarnation);
 
--- a/tests/edge/StoreSyncTest.cpp
+++ b/tests/edge/StoreSyncTest.cpp
@@ -216,6 +216,31 @@
     CHECK(store->model.items().empty());
 }
 
+// Guards against new work for a target that is gone, because a peer that is behind still passes its entry on (seen on the recorded days
+// of both deployments), and against a node without the store that never hears that a target is gone.
+TEST(StoreSync, PeersNeitherBringBackWhatIsGoneNorHideIt)
+{
+    store->model.put("servers/a", targetText("ready", 1));
+    store->model.put("servers/b", targetText("ready", 1));
+    begin();
+    CHECK(runUntil([&] { return this->usable.size() == 2; }));
+    const std::vector<edge::StoreItem> old = sync->items();
+    store->model.remove("servers/a");
+    CHECK(runUntil([&] { return !this->usable.contains("a"); }));
+    sync->merge(old);
+    CHECK_FALSE(usable.contains("a"));
+    const auto items = sync->items();
+    CHECK(std::any_of(items.begin(), items.end(), [](const edge::StoreItem& item) { return item.key == "servers/a" && item.gone; }));
+    edge::StoreItem goneAtPeer = *std::find_if(old.begin(), old.end(), [](const edge::StoreItem& item) { return item.key == "servers/b"; });
+    goneAtPeer.gone = true;
+    store->mode = StoreMode::Busy;
+    sync->merge({ &goneAtPeer, 1 });
+    CHECK_FALSE(usable.contains("b"));
+    store->mode = StoreMode::Up;
+    store->model.put("servers/a", targetText("ready", 2));
+    CHECK_TEXT(runUntil([&] { return this->usable.contains("a"); }), "a newer entry is a target again");
+}
+
 // Guards against items beyond the first page being taken for gone.
 TEST(StoreSync, ReadsAllPages)
 {
