--- a/src/adapters/Logging.cpp
+++ b/src/adapters/Logging.cpp
@@ -31,8 +31,11 @@
     {
         const auto sinceEpoch = event->getChronoTimeStamp().time_since_epoch();
         const auto unixMs = std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+        // The appender's own report of dropped lines is plain text.
+        const std::string rendered = event->getRenderedMessage();
+        const std::string fields = rendered.starts_with('"') ? rendered : "\"message\":" + json(rendered).dump();
         output += "{\"unixMs\":" + std::to_string(unixMs) + ",\"level\":\"" + event->getLevel()->toString() + "\"" + this->nodeField + ","
-            + event->getRenderedMessage() + "}\n";
+            + fields + "}\n";
     }
     const log4cxx::helpers::Class& getClass() const override { return log4cxx::Layout::getStaticClass(); }
     bool ignoresThrowable() const override { return true; }
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -13,6 +13,9 @@
 section "format"
 tools/format.sh --check
 
+section "names"
+tools/check-names.sh
+
 section "build"
 cmake -S . -B build -G Ninja >/dev/null
 cmake --build build -j "$jobs" 2>&1 | grep -E "error|warning|FAILED" || true
