--- a/cmake/Programs.cmake
+++ b/cmake/Programs.cmake
@@ -43,7 +43,7 @@
 file(GLOB CLI_SOURCES CONFIGURE_DEPENDS src/cli/*.cpp)
 if(CLI_SOURCES)
     addProgram(guavapond ${CLI_SOURCES})
-    target_link_libraries(guavapond PRIVATE guavapondEdge)
+    target_link_libraries(guavapond PRIVATE guavapondExplain)
 endif()
 
 # Stand-ins: standins/Standin<Name>.cpp becomes the program standin-<name>; other files there are shared.
