--- a/src/edge/EdgeSettings.cpp
+++ b/src/edge/EdgeSettings.cpp
@@ -16,7 +16,7 @@
     {
     }
 
-    std::string text(std::string_view key, std::optional<std::string> fallback = std::nullopt)
+    std::string text(std::string_view key, const std::optional<std::string>& fallback = std::nullopt)
     {
         const auto value = this->root.at_path(key).value<std::string>();
         if (value && !value->empty())
--- a/src/edge/Exchange.h
+++ b/src/edge/Exchange.h
@@ -2,7 +2,9 @@
 // decision of its own.
 //
 // Index
-//   Exchange    begin, place, tick
+//   ExchangePlan    what was decided on admission
+//   Run             one send to a target
+//   Exchange        begin, place, checkProgress
 #pragma once
 
 #include "edge/EventScanner.h"
@@ -25,6 +27,23 @@
     Demand demand;
 };
 
+// One send to a target.
+struct Run {
+    TargetPool::Index target = 0;
+    ConnectionPointer connection;
+    TimePoint sentAt {};
+    std::optional<TimePoint> firstEventAt;
+    TimePoint lastEventAt {};
+    uint64_t eventsBefore = 0;
+    uint32_t prefillPending = 0;
+    uint32_t backlogTokens = 0;
+    std::optional<RunEnd> verdict; // already certain, while the rest of the answer is read
+    bool headSeen = false;
+    bool reusedConnection = false;
+    http::response_header<> head;
+    std::string body;
+};
+
 class Exchange : public std::enable_shared_from_this<Exchange> {
 public:
     Exchange(Relay& relay, CallerPointer caller, CallerRequest request, ExchangePlan plan);
@@ -35,23 +54,6 @@
     void checkProgress(TimePoint now); // ends a run at a target that went silent, where the request may go elsewhere
 
 private:
-    // One send to a target.
-    struct Run {
-        TargetPool::Index target = 0;
-        ConnectionPointer connection;
-        TimePoint sentAt {};
-        std::optional<TimePoint> firstEventAt;
-        TimePoint lastEventAt {};
-        uint64_t eventsBefore = 0;
-        uint32_t prefillPending = 0;
-        uint32_t backlogTokens = 0;
-        std::optional<RunEnd> verdict; // already certain, while the rest of the answer is read
-        bool headSeen = false;
-        bool reusedConnection = false;
-        http::response_header<> head;
-        std::string body;
-    };
-
     TargetPool& targets() { return this->service.targets; }
     Demand demand() const;
     void ruleVersion(Demand& demand) const;
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -41,17 +41,17 @@
 # Programs under test share the cores, so only a few run at a time.
 runTests build 4
 
-# The core has no threads, so that the thread sanitizer runs on the tests of the node library only.
-sanitize() { # SANITIZERS [CTEST-OPTION...]
-    local sanitizer=$1 directory="build-${1%%,*}"
-    shift
+# The core and the edge node have no threads, so that the thread sanitizer runs on the tests of the node library only.
+sanitize() { # SANITIZERS EDGE [CTEST-OPTION...]
+    local sanitizer=$1 edge=$2 directory="build-${1%%,*}"
+    shift 2
     section "sanitizer $sanitizer"
-    cmake -S . -B "$directory" -G Ninja -DGUAVAPOND_CORE_ONLY=ON -DGUAVAPOND_WITH_EDGE=ON -DGUAVAPOND_SANITIZE="$sanitizer" >/dev/null
+    cmake -S . -B "$directory" -G Ninja -DGUAVAPOND_CORE_ONLY=ON -DGUAVAPOND_WITH_EDGE="$edge" -DGUAVAPOND_SANITIZE="$sanitizer" >/dev/null
     cmake --build "$directory" -j "$jobs" >/dev/null
     runTests "$directory" "$jobs" "$@"
 }
-sanitize address,undefined
-sanitize thread -R '^(RequestPath|TableWatcher|TargetMonitor|Witness.*|MoveWatch)Test$'
+sanitize address,undefined ON
+sanitize thread OFF -R '^(RequestPath|TableWatcher|TargetMonitor|Witness.*|MoveWatch)Test$'
 
 if [ -x spec/check.sh ]; then
     section "model checking"
