--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -63,10 +63,12 @@
           [this](const CallerPointer& caller, CallerRequest request) { this->onRequest(caller, std::move(request)); },
           [this] { return this->requests.callerLimits(); })
     , ready(
-          loop, { settings.ready, 64 }, [this](const CallerPointer& caller, const CallerRequest&) { this->onReady(caller); },
+          loop, { settings.ready, 64 },
+          [this](const CallerPointer& caller, const CallerRequest& request) { this->onReady(caller, request); },
           [] { return CallerLimits {}; })
     , metricsListener(
-          loop, { settings.metrics, 16 }, [this](const CallerPointer& caller, const CallerRequest&) { this->onMetrics(caller); },
+          loop, { settings.metrics, 16 },
+          [this](const CallerPointer& caller, const CallerRequest& request) { this->onMetrics(caller, request); },
           [] { return CallerLimits {}; })
     , timer(loop)
 {
@@ -87,14 +89,18 @@
     this->requests.configure(relaySettings(value, this->headers));
 }
 
-void EdgeNode::onReady(const CallerPointer& caller)
+void EdgeNode::onReady(const CallerPointer& caller, const CallerRequest& request)
 {
+    if (request.message.target() != this->paths.ready)
+        return caller->answer(makeAnswer({ statusNotFound, "", "", {} }));
     const bool isReady = !this->stoppingSince && this->requests.isReady();
     caller->answer(makeAnswer({ isReady ? statusOk : statusUnavailable, "", "", {} }));
 }
 
-void EdgeNode::onMetrics(const CallerPointer& caller)
+void EdgeNode::onMetrics(const CallerPointer& caller, const CallerRequest& request)
 {
+    if (request.message.target() != this->paths.metrics)
+        return caller->answer(makeAnswer({ statusNotFound, "", "", {} }));
     const TimePoint now = bootTime();
     EdgeMetrics& gauges = this->counters;
     gauges.setGauge("guavapond_edge_in_flight", "Requests under way", static_cast<double>(this->requests.inFlight()));
--- a/src/edge/EdgeNode.h
+++ b/src/edge/EdgeNode.h
@@ -32,8 +32,8 @@
 
 private:
     static RelaySettings relaySettings(const EdgeSettings& settings, const WireHeaders& headers);
-    void onReady(const CallerPointer& caller);
-    void onMetrics(const CallerPointer& caller);
+    void onReady(const CallerPointer& caller, const CallerRequest& request);
+    void onMetrics(const CallerPointer& caller, const CallerRequest& request);
     void onRequest(const CallerPointer& caller, CallerRequest request);
     void tick();
     void checkStop(TimePoint now);
--- a/src/edge/EdgeSettings.cpp
+++ b/src/edge/EdgeSettings.cpp
@@ -1,6 +1,7 @@
 // Reads and checks the file by toml++.
 #include "edge/EdgeSettings.h"
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 #include <toml++/toml.h>
@@ -52,6 +53,18 @@
         return value.value_or(fallback);
     }
 
+    std::string oneOf(std::string_view key, std::initializer_list<std::string_view> words, const std::string& fallback)
+    {
+        const std::string value = this->text(key, fallback);
+        if (std::find(words.begin(), words.end(), value) != words.end())
+            return value;
+        std::string allowed;
+        for (const std::string_view word : words)
+            allowed += " " + std::string(word);
+        this->faults.push_back({ std::string(key), "one of" + allowed + " is needed" });
+        return fallback;
+    }
+
     Address address(std::string_view key)
     {
         const std::string value = this->text(key);
@@ -123,7 +136,6 @@
     settings.keyRevocation = milliseconds(reader.number("keys.revocationMs", 100, longestMs, 5000));
     settings.checksRevocation = reader.flag("keys.checkRevocation", true);
     settings.stopGrace = fromSeconds(reader.number("stop.graceSeconds", 1, 3600, 8));
-    settings.targetHeartbeat = milliseconds(reader.number("targets.heartbeatMs", 10, longestMs, 1200));
     settings.leaseTtl = milliseconds(reader.number("store.leaseMs", 1000, longestMs, 5000));
     settings.secondTries.ratio = reader.number("secondTries.ratio", 0, 10, 0.2);
     settings.secondTries.window = fromSeconds(reader.number("secondTries.windowSeconds", 0.1, 3600, 10));
@@ -133,7 +145,7 @@
     readPlacement(reader, settings.placement);
     settings.placement.failureDomain = settings.failureDomain;
     readAdmission(reader, settings.admission);
-    settings.logLevel = reader.text("log.level", "info");
+    settings.logLevel = reader.oneOf("log.level", { "error", "warn", "info", "debug" }, "info");
     if (!reader.faults.empty())
         return { std::nullopt, reader.faults };
     return { settings, {} };
--- a/src/edge/EdgeSettings.h
+++ b/src/edge/EdgeSettings.h
@@ -17,17 +17,16 @@
     Address peers;   // beacons and store items
     Address metrics;
     Address store;
-    uint32_t descriptors = 1024;                                // that the process may open
-    Duration keyRevocation = std::chrono::milliseconds(5000);   // a key that was taken away is not honoured for longer
-    bool checksRevocation = true;                               // false: keys are honoured without a proof
-    Duration stopGrace = std::chrono::seconds(8);               // from SIGTERM to SIGKILL
-    Duration targetHeartbeat = std::chrono::milliseconds(1200); // of targets' entries in the store
-    Duration leaseTtl = std::chrono::seconds(5);                // of this node's entry in the store
+    uint32_t descriptors = 1024;                              // that the process may open
+    Duration keyRevocation = std::chrono::milliseconds(5000); // a key that was taken away is not honoured for longer
+    bool checksRevocation = true;                             // false: keys are honoured without a proof
+    Duration stopGrace = std::chrono::seconds(8);             // from SIGTERM to SIGKILL
+    Duration leaseTtl = std::chrono::seconds(5);              // of this node's entry in the store
     SecondTrySettings secondTries;
     MoveSettings moves;
     PlacementSettings placement; // failureDomain is set from the one above
     AdmissionSettings admission;
-    std::string logLevel = "info";
+    std::string logLevel = "info"; // error, warn, info or debug
 };
 
 struct SettingsFault {
--- a/tests/edge/EdgeSettingsTest.cpp
+++ b/tests/edge/EdgeSettingsTest.cpp
@@ -44,10 +44,11 @@
 {
     std::string text = good;
     text.replace(text.find("127.0.0.1:8221"), 14, "127.0.0.1");
-    const auto result = parseEdgeSettings(text + "[stop]\ngraceSeconds = 0\n[keys]\ncheckRevocation = 3\nrevocationMs = \"x\"\n");
+    const auto result = parseEdgeSettings(
+        text + "[stop]\ngraceSeconds = 0\n[keys]\ncheckRevocation = 3\nrevocationMs = \"x\"\n[log]\nlevel = \"loud\"\n");
     CHECK_FALSE(result.settings.has_value());
-    LONGS_EQUAL(4, result.faults.size());
-    for (const char* key : { "listen.callers", "stop.graceSeconds", "keys.checkRevocation", "keys.revocationMs" })
+    LONGS_EQUAL(5, result.faults.size());
+    for (const char* key : { "listen.callers", "stop.graceSeconds", "keys.checkRevocation", "keys.revocationMs", "log.level" })
         CHECK_TEXT(hasFault(result, key), key);
 }
 
