--- a/src/edge/EdgeSettings.cpp
+++ b/src/edge/EdgeSettings.cpp
@@ -55,7 +55,7 @@
 
     std::string oneOf(std::string_view key, std::initializer_list<std::string_view> words, const std::string& fallback)
     {
-        const std::string value = this->text(key, fallback);
+        std::string value = this->text(key, fallback);
         if (std::find(words.begin(), words.end(), value) != words.end())
             return value;
         std::string allowed;
