--- a/tests/edge/StoreSyncTest.cpp
+++ b/tests/edge/StoreSyncTest.cpp
@@ -279,3 +279,19 @@
     this->loop.run_for(100ms);
     LONGS_EQUAL(revision, store->model.items().at("status/rollout/s1").revision);
 }
+
+// Guards against a state that is dropped because the write of the one before has not been answered yet.
+TEST(StoreSync, WritesTheNewestStateAfterTheOneUnderWay)
+{
+    store->model.put("op/rollout/s1", R"({"service":"s1","target":"v2","duration_s":12})");
+    begin();
+    CHECK(runUntil([&] { return this->order.has_value(); }));
+    this->loop.run_for(60ms); // the status was read, so that a write begins at once
+    sync->publishMove(*order, edge::MoveState::Switching);
+    sync->publishMove(*order, edge::MoveState::Completed);
+    const auto stateInStore = [&] {
+        const auto found = this->store->model.items().find("status/rollout/s1");
+        return found == this->store->model.items().end() ? std::string() : found->second.value;
+    };
+    CHECK(runUntil([&] { return stateInStore().find("completed") != std::string::npos; }, 2s));
+}
