--- a/src/edge/Catalog.cpp
+++ b/src/edge/Catalog.cpp
@@ -1,6 +1,8 @@
 // Lookups of the configuration.
 #include "edge/Catalog.h"
 
+#include <algorithm>
+
 namespace guavapond::edge {
 
 void Catalog::index()
@@ -43,4 +45,11 @@
     return found == this->servicesByName.end() ? nullptr : &this->services[found->second];
 }
 
+std::string lowerCase(std::string_view text)
+{
+    std::string result(text);
+    std::transform(result.begin(), result.end(), result.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return result;
+}
+
 } // namespace guavapond::edge
--- a/src/edge/Catalog.h
+++ b/src/edge/Catalog.h
@@ -93,6 +93,8 @@
     std::unordered_map<std::string, size_t> servicesByName;
 };
 
+std::string lowerCase(std::string_view text); // host names and header names are compared in it
+
 using CatalogPointer = std::shared_ptr<const Catalog>;
 
 } // namespace guavapond::edge
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -46,6 +46,7 @@
     result.placement = settings.placement;
     result.admission = settings.admission;
     result.secondTries = settings.secondTries;
+    result.quotaWindow = settings.quotaWindow;
     result.keyProofBound = settings.checksRevocation ? settings.keyRevocation - revocationMargin : Duration::max();
     return result;
 }
@@ -131,7 +132,6 @@
     this->stoppingSince = bootTime();
     this->drained = std::move(whenDrained);
     this->callers.stopKeepingConnections();
-    this->peerLink.announceStop();
     log(LogLevel::Info, "stopping",
         { { "inFlight", this->requests.inFlight() }, { "connections", this->callers.connections() },
             { "graceMs", toMilliseconds(this->settings.stopGrace) } });
--- a/src/edge/EdgeSettings.cpp
+++ b/src/edge/EdgeSettings.cpp
@@ -142,6 +142,7 @@
     settings.secondTries.allowance = reader.number("secondTries.allowance", 0, 1e6, 0);
     settings.moves.mostExposed = reader.number("moves.mostExposed", 0, 1, settings.moves.mostExposed);
     settings.moves.exposedAllowance = reader.number("moves.exposedAllowance", 0, 1e6, settings.moves.exposedAllowance);
+    settings.quotaWindow = fromSeconds(reader.number("quotas.windowSeconds", 0.1, 3600, toSeconds(settings.quotaWindow)));
     readPlacement(reader, settings.placement);
     settings.placement.failureDomain = settings.failureDomain;
     readAdmission(reader, settings.admission);
--- a/src/edge/EdgeSettings.h
+++ b/src/edge/EdgeSettings.h
@@ -23,6 +23,7 @@
     Duration stopGrace = std::chrono::seconds(8);             // from SIGTERM to SIGKILL
     Duration leaseTtl = std::chrono::seconds(5);              // of this node's entry in the store
     SecondTrySettings secondTries;
+    Duration quotaWindow = std::chrono::seconds(8); // over which the operators count a workspace's tokens
     MoveSettings moves;
     PlacementSettings placement; // failureDomain is set from the one above
     AdmissionSettings admission;
--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -2,6 +2,7 @@
 #include "edge/Exchange.h"
 
 #include "adapters/Logging.h"
+#include "edge/RequestFields.h"
 
 #include <algorithm>
 #include <sstream>
@@ -22,9 +23,7 @@
 // These statuses promise that a request has not run. A target's answer with one of them, without its own word for it, is no promise.
 bool promisesNotRun(unsigned status) { return status == 408 || status == misdirected || status == 429 || status == unavailable; }
 
-std::string textOf(boost::beast::string_view view) { return std::string(view.data(), view.size()); }
-
-bool isEventStream(const http::response_header<>& head) { return textOf(head[http::field::content_type]).starts_with("text/event-stream"); }
+bool isEventStream(const http::response_header<>& head) { return head[http::field::content_type].starts_with("text/event-stream"); }
 
 } // namespace
 
@@ -37,10 +36,8 @@
     , life(*this->plan.route, this->plan.callerLimit, this->request.arrivedAt)
     , timer(relay.loop)
 {
-    int64_t resumedAfter = 0;
-    std::istringstream lastId(textOf(this->request.message[this->relay.settings.headers.lastEventId]));
-    if (lastId >> resumedAfter)
-        this->scanner.setLastId(resumedAfter);
+    if (const auto resumedAfter = parseNumber<int64_t>(this->request.message[this->relay.settings.headers.lastEventId]))
+        this->scanner.setLastId(*resumedAfter);
 }
 
 void Exchange::begin()
@@ -128,10 +125,19 @@
     this->service.waiting[*this->waitKey] = this->shared_from_this();
 }
 
-void Exchange::giveUpWaiting()
+void Exchange::leaveQueue(TimePoint now)
 {
+    if (!this->waitKey)
+        return;
+    this->service.queue.remove(*this->waitKey);
+    this->service.waiting.erase(*this->waitKey);
     this->waitKey.reset();
-    this->relay.metrics.waited(bootTime() - *this->waitingSince);
+    this->relay.metrics.waited(now - *this->waitingSince);
+}
+
+void Exchange::giveUpWaiting()
+{
+    this->leaveQueue(bootTime());
     this->follow(this->life.onNoTarget(), "no room at any target");
 }
 
@@ -147,8 +153,7 @@
     // Fields that the caller's Connection field names concern its connection only.
     http::token_list connectionTokens(this->request.message[http::field::connection]);
     for (const auto& field : this->request.message.base()) {
-        std::string name = textOf(field.name_string());
-        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+        const std::string name = lowerCase(field.name_string());
         if (this->relay.droppedFields.contains(name) || connectionTokens.exists(name))
             continue;
         head.insert(field.name_string(), field.value());
@@ -170,12 +175,7 @@
 
 void Exchange::send(const TargetPool::Choice& choice, TimePoint now)
 {
-    if (this->waitKey) {
-        this->service.queue.remove(*this->waitKey);
-        this->service.waiting.erase(*this->waitKey);
-        this->waitKey.reset();
-        this->relay.metrics.waited(now - *this->waitingSince);
-    }
+    this->leaveQueue(now);
     const TargetInfo& target = this->targets().info(choice.target);
     this->predictedFirst = choice.firstEvent;
     this->lastTarget = target.id;
@@ -234,29 +234,54 @@
         return HeadVerdict::Reject;
     if (!this->run->verdict && this->life.state() == LifeState::Answering && head.result_int() >= 300)
         this->run->verdict = RunEnd::Failed; // nothing but a stream can continue a stream
-    this->streaming = !this->run->verdict && this->plan.route->kind == RouteKind::Streaming && isEventStream(head);
+    const bool isEvents = !this->run->verdict && this->plan.route->kind == RouteKind::Streaming && isEventStream(head);
+    this->form = isEvents ? AnswerForm::Events : AnswerForm::Held;
     return HeadVerdict::Accept;
 }
 
 void Exchange::onBody(std::string_view bytes)
 {
     this->targets().progress(this->run->target, bootTime());
-    if (!this->streaming) {
-        this->run->body += bytes;
-        return;
-    }
+    if (this->form != AnswerForm::Events)
+        return this->onPlainBody(bytes);
     const bool whole = this->scanner.feed(bytes, [this](std::string_view events) { this->onEvents(events); });
     if (!whole) {
-        this->run->connection->close();
-        this->endRun(TargetOutcome::Failed);
+        this->stopRun(TargetOutcome::Failed);
         this->afterRun(RunEnd::Invalid);
         return;
     }
-    if (this->caller->unsentBytes() > pauseAboveUnsent) {
-        const ConnectionPointer connection = this->run->connection;
-        connection->pauseReading();
-        this->caller->onDrained([connection] { connection->resumeReading(); });
+    this->holdBackTarget();
+}
+
+void Exchange::onPlainBody(std::string_view bytes)
+{
+    if (this->form == AnswerForm::PassedOn) {
+        this->caller->sendPiece(bytes);
+        return this->holdBackTarget();
+    }
+    this->run->body += bytes;
+    if (this->run->body.size() <= this->relay.settings.mostBufferedAnswer)
+        return;
+    if (this->run->verdict) { // a failure too long to be passed on later
+        const RunEnd verdict = *this->run->verdict;
+        this->failure.reset();
+        this->stopRun(TargetOutcome::Failed);
+        return this->afterRun(verdict);
     }
+    this->form = AnswerForm::PassedOn;
+    this->beginAnswer();
+    this->caller->sendPiece(std::exchange(this->run->body, {}));
+    this->holdBackTarget();
+}
+
+// A caller that reads slowly must not make the answer pile up here.
+void Exchange::holdBackTarget()
+{
+    if (this->caller->unsentBytes() <= pauseAboveUnsent)
+        return;
+    const ConnectionPointer connection = this->run->connection;
+    connection->pauseReading();
+    this->caller->onDrained([connection] { connection->resumeReading(); });
 }
 
 void Exchange::onEvents(std::string_view events)
@@ -289,7 +314,7 @@
 {
     if (this->life.state() == LifeState::Answering)
         return;
-    this->life.answerBegan();
+    this->life.answerBegan(this->form == AnswerForm::Events);
     this->caller->beginStream(this->callerHead(this->run->head));
 }
 
@@ -305,7 +330,12 @@
             this->targets().leave(this->lastTarget);
         return this->afterRun(verdict);
     }
-    if (this->streaming) {
+    if (this->form == AnswerForm::PassedOn) {
+        this->caller->endStream();
+        this->endRun(TargetOutcome::Answered);
+        return this->finish(RequestResult::Answered, "whole");
+    }
+    if (this->form == AnswerForm::Events) {
         if (this->scanner.isMidEvent()) {
             this->endRun(TargetOutcome::Failed);
             return this->afterRun(RunEnd::Broken);
@@ -386,15 +416,24 @@
     this->tried.push_back(finished.target);
 }
 
+void Exchange::stopRun(TargetOutcome outcome)
+{
+    if (!this->run)
+        return;
+    this->run->connection->close();
+    this->endRun(outcome);
+}
+
 void Exchange::afterRun(RunEnd end)
 {
     this->scanner.restart();
+    this->form = AnswerForm::Held;
     this->relay.metrics.runEnded(end);
     const TimePoint now = bootTime();
     const NextStep step = this->life.runEnded(
         end, [&] { return this->relay.secondTries.take(this->plan.service, now); }, now);
     log(LogLevel::Info, "run failed",
-        { { "request", textOf(this->request.message[this->relay.settings.headers.requestId]) }, { "target", this->lastTarget },
+        { { "request", this->request.message[this->relay.settings.headers.requestId] }, { "target", this->lastTarget },
             { "end", runEndName(end) }, { "sends", this->life.sends() }, { "leftMs", toMilliseconds(this->life.left(now)) },
             { "next", nextStepName(step) } });
     this->follow(step, runEndName(end));
@@ -410,8 +449,7 @@
     case NextStep::PassFailureOn:
         return this->passFailureOn();
     case NextStep::AnswerNotRun:
-        return this->answerOwn(unavailable, RequestResult::Refused, reason,
-            retryAfter(this->relay.settings.admission, this->targets().occupancy(bootTime()), this->relay.random()));
+        return this->answerOwn(unavailable, RequestResult::Refused, reason, this->relay.comeBack(this->targets().occupancy(bootTime())));
     case NextStep::AnswerUnknown:
         return this->answerOwn(badGateway, RequestResult::Unknown, reason, std::nullopt);
     case NextStep::CutOff:
@@ -432,26 +470,19 @@
     if (this->finishedFlag)
         return;
     const NextStep step = this->life.onDue();
-    if (this->run) {
-        this->run->connection->close();
-        this->endRun(TargetOutcome::Cancelled);
-    }
+    this->stopRun(TargetOutcome::Cancelled);
     if (step == NextStep::CutOff)
         return this->cutOff("timeout");
     if (step == NextStep::AnswerUnknown)
         return this->answerOwn(gatewayTimeout, RequestResult::Unknown, "timeout", std::nullopt);
-    this->answerOwn(unavailable, RequestResult::Refused, "timeout before any target had room",
-        retryAfter(this->relay.settings.admission, 1, this->relay.random()));
+    this->answerOwn(unavailable, RequestResult::Refused, "timeout before any target had room", this->relay.comeBack(1));
 }
 
 void Exchange::onCallerGone()
 {
     if (this->finishedFlag)
         return;
-    if (this->run) {
-        this->run->connection->close();
-        this->endRun(TargetOutcome::Cancelled);
-    }
+    this->stopRun(TargetOutcome::Cancelled);
     this->finish(RequestResult::CallerGone, "the caller closed its connection");
 }
 
@@ -468,28 +499,17 @@
 
 void Exchange::checkProgress(TimePoint now)
 {
-    if (!this->run || !this->plan.route->mayRepeat())
+    if (!this->run || !this->plan.route->mayRepeat() || this->form == AnswerForm::PassedOn)
         return;
     if (now - this->run->sentAt < this->relay.settings.placement.stallAfter || !this->targets().isStalled(this->run->target, now))
         return;
-    this->run->connection->close();
-    this->endRun(TargetOutcome::Silent);
+    this->stopRun(TargetOutcome::Silent);
     this->afterRun(RunEnd::Silent);
 }
 
 void Exchange::answerOwn(unsigned status, RequestResult result, std::string_view reason, std::optional<Duration> retry)
 {
-    OwnAnswer answer;
-    answer.status = status;
-    answer.body = "{\"error\":\"" + std::string(reason) + "\"}";
-    const std::string& idField = this->relay.settings.headers.requestId;
-    answer.fields.set(idField, this->request.message[idField]);
-    if (retry) {
-        std::ostringstream seconds;
-        seconds << toSeconds(*retry);
-        answer.fields.set(http::field::retry_after, seconds.str());
-    }
-    this->caller->answer(makeAnswer(answer));
+    this->relay.answerOwn(this->caller, this->request.message[this->relay.settings.headers.requestId], status, reason, retry);
     this->finish(result, reason);
 }
 
@@ -504,22 +524,18 @@
     const TimePoint now = bootTime();
     this->finishedFlag = true;
     this->timer.cancel();
-    if (this->waitKey) {
-        this->service.queue.remove(*this->waitKey);
-        this->service.waiting.erase(*this->waitKey);
-        this->waitKey.reset();
-    }
+    this->leaveQueue(now);
     const bool ran = this->life.mayHaveRun() || this->life.state() == LifeState::Answering || result == RequestResult::Answered
         || result == RequestResult::FailureRelayed || (result == RequestResult::CallerGone && this->life.sends() > 0)
         || this->life.state() == LifeState::Sent;
     if (this->plan.workspace && !ran)
-        this->relay.quota.refund(*this->plan.workspace, this->plan.tokens);
+        this->relay.quota.refund(*this->plan.workspace, this->plan.tokens, now);
     this->life.ended();
     const Duration total = now - this->life.arrival();
     this->relay.metrics.requestEnded(result, total, this->firstEventAfter);
     const auto proofAge = this->relay.freshness.age(now);
     log(LogLevel::Info, "request ended",
-        { { "request", textOf(this->request.message[this->relay.settings.headers.requestId]) }, { "result", requestResultName(result) },
+        { { "request", this->request.message[this->relay.settings.headers.requestId] }, { "result", requestResultName(result) },
             { "reason", reason }, { "route", this->plan.route->name },
             { "workspace", this->plan.workspace ? std::string_view(this->plan.workspace->name) : std::string_view() },
             { "workspaceRank", this->plan.rank.workspace }, { "routeRank", this->plan.rank.route }, { "tokens", this->plan.tokens },
--- a/src/edge/Exchange.h
+++ b/src/edge/Exchange.h
@@ -44,6 +44,13 @@
     std::string body;
 };
 
+// How the body of a target's answer reaches the caller.
+enum class AnswerForm : uint8_t {
+    Held,     // whole, at its end: until then it may be asked for elsewhere
+    Events,   // event by event
+    PassedOn, // as it comes: it is too long to be held
+};
+
 class Exchange : public std::enable_shared_from_this<Exchange> {
 public:
     Exchange(Relay& relay, CallerPointer caller, CallerRequest request, ExchangePlan plan);
@@ -60,16 +67,20 @@
     void ruleVersion(Demand& demand) const;
     void countForMove(const Run& ended, TargetOutcome outcome, TimePoint now);
     void wait(TimePoint now);
+    void leaveQueue(TimePoint now);
     void send(const TargetPool::Choice& choice, TimePoint now);
     std::string requestHead(const TargetInfo& target, TimePoint now) const;
     bool maySend(TimePoint now) const;
     HeadVerdict onHead(const http::response_header<>& head);
     std::optional<RunEnd> judgeHead(const http::response_header<>& head) const;
     void onBody(std::string_view bytes);
+    void onPlainBody(std::string_view bytes);
     void onEvents(std::string_view events);
+    void holdBackTarget();
     void onComplete();
     void onFailed(ConnectionFault fault, bool anyByteSent);
     void endRun(TargetOutcome outcome);
+    void stopRun(TargetOutcome outcome); // closes the connection of a run, if there is one
     void afterRun(RunEnd end);
     void follow(NextStep step, std::string_view reason);
     void passFailureOn();
@@ -98,8 +109,7 @@
     std::optional<Duration> predictedFirst;
     std::optional<Duration> firstEventAfter;
     std::string lastTarget;
-    bool streaming = false; // the answer is relayed as it comes
-    bool quotaTaken = false;
+    AnswerForm form = AnswerForm::Held;
     bool finishedFlag = false;
     std::optional<http::response<http::string_body>> failure; // of the last target that answered with one
 };
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -18,6 +18,21 @@
 int64_t microseconds(TimePoint time) { return time.time_since_epoch().count(); }
 TimePoint fromMicroseconds(int64_t value) { return TimePoint(Duration(value)); }
 
+// Empty: not a list of items.
+std::optional<std::vector<StoreItem>> readItems(const std::string& text)
+{
+    std::vector<StoreItem> result;
+    try {
+        for (const json& item : json::parse(text)) {
+            result.push_back({ item.at("key").get<std::string>(), item.at("value").get<std::string>(), item.at("revision").get<uint64_t>(),
+                item.at("gone").get<bool>() });
+        }
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+    return result;
+}
+
 } // namespace
 
 PeerLink::PeerLink(net::io_context& loop, const PeerLinkSettings& settings, Relay& relay, Hooks hooks, uint64_t incarnation)
@@ -82,7 +97,6 @@
         beacon.proofAge = Duration(message.proof_age_us());
     beacon.catalogRevision = message.catalog_revision();
     beacon.port = static_cast<uint16_t>(message.tcp_port());
-    beacon.stopping = message.stopping();
     for (const auto& use : message.uses())
         beacon.uses.push_back({ use.workspace(), use.tokens() });
     const PeerTable::News news = this->peers.heard(beacon, this->sender.address().to_string(), now);
@@ -91,7 +105,7 @@
     if (news.isNew)
         log(LogLevel::Info, "peer regained", { { "peer", beacon.node }, { "nodes", this->peers.nodeCount() } });
     for (const auto& [workspace, tokens] : news.uses)
-        this->relay.quota.peerUsed(workspace, tokens);
+        this->relay.quota.peerUsed(workspace, tokens, now);
     std::vector<TargetLoadReport> loads;
     for (const auto& load : message.loads())
         loads.push_back({ load.target(), load.running(), load.prefill_tokens() });
@@ -124,15 +138,11 @@
     events.complete = [this, body, weak = std::weak_ptr(connection), member] {
         if (const auto used = weak.lock())
             this->connections.give(used, bootTime());
-        const json items = json::parse(*body, nullptr, false);
-        std::vector<StoreItem> result;
-        for (const json& item : items) {
-            if (item.is_object() && item.contains("key") && item.contains("value") && item.contains("revision"))
-                result.push_back({ item["key"].get<std::string>(), item["value"].get<std::string>(), item["revision"].get<uint64_t>(),
-                    item.value("gone", false) });
-        }
-        log(LogLevel::Info, "store items from peer", { { "peer", member.node }, { "items", result.size() } });
-        this->hooks.received(result);
+        const auto items = readItems(*body);
+        if (!items)
+            return log(LogLevel::Warn, "store items can't be read", { { "peer", member.node }, { "bytes", body->size() } });
+        log(LogLevel::Info, "store items from peer", { { "peer", member.node }, { "items", items->size() } });
+        this->hooks.received(*items);
     };
     events.failed = [member](ConnectionFault fault, bool) {
         log(LogLevel::Warn, "store items not received", { { "peer", member.node }, { "fault", connectionFaultName(fault) } });
@@ -208,10 +218,12 @@
     message.set_proof_age_us(proofAge ? proofAge->count() : -1);
     message.set_catalog_revision(this->hooks.catalogRevision());
     message.set_tcp_port(this->settings.address.port);
-    message.set_stopping(this->stopping);
+    // Only the echo differs by peer. Serialized messages that are joined are merged when they are parsed.
+    const std::string common = message.SerializeAsString();
     for (const Member& member : this->peers.members()) {
-        message.set_echo_sent_at_us(microseconds(this->peers.echoFor(member.node)));
-        const std::string datagram = message.SerializeAsString();
+        wire::Beacon own;
+        own.set_echo_sent_at_us(microseconds(this->peers.echoFor(member.node)));
+        const std::string datagram = common + own.SerializeAsString();
         boost::system::error_code error;
         const auto ip = net::ip::make_address(member.ip, error);
         if (!error) // a send that the kernel refuses is a lost datagram, and beacons may be lost
--- a/src/edge/PeerLink.h
+++ b/src/edge/PeerLink.h
@@ -47,7 +47,6 @@
     void start(); // throws boost::system::system_error if the address can't be used
     void setMembers(std::span<const Member> members);
     void tick(); // sends a beacon when one is due, and notices silent peers
-    void announceStop() { this->stopping = true; }
     const PeerTable& table() const { return this->peers; }
 
 private:
@@ -73,7 +72,6 @@
     TimePoint sentAt {};
     TimePoint itemsAskedAt {};
     std::string lastLoads; // serialized, to see a change
-    bool stopping = false;
 };
 
 } // namespace guavapond::edge
--- a/src/edge/PeerTable.h
+++ b/src/edge/PeerTable.h
@@ -30,7 +30,6 @@
     std::optional<Duration> proofAge; // of the sender's configuration
     uint64_t catalogRevision = 0;
     uint16_t port = 0;
-    bool stopping = false;
     std::vector<WorkspaceQuota::Use> uses;
 };
 
--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -3,9 +3,11 @@
 
 #include "adapters/Logging.h"
 #include "edge/Exchange.h"
+#include "edge/RequestFields.h"
 
 #include <algorithm>
-#include <charconv>
+#include <iomanip>
+#include <sstream>
 
 namespace guavapond::edge {
 
@@ -14,70 +16,9 @@
 constexpr size_t mostPumped = 64;                                 // waiting requests looked at in one round
 constexpr Duration housekeeping = std::chrono::milliseconds(100); // between checks for silent targets and old connections
 constexpr double eventsBeforeLearning = 30;                       // of an answer
-constexpr uint64_t chainSeed = 0x9e3779b97f4a7c15ULL;
+constexpr double occupancyOfFull = 0.9;                           // from here on the ranks in the queue decide who is served
 
-std::string lower(std::string_view text)
-{
-    std::string result(text);
-    std::transform(result.begin(), result.end(), result.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return result;
-}
-
-std::string_view view(boost::beast::string_view text) { return { text.data(), text.size() }; }
-
-template <typename Number> std::optional<Number> parseNumber(std::string_view text)
-{
-    Number value {};
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || end != text.data() + text.size())
-        return std::nullopt;
-    return value;
-}
-
-struct TokenCount {
-    uint64_t prompt = 0;
-    uint64_t mostOutput = 0;
-};
-
-std::optional<TokenCount> parseTokenCount(std::string_view field)
-{
-    const size_t comma = field.find(',');
-    if (comma == std::string_view::npos)
-        return std::nullopt;
-    std::string_view second = field.substr(comma + 1);
-    while (second.starts_with(' '))
-        second.remove_prefix(1);
-    const auto prompt = parseNumber<uint32_t>(field.substr(0, comma));
-    const auto output = parseNumber<uint32_t>(second);
-    if (!prompt || !output)
-        return std::nullopt;
-    return TokenCount { *prompt, *output };
-}
-
-// Entries that can't be read end the list: a shorter prefix only makes a wrong guess about a cache.
-std::vector<PromptPart> parsePromptParts(std::string_view field, std::string_view model)
-{
-    std::vector<PromptPart> parts;
-    uint64_t chain = chainSeed ^ nameHash(model);
-    while (!field.empty()) {
-        const size_t comma = std::min(field.find(','), field.size());
-        std::string_view entry = field.substr(0, comma);
-        field.remove_prefix(std::min(comma + 1, field.size()));
-        while (entry.starts_with(' '))
-            entry.remove_prefix(1);
-        const size_t colon = entry.find(':');
-        if (colon == std::string_view::npos)
-            break;
-        const auto tokens = parseNumber<uint32_t>(entry.substr(colon + 1));
-        if (!tokens)
-            break;
-        chain = nameHash(std::to_string(chain) + std::string(entry.substr(0, colon)));
-        parts.push_back({ chain, *tokens });
-    }
-    return parts;
-}
-
-std::string hostWithoutPort(std::string_view host) { return lower(host.substr(0, host.find(':'))); }
+std::string hostWithoutPort(std::string_view host) { return lowerCase(host.substr(0, host.find(':'))); }
 
 } // namespace
 
@@ -105,13 +46,14 @@
     this->settings = value;
     this->freshness.setBound(value.keyProofBound);
     this->secondTries.configure(value.secondTries);
+    this->quota.setWindow(value.quotaWindow);
     this->droppedFields
         = { "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "expect", "content-length" };
     const WireHeaders& names = this->settings.headers;
     for (const std::string& name : { names.callerLimit, names.key, names.workspace, names.expectedTarget })
-        this->droppedFields.insert(lower(name));
+        this->droppedFields.insert(lowerCase(name));
     for (const std::string& name : names.reserved)
-        this->droppedFields.insert(lower(name));
+        this->droppedFields.insert(lowerCase(name));
 }
 
 CallerLimits Relay::callerLimits() const { return this->current ? this->current->limits : CallerLimits {}; }
@@ -184,86 +126,116 @@
     return route.shares.back().service;
 }
 
-void Relay::reject(
-    const CallerPointer& caller, const CallerRequest& request, unsigned status, std::string_view reason, std::optional<Duration> retry)
+void Relay::answerOwn(
+    const CallerPointer& caller, std::string_view requestId, unsigned status, std::string_view reason, std::optional<Duration> retry)
 {
     OwnAnswer answer;
     answer.status = status;
     answer.body = "{\"error\":\"" + std::string(reason) + "\"}";
-    const std::string& idField = this->settings.headers.requestId;
-    const auto id = request.message[idField];
-    if (!id.empty())
-        answer.fields.set(idField, id);
+    if (!requestId.empty())
+        answer.fields.set(this->settings.headers.requestId, std::string(requestId));
     if (retry) {
-        char text[32] = {};
-        const int length = std::snprintf(text, sizeof(text), "%.3f", toSeconds(*retry));
-        answer.fields.set(http::field::retry_after, boost::beast::string_view(text, static_cast<size_t>(length)));
+        std::ostringstream seconds;
+        seconds << std::fixed << std::setprecision(3) << toSeconds(*retry);
+        answer.fields.set(http::field::retry_after, seconds.str());
     }
+    caller->answer(makeAnswer(answer));
+}
+
+void Relay::reject(const CallerPointer& caller, const CallerRequest& request, const Refusal& refusal)
+{
     const TimePoint now = bootTime();
-    const RequestResult result = status == 429 ? RequestResult::OverQuota
-        : status == 503                        ? RequestResult::Refused
-                                               : RequestResult::Rejected;
+    const std::string_view id = request.message[this->settings.headers.requestId];
+    const RequestResult result = refusal.status == 429 ? RequestResult::OverQuota
+        : refusal.status == 503                        ? RequestResult::Refused
+                                                       : RequestResult::Rejected;
     this->metrics.requestEnded(result, now - request.arrivedAt, std::nullopt);
     const auto proofAge = this->freshness.age(now);
     log(LogLevel::Info, "request rejected",
-        { { "request", view(id) }, { "status", status }, { "reason", reason },
+        { { "request", id }, { "status", refusal.status }, { "reason", refusal.reason },
             { "catalogVersion", this->current ? this->current->version : 0 }, { "proofAgeMs", proofAge ? toMilliseconds(*proofAge) : -1 },
-            { "retryAfterMs", retry ? toMilliseconds(*retry) : -1 } });
-    caller->answer(makeAnswer(answer));
+            { "retryAfterMs", refusal.retryAfter ? toMilliseconds(*refusal.retryAfter) : -1 } });
+    this->answerOwn(caller, id, refusal.status, refusal.reason, refusal.retryAfter);
 }
 
+Duration Relay::comeBack(double occupancy) { return retryAfter(this->settings.admission, occupancy, this->random()); }
+
 void Relay::handle(const CallerPointer& caller, CallerRequest request)
 {
     const TimePoint now = bootTime();
+    ExchangePlan plan;
+    auto refusal = this->identify(request, plan, now);
+    if (!refusal)
+        refusal = this->admit(request, plan, now);
+    if (refusal)
+        return this->reject(caller, request, *refusal);
+    const auto exchange = std::make_shared<Exchange>(*this, caller, std::move(request), std::move(plan));
+    this->exchanges.insert(exchange);
+    exchange->begin();
+}
+
+// Finds route and workspace.
+std::optional<Relay::Refusal> Relay::identify(const CallerRequest& request, ExchangePlan& plan, TimePoint now)
+{
     const WireHeaders& names = this->settings.headers;
-    const auto comeBack = [&] { return retryAfter(this->settings.admission, 1, this->random()); };
     if (!this->current)
-        return this->reject(caller, request, 503, "no configuration yet", comeBack());
+        return Refusal { 503, "no configuration yet", this->comeBack(1) };
     if (request.message.count(names.requestId) != 1 || request.message.count(http::field::host) != 1
         || !request.message.target().starts_with('/'))
-        return this->reject(caller, request, 400, "one request id, one host and a path are needed", std::nullopt);
+        return Refusal { 400, "one request id, one host and a path are needed", std::nullopt };
     // Saying that a route or a key does not exist takes a young proof: another node may know better.
     const auto proofAge = this->freshness.age(now);
     const bool mayDeny = proofAge && *proofAge < this->settings.rejectionProofBound;
-    ExchangePlan plan;
     plan.catalog = this->current;
-    const std::string_view target = view(request.message.target());
-    plan.route = this->current->findRoute(hostWithoutPort(view(request.message[http::field::host])), target.substr(0, target.find('?')));
+    const std::string_view target = request.message.target();
+    plan.route = this->current->findRoute(hostWithoutPort(request.message[http::field::host]), target.substr(0, target.find('?')));
     if (!plan.route || plan.route->shares.empty()) {
         if (!mayDeny)
-            return this->reject(caller, request, 503, "route unknown here, configuration not proved current", comeBack());
-        return this->reject(caller, request, 404, "no such route", std::nullopt);
+            return Refusal { 503, "route unknown here, configuration not proved current", this->comeBack(1) };
+        return Refusal { 404, "no such route", std::nullopt };
     }
     plan.rank = { plan.route->priority, plan.route->priority };
-    if (plan.route->needsKey && !this->current->workspaces.empty()) {
-        if (request.message.count(names.key) == 1)
-            plan.workspace = this->current->findWorkspace(view(request.message[names.key]));
-        if (!plan.workspace && !mayDeny)
-            return this->reject(caller, request, 503, "key unknown here, configuration not proved current", comeBack());
-        if (!plan.workspace)
-            return this->reject(caller, request, 401, "unknown key", std::nullopt);
-        if (!this->freshness.holds(now))
-            return this->reject(caller, request, 503, "no young proof of the configuration", comeBack());
-        plan.rank.workspace = plan.workspace->priority.value_or(plan.route->priority);
-    }
+    if (!plan.route->needsKey || this->current->workspaces.empty())
+        return std::nullopt;
+    if (request.message.count(names.key) == 1)
+        plan.workspace = this->current->findWorkspace(request.message[names.key]);
+    if (!plan.workspace && !mayDeny)
+        return Refusal { 503, "key unknown here, configuration not proved current", this->comeBack(1) };
+    if (!plan.workspace)
+        return Refusal { 401, "unknown key", std::nullopt };
+    if (!this->freshness.holds(now))
+        return Refusal { 503, "no young proof of the configuration", this->comeBack(1) };
+    plan.rank.workspace = plan.workspace->priority.value_or(plan.route->priority);
+    return std::nullopt;
+}
+
+// Chooses the service, takes the workspace's tokens and estimates the work.
+std::optional<Relay::Refusal> Relay::admit(const CallerRequest& request, ExchangePlan& plan, TimePoint now)
+{
+    const WireHeaders& names = this->settings.headers;
     plan.service = this->chooseService(*plan.route);
     if (const auto move = this->movesByService.find(plan.service); move != this->movesByService.end()) {
         move->second.plan.onRequest();
         plan.triesNewVersion = move->second.plan.sendToNew(this->random());
     }
-    if (const auto limit = parseNumber<int64_t>(view(request.message[names.callerLimit])))
+    if (const auto limit = parseNumber<int64_t>(request.message[names.callerLimit]))
         plan.callerLimit = std::chrono::milliseconds(std::clamp<int64_t>(*limit, 0, 24 * 3600 * 1000));
     if (this->endsAt && now + std::min(plan.route->timeout, plan.callerLimit.value_or(plan.route->timeout)) > *this->endsAt)
-        return this->reject(caller, request, 503, "the node is stopping", Duration::zero());
-    const auto tokens = parseTokenCount(view(request.message[names.tokenCount]));
+        return Refusal { 503, "the node is stopping", Duration::zero() };
+    const auto tokens = parseTokenCount(request.message[names.tokenCount]);
     plan.tokens = 1;
     if (plan.workspace && plan.workspace->countsTokens)
         plan.tokens = tokens ? tokens->prompt + tokens->mostOutput : plan.workspace->defaultTokens;
     if (plan.workspace) {
-        const QuotaVerdict verdict = this->quota.take(*plan.workspace, plan.tokens, now);
-        if (!verdict.allowed)
-            return this->reject(
-                caller, request, 429, "over the workspace's rate", std::max(verdict.retryAfter, this->settings.admission.leastRetryAfter));
+        const QuotaVerdict verdict = this->quota.take(*plan.workspace, plan.tokens, plan.rank.route == 0 || !this->keepsTokens, now);
+        if (!verdict.allowed) {
+            log(LogLevel::Info, "over the quota",
+                { { "request", request.message[names.requestId] }, { "workspace", plan.workspace->name }, { "route", plan.route->name },
+                    { "tokens", plan.tokens }, { "level", verdict.level }, { "inWindow", verdict.inWindow },
+                    { "ratePerSecond", plan.workspace->ratePerSecond }, { "burst", plan.workspace->burst },
+                    { "keepsForUrgent", this->keepsTokens } });
+            return Refusal { 429, "over the workspace's rate", std::max(verdict.retryAfter, this->settings.admission.leastRetryAfter) };
+        }
     }
     if (tokens) {
         plan.demand.promptTokens = static_cast<uint32_t>(tokens->prompt);
@@ -271,17 +243,14 @@
         const double learned = this->eventsOfRoute.try_emplace(plan.route->name, eventsBeforeLearning).first->second;
         plan.demand.outputEvents = static_cast<uint32_t>(std::max(1.0, learned));
         const Service* service = this->current->findService(plan.service);
-        plan.expectedOutputTokens = parseNumber<uint32_t>(view(request.message[names.lengthHint])).value_or(0);
+        plan.expectedOutputTokens = parseNumber<uint32_t>(request.message[names.lengthHint]).value_or(0);
         if (plan.expectedOutputTokens > 0 && service && service->engine)
             plan.demand.outputEvents = static_cast<uint32_t>(1 + plan.expectedOutputTokens / std::max(service->engine->eventTokens, 1U));
-        plan.parts = parsePromptParts(view(request.message[names.promptParts]), "");
+        plan.parts = parsePromptParts(request.message[names.promptParts]);
     }
     plan.demand.urgent = plan.rank.workspace == 0 || plan.rank.route == 0;
-    plan.demand.objective = plan.route->objective;
     plan.demand.repeatable = plan.route->mayRepeat();
-    const auto exchange = std::make_shared<Exchange>(*this, caller, std::move(request), std::move(plan));
-    this->exchanges.insert(exchange);
-    exchange->begin();
+    return std::nullopt;
 }
 
 void Relay::pump(ServiceQueue& service)
@@ -304,17 +273,19 @@
     for (const WaitKey& key : service.queue.expired(now)) {
         const auto found = service.waiting.find(key);
         const std::shared_ptr<Exchange> exchange = found == service.waiting.end() ? nullptr : found->second;
-        service.queue.remove(key);
-        service.waiting.erase(key);
         if (exchange)
             exchange->giveUpWaiting();
+        else
+            service.queue.remove(key);
     }
 }
 
 void Relay::tick()
 {
     const TimePoint now = bootTime();
+    this->keepsTokens = true;
     for (auto& [name, service] : this->byService) {
+        this->keepsTokens = this->keepsTokens && service->targets.occupancy(now) < occupancyOfFull;
         this->pump(*service);
         this->expireWaiting(*service, now);
     }
--- a/src/edge/Relay.h
+++ b/src/edge/Relay.h
@@ -39,15 +39,17 @@
     PlacementSettings placement;
     AdmissionSettings admission;
     SecondTrySettings secondTries;
+    Duration quotaWindow = std::chrono::seconds(8); // over which the operators count a workspace's tokens
     ConnectionSettings connections;
     Duration keyProofBound = std::chrono::milliseconds(4500); // age of the newest proof with which a key is still honoured
     Duration rejectionProofBound = std::chrono::seconds(2);   // "no such route" and "no such key" are said with a younger proof only
     Duration reuseForRepeatable = std::chrono::seconds(3);    // an idle connection is used again within this time
     Duration reuseForOthers = std::chrono::milliseconds(800); // the same for work that must not repeat: a stale connection makes it unknown
-    size_t mostBufferedAnswer = 1 << 20;                      // bytes; longer plain answers are relayed as they come
+    size_t mostBufferedAnswer = 1 << 20;                      // bytes; longer plain answers are passed on as they come
 };
 
 class Exchange;
+struct ExchangePlan;
 
 // A service's targets with the requests that wait for them.
 struct ServiceQueue {
@@ -109,8 +111,17 @@
     void expireWaiting(ServiceQueue& service, TimePoint now);
     void finished(const std::shared_ptr<Exchange>& exchange);
     const std::string& chooseService(const Route& route);
-    void reject(const CallerPointer& caller, const CallerRequest& request, unsigned status, std::string_view reason,
+    struct Refusal {
+        unsigned status = 503;
+        std::string_view reason;
+        std::optional<Duration> retryAfter;
+    };
+    std::optional<Refusal> identify(const CallerRequest& request, ExchangePlan& plan, TimePoint now);
+    std::optional<Refusal> admit(const CallerRequest& request, ExchangePlan& plan, TimePoint now);
+    void reject(const CallerPointer& caller, const CallerRequest& request, const Refusal& refusal);
+    void answerOwn(const CallerPointer& caller, std::string_view requestId, unsigned status, std::string_view reason,
         std::optional<Duration> retryAfter);
+    Duration comeBack(double occupancy); // for a refused caller
 
     net::io_context& loop;
     RelaySettings settings;
@@ -124,6 +135,7 @@
     std::unordered_map<std::string, double> eventsOfRoute; // mean events of an answer
     std::unordered_set<std::string> droppedFields;         // lower case; of requests
     std::map<std::string, RunningMove> movesByService;
+    bool keepsTokens = true; // of a workspace for its urgent requests: targets have room, so that quotas decide who is served
     TimePoint lastHousekeeping {};
     std::optional<TimePoint> endsAt; // of the process, once it is near
 };
--- /dev/null
+++ b/src/edge/RequestFields.cpp
@@ -0,0 +1,52 @@
+// Parsing of header fields.
+#include "edge/RequestFields.h"
+
+#include "edge/WorkspaceQuota.h"
+
+namespace guavapond::edge {
+
+namespace {
+
+constexpr uint64_t chainSeed = 0x9e3779b97f4a7c15ULL;
+
+std::string_view trimmedFront(std::string_view text)
+{
+    text.remove_prefix(std::min(text.find_first_not_of(' '), text.size()));
+    return text;
+}
+
+} // namespace
+
+std::optional<TokenCount> parseTokenCount(std::string_view field)
+{
+    const size_t comma = field.find(',');
+    if (comma == std::string_view::npos)
+        return std::nullopt;
+    const auto prompt = parseNumber<uint32_t>(field.substr(0, comma));
+    const auto output = parseNumber<uint32_t>(trimmedFront(field.substr(comma + 1)));
+    if (!prompt || !output)
+        return std::nullopt;
+    return TokenCount { *prompt, *output };
+}
+
+std::vector<PromptPart> parsePromptParts(std::string_view field)
+{
+    std::vector<PromptPart> parts;
+    uint64_t chain = chainSeed;
+    while (!field.empty()) {
+        const size_t comma = std::min(field.find(','), field.size());
+        const std::string_view entry = trimmedFront(field.substr(0, comma));
+        field.remove_prefix(std::min(comma + 1, field.size()));
+        const size_t colon = entry.find(':');
+        if (colon == std::string_view::npos)
+            break;
+        const auto tokens = parseNumber<uint32_t>(entry.substr(colon + 1));
+        if (!tokens)
+            break;
+        chain = nameHash(std::to_string(chain) + std::string(entry.substr(0, colon)));
+        parts.push_back({ chain, *tokens });
+    }
+    return parts;
+}
+
+} // namespace guavapond::edge
--- a/src/edge/RequestLife.cpp
+++ b/src/edge/RequestLife.cpp
@@ -37,10 +37,11 @@
     ++this->sendCount;
 }
 
-void RequestLife::answerBegan()
+void RequestLife::answerBegan(bool goesOnElsewhere)
 {
     assert(this->current == LifeState::Sent || this->current == LifeState::Answering);
     this->current = LifeState::Answering;
+    this->mayRepeat = this->mayRepeat && goesOnElsewhere;
 }
 
 void RequestLife::ended() { this->current = LifeState::Ended; }
--- a/src/edge/RequestLife.h
+++ b/src/edge/RequestLife.h
@@ -53,8 +53,9 @@
     // `callerLimit` is how long the caller waits, if it said so.
     RequestLife(const Route& route, std::optional<Duration> callerLimit, TimePoint arrival);
 
-    void sent();        // the first byte is about to be handed to the kernel
-    void answerBegan(); // the head of the answer goes to the caller
+    void sent(); // the first byte is about to be handed to the kernel
+    // The head of the answer goes to the caller. `goesOnElsewhere`: another target can continue it where this one stops.
+    void answerBegan(bool goesOnElsewhere);
     void ended();
     // `takeSecondTry` is asked only where a further send would be allowed otherwise.
     NextStep runEnded(RunEnd end, const std::function<bool()>& takeSecondTry, TimePoint now);
@@ -67,7 +68,6 @@
     Duration left(TimePoint now) const { return this->dueAt - now; }
     bool mayHaveRun() const { return this->unknownRun; }
     uint32_t sends() const { return this->sendCount; }
-    bool isFirstArrival() const { return this->arrivals == 0; }
 
 private:
     bool allowsFurtherTarget(TimePoint now) const;
--- a/src/edge/TargetPool.cpp
+++ b/src/edge/TargetPool.cpp
@@ -22,6 +22,8 @@
 
 void learn(double& value, double sample) { value = value == 0 ? sample : value + learnWeight * (sample - value); }
 
+double learnedOr(double value, double mean) { return value > 0 ? value : mean; }
+
 constexpr double toMs(Duration d) { return static_cast<double>(d.count()) / 1000.0; }
 
 } // namespace
@@ -31,6 +33,7 @@
     , isEngine(isEngine)
     , random(std::move(random))
 {
+    this->refreshMeans();
 }
 
 TargetPool::Index TargetPool::upsert(const TargetInfo& info, TimePoint now)
@@ -56,14 +59,17 @@
     }
     target.info = info;
     target.leaving = info.draining;
+    this->refreshMeans();
     return index;
 }
 
 void TargetPool::leave(std::string_view id)
 {
     const auto found = this->byId.find(std::string(id));
-    if (found != this->byId.end())
-        this->targets[found->second].leaving = true;
+    if (found == this->byId.end())
+        return;
+    this->targets[found->second].leaving = true;
+    this->refreshMeans();
 }
 
 TargetPool::Load TargetPool::load(const Target& target, TimePoint now) const
@@ -97,24 +103,26 @@
     return !target.probation || (demand.repeatable && target.running == 0);
 }
 
-double TargetPool::learnedOr(double Target::*field, const Target& target, double initial) const
+void TargetPool::refreshMeans()
 {
-    if (target.*field > 0)
-        return target.*field;
-    double sum = 0;
-    int known = 0;
-    for (const Target& other : this->targets) {
-        if (other.*field > 0 && !other.leaving) {
-            sum += other.*field;
-            ++known;
+    const auto mean = [&](double Target::*field, double initial) {
+        double sum = 0;
+        int known = 0;
+        for (const Target& target : this->targets) {
+            if (target.*field > 0 && !target.leaving) {
+                sum += target.*field;
+                ++known;
+            }
         }
-    }
-    return known > 0 ? sum / known : initial;
+        return known > 0 ? sum / known : initial;
+    };
+    this->means = { mean(&Target::tokensPerMs, this->settings.firstTokensPerMs), mean(&Target::gapMs, toMs(this->settings.firstEventGap)),
+        mean(&Target::serviceMs, toMs(this->settings.firstServiceTime)) };
 }
 
 double TargetPool::gapMs(const Target& target, uint32_t running) const
 {
-    return this->learnedOr(&Target::gapMs, target, toMs(this->settings.firstEventGap)) * (1 + gapGrowthPerRequest * running);
+    return learnedOr(target.gapMs, this->means.gapMs) * (1 + gapGrowthPerRequest * running);
 }
 
 Duration TargetPool::slotWait(const Target& target, const Load& load) const
@@ -123,7 +131,7 @@
     if (load.running < slots)
         return Duration::zero();
     // Slots become free at the rate at which a full target ends requests.
-    const double serviceMs = this->learnedOr(&Target::serviceMs, target, toMs(this->settings.firstServiceTime));
+    const double serviceMs = learnedOr(target.serviceMs, this->means.serviceMs);
     return fromSeconds((load.running + 1.0 - slots) * serviceMs / slots / 1000);
 }
 
@@ -131,11 +139,11 @@
 {
     const Duration wait = this->slotWait(target, load);
     if (!this->isEngine) {
-        const double serviceMs = this->learnedOr(&Target::serviceMs, target, toMs(this->settings.firstServiceTime));
+        const double serviceMs = learnedOr(target.serviceMs, this->means.serviceMs);
         return wait + fromSeconds(serviceMs / 1000);
     }
     // The prompts ahead and its own are read, then the tokens of the first event are made.
-    const double tokensPerMs = this->learnedOr(&Target::tokensPerMs, target, this->settings.firstTokensPerMs);
+    const double tokensPerMs = learnedOr(target.tokensPerMs, this->means.tokensPerMs);
     const double ms = (load.prefillTokens + tokens) / std::max(tokensPerMs, 1.0) + this->gapMs(target, load.running);
     return wait + fromSeconds(ms / 1000);
 }
@@ -219,6 +227,7 @@
         return;
     const double readingMs = toMs(afterStart) - this->gapMs(t, this->load(t, now).running);
     learn(t.tokensPerMs, backlogTokens / std::max(readingMs, leastReadingPart * toMs(afterStart)));
+    this->refreshMeans();
 }
 
 void TargetPool::eventGap(Index target, Duration gap, TimePoint now)
@@ -226,6 +235,7 @@
     Target& t = this->targets[target];
     const Load load = this->load(t, now);
     learn(t.gapMs, toMs(gap) / (1 + gapGrowthPerRequest * load.running));
+    this->refreshMeans();
 }
 
 void TargetPool::pause(Target& target, TimePoint now)
@@ -248,8 +258,10 @@
         t.failures = 0;
         t.probation = false;
         t.lastProgress = now;
-        if (serviceTime)
+        if (serviceTime) {
             learn(t.serviceMs, toMs(*serviceTime));
+            this->refreshMeans();
+        }
         break;
     case TargetOutcome::Failed:
         break;
@@ -349,7 +361,7 @@
     std::vector<View> result;
     for (const Target& target : this->targets) {
         const Load load = this->load(target, now);
-        const double gapMs = this->learnedOr(&Target::gapMs, target, 0);
+        const double gapMs = target.gapMs;
         result.push_back({ &target.info, load.running, load.prefillTokens, target.tokensPerMs, fromSeconds(gapMs / 1000),
             now < target.pausedUntil, target.leaving });
     }
--- a/src/edge/TargetPool.h
+++ b/src/edge/TargetPool.h
@@ -44,10 +44,9 @@
 
 struct Demand {
     uint32_t promptTokens = 0;
-    uint32_t outputEvents = 1; // expected
-    bool urgent = false;       // of the highest priority
-    bool repeatable = false;   // may be sent to a target on probation
-    Duration objective = std::chrono::seconds(1);
+    uint32_t outputEvents = 1;         // expected
+    bool urgent = false;               // of the highest priority
+    bool repeatable = false;           // may be sent to a target on probation
     std::span<const PromptPart> parts; // of the prompt, in order
     std::string_view onlyVersion;      // of targets; empty: any
     std::string_view notVersion;       // of targets that are left out; empty: none
@@ -165,6 +164,12 @@
         uint32_t running;
         uint32_t prefillTokens;
     };
+    // Stand for what is not learned of a target yet: means over the others, else the settings' first values.
+    struct Means {
+        double tokensPerMs;
+        double gapMs;
+        double serviceMs;
+    };
 
     Load load(const Target& target, TimePoint now) const;
     bool isUsable(const Target& target, const Demand& demand, TimePoint now) const;
@@ -174,11 +179,12 @@
     double score(const Target& target, const Load& load, uint32_t tokens, const Demand& demand) const;
     uint32_t cachedTokens(Index target, const Demand& demand, TimePoint now) const;
     void pause(Target& target, TimePoint now);
-    double learnedOr(double Target::*field, const Target& target, double initial) const; // the target's, else the mean of all
+    void refreshMeans();
 
     PlacementSettings settings;
     bool isEngine;
     std::function<double()> random;
+    Means means {};
     std::vector<Target> targets; // never shrinks while a run may refer to an index; a slot of one that left is reused by its id only
     std::unordered_map<std::string, Index> byId;
     std::unordered_map<uint64_t, Index> byHash;
--- a/src/edge/WorkspaceQuota.cpp
+++ b/src/edge/WorkspaceQuota.cpp
@@ -1,4 +1,4 @@
-// Shared token buckets.
+// Counts of tokens by slices of time.
 #include "edge/WorkspaceQuota.h"
 
 #include <algorithm>
@@ -9,54 +9,124 @@
 namespace {
 
 // A process that just started does not know what its predecessor and its peers dispatched a moment ago.
-constexpr double levelAtStart = 0.3; // part of the burst
+constexpr double unusedAtStart = 0.3;  // of the burst; all else counts as dispatched in the window before the start
+constexpr double keptForUrgent = 0.15; // of the burst
+constexpr double longestStretch = 4.0; // of the time until there is room, where callers ask for far more than they may
+constexpr double leastReachable = 0.01;
 
 } // namespace
 
 uint64_t nameHash(std::string_view name) { return XXH3_64bits(name.data(), name.size()); }
 
+void WorkspaceQuota::setWindow(Duration value)
+{
+    if (value == this->window)
+        return;
+    this->window = value;
+    for (auto& [workspace, bucket] : this->buckets) {
+        bucket.recent = {};
+        bucket.sum = {};
+        bucket.newest = 0;
+    }
+}
+
+void WorkspaceQuota::advance(Bucket& bucket, TimePoint now) const
+{
+    const int64_t slice = this->sliceOf(now);
+    for (int passed = 0; bucket.newest < slice && passed < static_cast<int>(bucket.recent.size()); ++passed) {
+        Slice& oldest = bucket.recent[static_cast<size_t>(++bucket.newest) % bucket.recent.size()];
+        bucket.sum.dispatched -= oldest.dispatched;
+        bucket.sum.refused -= oldest.refused;
+        oldest = {};
+    }
+    bucket.newest = slice;
+}
+
+void WorkspaceQuota::count(Bucket& bucket, double tokens, TimePoint now) const
+{
+    this->advance(bucket, now);
+    bucket.recent[static_cast<size_t>(bucket.newest) % bucket.recent.size()].dispatched += tokens;
+    bucket.sum.dispatched += tokens;
+}
+
+double WorkspaceQuota::windowLimit(const Workspace& workspace) const
+{
+    return (workspace.ratePerSecond * toSeconds(this->window) + workspace.burst) * std::max(this->reachable, leastReachable);
+}
+
 void WorkspaceQuota::fill(Bucket& bucket, const Workspace& workspace, TimePoint now) const
 {
-    const double burst = workspace.burst * this->reachable;
-    if (!bucket.filledAt)
-        bucket.level += burst * levelAtStart;
+    this->advance(bucket, now);
+    const double limit = this->windowLimit(workspace);
+    bucket.burst = workspace.burst * this->reachable;
+    if (!bucket.filledAt) {
+        bucket.level += bucket.burst * unusedAtStart;
+        const double unknown = std::max(0.0, limit - bucket.burst * unusedAtStart) / slices;
+        const int64_t startSlice = this->sliceOf(this->started);
+        for (int64_t slice = std::max(bucket.newest - static_cast<int64_t>(slices), startSlice - static_cast<int64_t>(slices));
+             slice < startSlice; ++slice) {
+            bucket.recent[static_cast<size_t>(slice) % bucket.recent.size()].dispatched += unknown;
+            bucket.sum.dispatched += unknown;
+        }
+    }
     const TimePoint since = bucket.filledAt.value_or(this->started);
-    bucket.level += toSeconds(now - since) * workspace.ratePerSecond * this->reachable;
-    bucket.level = std::min(bucket.level, burst);
-    bucket.burst = burst;
+    bucket.level = std::min(bucket.level + toSeconds(now - since) * limit / toSeconds(this->window), bucket.burst);
     bucket.filledAt = now;
 }
 
-QuotaVerdict WorkspaceQuota::take(const Workspace& workspace, uint64_t tokens, TimePoint now)
+Duration WorkspaceQuota::untilRoom(const Bucket& bucket, double needed, double limit) const
+{
+    const double ofLevel = (needed - bucket.level) / (limit / toSeconds(this->window));
+    // The oldest slices leave the window first.
+    double over = bucket.sum.dispatched + needed - limit;
+    int64_t slice = bucket.newest - static_cast<int64_t>(slices);
+    for (; slice <= bucket.newest && over > 0; ++slice)
+        over -= bucket.recent[static_cast<size_t>(slice) % bucket.recent.size()].dispatched;
+    const auto left = static_cast<double>(slice - bucket.newest + static_cast<int64_t>(slices));
+    const double ofWindow = left * toSeconds(this->window) / slices;
+    const double asked = 1 + bucket.sum.refused / std::max(bucket.sum.dispatched, 1.0);
+    return fromSeconds(std::max({ ofLevel, ofWindow, 0.0 }) * std::min(asked, longestStretch));
+}
+
+QuotaVerdict WorkspaceQuota::take(const Workspace& workspace, uint64_t tokens, bool urgent, TimePoint now)
 {
     Bucket& bucket = this->buckets[nameHash(workspace.name)];
+    const auto asked = static_cast<double>(tokens);
     if (workspace.ratePerSecond <= 0) {
         bucket.used += tokens;
         return {};
     }
     this->fill(bucket, workspace, now);
+    const double limit = this->windowLimit(workspace);
+    const double kept = urgent ? 0 : bucket.burst * keptForUrgent;
     // A request larger than the whole burst passes when the bucket is full; its debt delays the next ones.
-    const double needed = std::min(static_cast<double>(tokens), bucket.burst);
-    if (bucket.level < needed) {
-        const double rate = workspace.ratePerSecond * std::max(this->reachable, 0.01);
-        return { false, fromSeconds((needed - bucket.level) / rate) };
+    const double needed = std::min(asked + kept, bucket.burst);
+    const double inWindow = std::min(asked + kept, limit);
+    if (bucket.level < needed || bucket.sum.dispatched + inWindow > limit) {
+        const Duration wait = this->untilRoom(bucket, needed, limit);
+        bucket.recent[static_cast<size_t>(bucket.newest) % bucket.recent.size()].refused += asked;
+        bucket.sum.refused += asked;
+        return { false, wait, bucket.level, bucket.sum.dispatched };
     }
-    bucket.level -= static_cast<double>(tokens);
+    bucket.level -= asked;
     bucket.used += tokens;
-    return {};
+    this->count(bucket, asked, now);
+    return { true, Duration::zero(), bucket.level, bucket.sum.dispatched };
 }
 
-void WorkspaceQuota::refund(const Workspace& workspace, uint64_t tokens)
+void WorkspaceQuota::refund(const Workspace& workspace, uint64_t tokens, TimePoint now)
 {
     Bucket& bucket = this->buckets[nameHash(workspace.name)];
     bucket.level += static_cast<double>(tokens);
     bucket.used -= std::min(bucket.used, tokens);
+    this->count(bucket, -static_cast<double>(tokens), now);
 }
 
-void WorkspaceQuota::peerUsed(uint64_t workspaceHash, int64_t tokens)
+void WorkspaceQuota::peerUsed(uint64_t workspaceHash, int64_t tokens, TimePoint now)
 {
     Bucket& bucket = this->buckets[workspaceHash];
     bucket.level -= static_cast<double>(tokens);
+    this->count(bucket, static_cast<double>(tokens), now);
     // One burst of debt is enough to hold back what the peers have already dispatched.
     if (bucket.filledAt)
         bucket.level = std::max(bucket.level, -bucket.burst);
--- a/src/edge/WorkspaceQuota.h
+++ b/src/edge/WorkspaceQuota.h
@@ -1,28 +1,36 @@
-// Token rate of each workspace over all nodes together. Every node simulates the same shared bucket: it takes out what it
-// dispatches itself and what its peers report. While peers are silent, a node keeps to the part of the rate of the nodes it hears.
+// Tokens of each workspace over all nodes together: at most rate x window + burst in any window. Every node simulates the same shared
+// counts: what it dispatches itself and what its peers report. While peers are silent, a node keeps to the part of the nodes it hears.
 //
 // Index
+//   QuotaVerdict
 //   WorkspaceQuota    take, refund, peerUsed, setReachable
 #pragma once
 
 #include "edge/Catalog.h"
 
+#include <array>
+
 namespace guavapond::edge {
 
 struct QuotaVerdict {
     bool allowed = true;
-    Duration retryAfter = Duration::zero(); // until the bucket holds enough
+    Duration retryAfter = Duration::zero(); // until there is room, if callers go on asking as they do
+    double level = 0;                       // tokens that may be dispatched at once; below zero after a peer's late report
+    double inWindow = 0;                    // tokens dispatched in the window
 };
 
 class WorkspaceQuota {
 public:
-    explicit WorkspaceQuota(TimePoint started) // of this process: buckets fill from then on
+    explicit WorkspaceQuota(TimePoint started) // of this process: what was dispatched before is unknown
         : started(started)
     {
     }
-    QuotaVerdict take(const Workspace& workspace, uint64_t tokens, TimePoint now);
-    void refund(const Workspace& workspace, uint64_t tokens);    // the request has not run
-    void peerUsed(uint64_t workspaceHash, int64_t tokens);       // a peer reports that it dispatched this much more; below zero: refunds
+    void setWindow(Duration value); // over which the operators count; a change forgets what was counted
+    // The last part of a workspace's tokens is kept for its urgent requests.
+    QuotaVerdict take(const Workspace& workspace, uint64_t tokens, bool urgent, TimePoint now);
+    void refund(const Workspace& workspace, uint64_t tokens, TimePoint now); // the request has not run
+    // A peer reports that it dispatched this much more; below zero: refunds.
+    void peerUsed(uint64_t workspaceHash, int64_t tokens, TimePoint now);
     void setReachable(double share) { this->reachable = share; } // heard nodes, this one included, over all nodes; 0 to 1
 
     struct Use {
@@ -32,16 +40,31 @@
     std::vector<Use> uses() const;
 
 private:
+    static constexpr size_t slices = 32; // of a window; a slice counts until all of it is older than the window
+    struct Slice {
+        double dispatched = 0;
+        double refused = 0;
+    };
+    // `level` smooths the use of a window: it refills at the mean rate of a full window and holds one burst.
     struct Bucket {
-        double level = 0; // tokens that may be dispatched now; below zero after a peer's late report
-        uint64_t used = 0;
+        double level = 0;
         double burst = 0;
+        uint64_t used = 0; // by this node
+        std::array<Slice, slices + 1> recent {};
+        int64_t newest = 0; // number of the newest slice since the epoch
+        Slice sum;          // of all slices in `recent`
         std::optional<TimePoint> filledAt;
     };
+    int64_t sliceOf(TimePoint now) const { return now.time_since_epoch() / (this->window / slices); }
+    void advance(Bucket& bucket, TimePoint now) const;
+    void count(Bucket& bucket, double tokens, TimePoint now) const;
+    double windowLimit(const Workspace& workspace) const;
     void fill(Bucket& bucket, const Workspace& workspace, TimePoint now) const;
+    Duration untilRoom(const Bucket& bucket, double needed, double limit) const;
 
     std::unordered_map<uint64_t, Bucket> buckets; // by hash of the workspace's name
     TimePoint started;
+    Duration window = std::chrono::seconds(8);
     double reachable = 1;
 };
 
--- a/tests/edge/RelayTest.cpp
+++ b/tests/edge/RelayTest.cpp
@@ -320,3 +320,30 @@
     LONGS_EQUAL(200, early->status);
     LONGS_EQUAL(0, totalRuns("e1"));
 }
+
+// Guards against a plain answer of any length that is held in memory, and against one that is joined from two targets.
+TEST(Relay, PassesLongPlainAnswersOnAsTheyCome)
+{
+    const size_t held = EdgeWorld::settings().mostBufferedAnswer;
+    const std::string head = "HTTP/1.1 200 OK\r\nGuavapond-Attempt-Id: {id}\r\nGuavapond-Response-Seal: s\r\nContent-Length: "
+        + std::to_string(4 * held) + "\r\n\r\n";
+    standins::ScriptedServer stalled(world.loop, head + std::string(2 * held, 'a'), standins::ScriptedEnd::KeepOpen);
+    world.addTarget("t1", stalled.address());
+    const TimePoint sentAt = bootTime();
+    const auto part = world.send("/plain/x", "a1");
+    CHECK_TEXT(world.runUntil([&] { return part->body.size() > held; }), "the answer is passed on before it is whole");
+    auto& runner = world.addRunner("r1");
+    CHECK(world.runUntilEnded(part));
+    CHECK_TEXT(bootTime() - sentAt > 2500ms, "a silent target is no reason to end an answer before the route's 3 s");
+    CHECK_FALSE(part->whole);
+    LONGS_EQUAL(200, part->status);
+    LONGS_EQUAL(0, runner.runs.size());
+    world.relay.removeTarget("t1");
+    world.relay.removeTarget("r1");
+    standins::ScriptedServer whole(world.loop, head + std::string(4 * held, 'c'), standins::ScriptedEnd::KeepOpen);
+    world.addTarget("t3", whole.address());
+    const auto answer = world.send("/plain/x", "a3");
+    CHECK(world.runUntilEnded(answer));
+    CHECK(answer->whole);
+    CHECK(answer->body == std::string(4 * held, 'c'));
+}
