Let a node that is cut off go on with its part of a quota

Change: each slice keeps the share of the nodes that were heard, and counts by the share of them that is heard now. Test: EdgeWorkspaceQuotaTest ACutNodeGoesOnWithItsPart fails without the change.

--- a/src/edge/WorkspaceQuota.cpp
+++ b/src/edge/WorkspaceQuota.cpp
@@ -12,7 +12,6 @@
 constexpr double unusedAtStart = 0.3;  // of the burst; all else counts as dispatched in the window before the start
 constexpr double keptForUrgent = 0.15; // of the burst
 constexpr double longestStretch = 4.0; // of the time until there is room, where callers ask for far more than they may
-constexpr double leastReachable = 0.01;
 
 } // namespace
 
@@ -25,7 +24,6 @@
     this->window = value;
     for (auto& [workspace, bucket] : this->buckets) {
         bucket.recent = {};
-        bucket.sum = {};
         bucket.newest = 0;
     }
 }
@@ -33,25 +31,37 @@
 void WorkspaceQuota::advance(Bucket& bucket, TimePoint now) const
 {
     const int64_t slice = this->sliceOf(now);
-    for (int passed = 0; bucket.newest < slice && passed < static_cast<int>(bucket.recent.size()); ++passed) {
-        Slice& oldest = bucket.recent[static_cast<size_t>(++bucket.newest) % bucket.recent.size()];
-        bucket.sum.dispatched -= oldest.dispatched;
-        bucket.sum.refused -= oldest.refused;
-        oldest = {};
-    }
+    for (int passed = 0; bucket.newest < slice && passed < static_cast<int>(bucket.recent.size()); ++passed)
+        bucket.recent[static_cast<size_t>(++bucket.newest) % bucket.recent.size()] = {};
     bucket.newest = slice;
 }
 
+WorkspaceQuota::Slice& WorkspaceQuota::newestSlice(Bucket& bucket)
+{
+    return bucket.recent[static_cast<size_t>(bucket.newest) % bucket.recent.size()];
+}
+
 void WorkspaceQuota::count(Bucket& bucket, double tokens, TimePoint now) const
 {
     this->advance(bucket, now);
-    bucket.recent[static_cast<size_t>(bucket.newest) % bucket.recent.size()].dispatched += tokens;
-    bucket.sum.dispatched += tokens;
+    Slice& slice = newestSlice(bucket);
+    slice.dispatched += tokens;
+    slice.reachable = this->reachable;
+}
+
+WorkspaceQuota::Slice WorkspaceQuota::inWindow(const Bucket& bucket) const
+{
+    Slice sum;
+    for (const Slice& slice : bucket.recent) {
+        sum.dispatched += this->weighed(slice);
+        sum.refused += slice.refused;
+    }
+    return sum;
 }
 
 double WorkspaceQuota::windowLimit(const Workspace& workspace) const
 {
-    return (workspace.ratePerSecond * toSeconds(this->window) + workspace.burst) * std::max(this->reachable, leastReachable);
+    return (workspace.ratePerSecond * toSeconds(this->window) + workspace.burst) * this->reachable;
 }
 
 void WorkspaceQuota::fill(Bucket& bucket, const Workspace& workspace, TimePoint now) const
@@ -66,7 +76,6 @@
         for (int64_t slice = std::max(bucket.newest - static_cast<int64_t>(slices), startSlice - static_cast<int64_t>(slices));
              slice < startSlice; ++slice) {
             bucket.recent[static_cast<size_t>(slice) % bucket.recent.size()].dispatched += unknown;
-            bucket.sum.dispatched += unknown;
         }
     }
     const TimePoint since = bucket.filledAt.value_or(this->started);
@@ -74,17 +83,17 @@
     bucket.filledAt = now;
 }
 
-Duration WorkspaceQuota::untilRoom(const Bucket& bucket, double needed, double limit) const
+Duration WorkspaceQuota::untilRoom(const Bucket& bucket, const Slice& sum, double needed, double limit) const
 {
     const double ofLevel = (needed - bucket.level) / (limit / toSeconds(this->window));
     // The oldest slices leave the window first.
-    double over = bucket.sum.dispatched + needed - limit;
+    double over = sum.dispatched + needed - limit;
     int64_t slice = bucket.newest - static_cast<int64_t>(slices);
     for (; slice <= bucket.newest && over > 0; ++slice)
-        over -= bucket.recent[static_cast<size_t>(slice) % bucket.recent.size()].dispatched;
+        over -= this->weighed(bucket.recent[static_cast<size_t>(slice) % bucket.recent.size()]);
     const auto left = static_cast<double>(slice - bucket.newest + static_cast<int64_t>(slices));
     const double ofWindow = left * toSeconds(this->window) / slices;
-    const double asked = 1 + bucket.sum.refused / std::max(bucket.sum.dispatched, 1.0);
+    const double asked = 1 + sum.refused / std::max(sum.dispatched, 1.0);
     return fromSeconds(std::max({ ofLevel, ofWindow, 0.0 }) * std::min(asked, longestStretch));
 }
 
@@ -101,17 +110,16 @@
     const double kept = urgent ? 0 : bucket.burst * keptForUrgent;
     // A request larger than the whole burst passes when the bucket is full; its debt delays the next ones.
     const double needed = std::min(asked + kept, bucket.burst);
-    const double inWindow = std::min(asked + kept, limit);
-    if (bucket.level < needed || bucket.sum.dispatched + inWindow > limit) {
-        const Duration wait = this->untilRoom(bucket, needed, limit);
-        bucket.recent[static_cast<size_t>(bucket.newest) % bucket.recent.size()].refused += asked;
-        bucket.sum.refused += asked;
-        return { false, wait, bucket.level, bucket.sum.dispatched };
+    const Slice sum = this->inWindow(bucket);
+    if (bucket.level < needed || sum.dispatched + std::min(asked + kept, limit) > limit) {
+        const Duration wait = this->untilRoom(bucket, sum, needed, limit);
+        newestSlice(bucket).refused += asked;
+        return { false, wait, bucket.level, sum.dispatched };
     }
     bucket.level -= asked;
     bucket.used += tokens;
     this->count(bucket, asked, now);
-    return { true, Duration::zero(), bucket.level, bucket.sum.dispatched };
+    return { true, Duration::zero(), bucket.level, sum.dispatched + asked };
 }
 
 void WorkspaceQuota::refund(const Workspace& workspace, uint64_t tokens, TimePoint now)
--- a/src/edge/WorkspaceQuota.h
+++ b/src/edge/WorkspaceQuota.h
@@ -8,6 +8,7 @@
 
 #include "edge/Catalog.h"
 
+#include <algorithm>
 #include <array>
 
 namespace guavapond::edge {
@@ -31,7 +32,7 @@
     void refund(const Workspace& workspace, uint64_t tokens, TimePoint now); // the request has not run
     // A peer reports that it dispatched this much more; below zero: refunds.
     void peerUsed(uint64_t workspaceHash, int64_t tokens, TimePoint now);
-    void setReachable(double share) { this->reachable = share; } // heard nodes, this one included, over all nodes; 0 to 1
+    void setReachable(double share) { this->reachable = share; } // heard nodes, this one included, over all nodes; above 0
 
     struct Use {
         uint64_t workspaceHash;
@@ -44,6 +45,7 @@
     struct Slice {
         double dispatched = 0;
         double refused = 0;
+        double reachable = 1; // share of the nodes whose use is in `dispatched`
     };
     // `level` smooths the use of a window: it refills at the mean rate of a full window and holds one burst.
     struct Bucket {
@@ -52,15 +54,18 @@
         uint64_t used = 0; // by this node
         std::array<Slice, slices + 1> recent {};
         int64_t newest = 0; // number of the newest slice since the epoch
-        Slice sum;          // of all slices in `recent`
         std::optional<TimePoint> filledAt;
     };
     int64_t sliceOf(TimePoint now) const { return now.time_since_epoch() / (this->window / slices); }
     void advance(Bucket& bucket, TimePoint now) const;
+    static Slice& newestSlice(Bucket& bucket);
     void count(Bucket& bucket, double tokens, TimePoint now) const;
+    // Of a slice, what this node's part of the limit has to bear: nodes that are not heard any longer bear theirs.
+    double weighed(const Slice& slice) const { return slice.dispatched * std::min(1.0, this->reachable / slice.reachable); }
+    Slice inWindow(const Bucket& bucket) const;
     double windowLimit(const Workspace& workspace) const;
     void fill(Bucket& bucket, const Workspace& workspace, TimePoint now) const;
-    Duration untilRoom(const Bucket& bucket, double needed, double limit) const;
+    Duration untilRoom(const Bucket& bucket, const Slice& sum, double needed, double limit) const;
 
     std::unordered_map<uint64_t, Bucket> buckets; // by hash of the workspace's name
     TimePoint started;
--- a/tests/edge/WorkspaceQuotaTest.cpp
+++ b/tests/edge/WorkspaceQuotaTest.cpp
@@ -105,6 +105,30 @@
     CHECK(total >= 4000);
 }
 
+// Guards against a node that refuses everything for a whole window once it is cut off, because of what the others dispatched before
+// (seen on a recorded day: 207 answers of 429 in place of 6).
+TEST(WorkspaceQuota, ACutNodeGoesOnWithItsPart)
+{
+    const Workspace limited = workspace(1000, 1000);
+    WorkspaceQuota quota(start);
+    quota.setWindow(window);
+    const uint64_t hash = nameHash(limited.name);
+    TimePoint now = start + 20s;
+    for (; now < start + 28s; now += 10ms) { // all nodes together use the whole limit, this one a fifth
+        quota.take(limited, 2, true, now);
+        quota.peerUsed(hash, 9, now);
+    }
+    quota.setReachable(0.2);
+    const TimePoint cutAt = now;
+    uint64_t total = 0;
+    for (; now < cutAt + 4s; now += 10ms)
+        total += quota.take(limited, 2, true, now).allowed ? 2 : 0;
+    const double part = 0.2 * 9000 / 2; // of half a window
+    CHECK(static_cast<double>(total) >= 0.8 * 2 * 400 && static_cast<double>(total) <= part * 1.1);
+    quota.setReachable(1);
+    CHECK_FALSE_TEXT(quota.take(limited, 7000, true, now).allowed, "what the others dispatched before counts again");
+}
+
 // Guards against urgent requests of a workspace that find its tokens taken by less urgent ones.
 TEST(WorkspaceQuota, KeepsTheLastTokensForUrgentRequests)
 {
