Test what nodes tell each other, and dropped log lines

PeerLinkTest: uses, proofs, store items, and datagrams and items that are damaged. LoggingTest: an output that nobody reads holds no caller up, and written and dropped lines add up.

--- a/tests/adapters/LoggingTest.cpp
+++ b/tests/adapters/LoggingTest.cpp
@@ -5,6 +5,7 @@
 #include <filesystem>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <thread>
 #include <unistd.h>
 
 #include <CppUTest/TestHarness.h>
@@ -39,6 +40,40 @@
     }
 };
 
+// Standard output as a pipe that nobody reads until `readAll`.
+class UnreadOutput {
+public:
+    UnreadOutput()
+        : saved(::dup(STDOUT_FILENO))
+    {
+        std::fflush(stdout);
+        CHECK_EQUAL(0, ::pipe(this->ends));
+        ::dup2(this->ends[1], STDOUT_FILENO);
+        ::close(this->ends[1]);
+    }
+    // Reads while `finish` lets the writer end, then gives standard output back.
+    std::string readAll(const std::function<void()>& finish)
+    {
+        std::string text;
+        std::thread reader([&] {
+            char bytes[4096];
+            for (ssize_t count = 0; (count = ::read(this->ends[0], bytes, sizeof(bytes))) > 0;)
+                text.append(bytes, static_cast<size_t>(count));
+        });
+        finish();
+        std::fflush(stdout);
+        ::dup2(this->saved, STDOUT_FILENO);
+        ::close(this->saved);
+        reader.join();
+        ::close(this->ends[0]);
+        return text;
+    }
+
+private:
+    int saved;
+    int ends[2] {};
+};
+
 std::vector<AuditEntry> entries(uint64_t from, uint64_t to)
 {
     std::vector<AuditEntry> list;
@@ -79,6 +114,36 @@
     CHECK(folder.lines("log").back()["i"] == 399);
 }
 
+// Guards against an output that nobody reads: it must not hold a request up, and what is missing in the log has to be told.
+TEST(Logging, DropsAndCountsLinesInsteadOfWaiting)
+{
+    constexpr size_t lines = 20000;
+    UnreadOutput output;
+    startLogging({ .file = "", .level = "info", .maxBytes = 0, .files = 0, .node = "", .asyncLines = 512 });
+    const auto started = std::chrono::steady_clock::now();
+    for (size_t i = 0; i < lines; ++i)
+        log(LogLevel::Info, "a line of some length, so that the pipe and the waiting lines are full soon", { { "i", i } });
+    const auto elapsed = std::chrono::steady_clock::now() - started;
+    std::istringstream text(output.readAll([] { startLogging({}); }));
+    CHECK(elapsed < std::chrono::seconds(5));
+    size_t written = 0;
+    size_t dropped = 0;
+    for (std::string line; std::getline(text, line);) {
+        const json entry = json::parse(line, nullptr, false);
+        CHECK_TEXT(entry.is_object(), line.c_str());
+        if (entry.contains("i"))
+            ++written;
+        else if (entry.contains("message")) {
+            const std::string message = entry["message"];
+            const size_t digit = message.find_first_of("0123456789");
+            CHECK_TEXT(digit != std::string::npos, message.c_str());
+            dropped += std::stoul(message.substr(digit));
+        }
+    }
+    CHECK(dropped > 0);
+    LONGS_EQUAL(lines, written + dropped);
+}
+
 // Guards against an entry that is written twice after a restart, or lost behind a line that a crash cut short.
 TEST(Logging, AuditTrailContinuesAfterARestart)
 {
--- /dev/null
+++ b/tests/edge/PeerLinkTest.cpp
@@ -0,0 +1,169 @@
+// Tests of what nodes tell each other over datagrams and the exchange of store items, and of datagrams and items that are damaged.
+#include "EdgeWorld.h"
+
+#include "edge/PeerLink.h"
+
+#include <CppUTest/TestHarness.h>
+#include <beacon.pb.h>
+
+using namespace guavapond;
+using namespace guavapond::edge;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A node on an address of its own of the loopback network; all nodes use one port.
+struct Node {
+    Node(net::io_context& loop, const std::string& name, const std::string& ip, uint16_t port, uint64_t incarnation = 7)
+        : self { name, ip, port }
+        , relay(loop, EdgeWorld::settings(), this->metrics, [] { return 0.5; })
+        , link(loop, settings(name, ip, port), this->relay,
+              { [this] { return this->items; },
+                  [this](std::span<const StoreItem> list) { this->received.insert(this->received.end(), list.begin(), list.end()); },
+                  [this] { return this->revision; }, [this] { return this->isBehind; } },
+              incarnation)
+    {
+        this->link.start();
+    }
+    static PeerLinkSettings settings(const std::string& name, const std::string& ip, uint16_t port)
+    {
+        PeerLinkSettings result;
+        result.node = name;
+        result.address = { ip, port };
+        result.behindInterval = 50ms;
+        result.itemsInterval = 20ms;
+        return result;
+    }
+
+    Member self;
+    EdgeMetrics metrics;
+    Relay relay;
+    std::vector<StoreItem> items;
+    std::vector<StoreItem> received;
+    uint64_t revision = 4;
+    bool isBehind = false;
+    PeerLink link;
+};
+
+Workspace limited()
+{
+    Workspace result;
+    result.name = "inspectors";
+    result.ratePerSecond = 1;
+    result.burst = 1000;
+    return result;
+}
+
+} // namespace
+
+TEST_GROUP(PeerLink)
+{
+    net::io_context loop;
+    uint16_t port = 0;
+    std::vector<std::unique_ptr<Node>> nodes;
+
+    void setup() override
+    {
+        // Free on all addresses of the loopback network a moment ago.
+        const tcp::acceptor probe(this->loop, { net::ip::address_v4::any(), 0 });
+        this->port = probe.local_endpoint().port();
+    }
+    Node& add(const std::string& name, uint64_t incarnation = 7)
+    {
+        const std::string ip = "127.0.0." + std::to_string(11 + this->nodes.size());
+        return *this->nodes.emplace_back(std::make_unique<Node>(this->loop, name, ip, this->port, incarnation));
+    }
+    void introduce()
+    {
+        std::vector<Member> members;
+        for (const auto& node : this->nodes)
+            members.push_back(node->self);
+        for (const auto& node : this->nodes)
+            node->link.setMembers(members);
+    }
+    bool runUntil(const std::function<bool()>& condition, Duration bound = 10s)
+    {
+        const TimePoint end = bootTime() + bound;
+        while (!condition() && bootTime() < end) {
+            for (const auto& node : this->nodes)
+                node->link.tick();
+            this->loop.run_for(2ms);
+        }
+        return condition();
+    }
+    void sendTo(const Node& node, const std::string& bytes)
+    {
+        net::ip::udp::socket socket(this->loop, { net::ip::address_v4::loopback(), 0 });
+        socket.send_to(net::buffer(bytes), { net::ip::make_address(node.self.ip), node.self.port });
+    }
+};
+
+// Guards against nodes that each count their own use of a quota only.
+TEST(PeerLink, TellsWhatWasDispatched)
+{
+    Node& first = add("n1");
+    Node& second = add("n2");
+    introduce();
+    CHECK(runUntil([&] { return first.link.table().heardCount(bootTime()) == 1 && second.link.table().heardCount(bootTime()) == 1; }));
+    bool taken = false;
+    CHECK(runUntil([&] { return taken = taken || first.relay.quota.take(limited(), 250, true, bootTime()).allowed; }));
+    // Without the report it is what a start counts as dispatched before: 708 of 1,008 tokens.
+    CHECK(runUntil([&] { return second.relay.quota.take(limited(), 0, true, bootTime()).inWindow > 800; }));
+}
+
+// Guards against a proof that is honoured for another configuration than the peer proved.
+TEST(PeerLink, TakesProofsOfTheSameConfigurationOnly)
+{
+    Node& first = add("n1");
+    Node& second = add("n2");
+    second.revision = 3;
+    introduce();
+    CHECK(runUntil([&] { return second.link.table().heardCount(bootTime()) == 1; }));
+    first.relay.freshness.prove(bootTime());
+    CHECK_FALSE(runUntil([&] { return second.relay.freshness.holds(bootTime()); }, 400ms));
+    second.revision = first.revision;
+    first.relay.freshness.prove(bootTime());
+    CHECK(runUntil([&] { return second.relay.freshness.holds(bootTime()); }));
+    CHECK_TEXT(*second.relay.freshness.age(bootTime()) >= *first.relay.freshness.age(bootTime()), "never younger than the peer's");
+}
+
+// Guards against a node without the store that stays behind its peers.
+TEST(PeerLink, FetchesItemsWhileBehind)
+{
+    Node& first = add("n1");
+    Node& second = add("n2");
+    first.items = { { "a", "text \xff", 5, false }, { "b", "", 6, true } };
+    second.isBehind = true;
+    introduce();
+    first.relay.freshness.prove(bootTime());
+    CHECK(runUntil([&] { return second.received.size() >= 2; }));
+    CHECK(second.received[0].key == "a" && second.received[0].revision == 5 && !second.received[0].gone);
+    CHECK(second.received[1].key == "b" && second.received[1].gone);
+}
+
+// Guards against a node that ends, or believes something, because of bytes that no node sends.
+TEST(PeerLink, RefusesDamagedDatagramsAndItems)
+{
+    Node& node = add("n1");
+    introduce();
+    sendTo(node, std::string(300, '\xff'));
+    sendTo(node, "");
+    for (const char* items : { R"([{"key":1,"value":"x","revision":9,"gone":false}])", R"([{"key":"k"}])", "{", "7" }) {
+        standins::ScriptedServer server(loop,
+            "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(std::string_view(items).size()) + "\r\n\r\n" + items,
+            standins::ScriptedEnd::KeepOpen);
+        wire::Beacon beacon;
+        beacon.set_node(std::string("other") + items);
+        beacon.set_incarnation(1);
+        beacon.set_sequence(1);
+        beacon.set_proof_age_us(-1);
+        beacon.set_catalog_revision(99);
+        beacon.set_tcp_port(server.address().port);
+        loop.run_for(30ms); // longer than the interval between two requests for items
+        sendTo(node, beacon.SerializeAsString());
+        CHECK(runUntil([&] { return server.requests == 1; }));
+        loop.run_for(20ms);
+    }
+    LONGS_EQUAL(0, node.received.size());
+    CHECK(node.link.table().heardCount(bootTime()) >= 1);
+}
