--- a/src/cli/Main.cpp
+++ b/src/cli/Main.cpp
@@ -34,6 +34,7 @@
   guavapond drain runner-1 --reason 'disk fault'
   guavapond --node http://127.0.0.1:8080 request chat --workspace assessors --model dossier 'What is a fire door?'
   guavapond --node http://127.0.0.1:8080 request service register/certificates -X POST -d '{"n":1}' --workspace assessors
+  guavapond --node http://10.0.0.7:7601 beliefs
   guavapond explain 9c41d07be2a35f68 <node.log
   guavapond --node http://127.0.0.1:8080 ticket gp1.lalitpur-1.9f.1.w
 
@@ -186,6 +187,9 @@
 void addNodeCommands(CLI::App& app, Arguments& a)
 {
     app.add_subcommand("status", "state of each node named by --node")->callback([&a] { a.run = [&a] { return showStatus(a.node); }; });
+    app.add_subcommand("beliefs", "what each edge node named by --node believes; --node takes its metrics address")->callback([&a] {
+        a.run = [&a] { return showBeliefs(a.node); };
+    });
     CLI::App* ticket = app.add_subcommand("ticket", "outcome of a ticket");
     ticket->add_option("id", a.name)->required();
     ticket->add_option("--token", a.request.token, "workspace's token");
@@ -257,7 +261,8 @@
         a.table.platformUrls = { environment("GUAVAPOND_PLATFORM") };
     if (a.node.nodes.empty() && !environment("GUAVAPOND_NODE").empty())
         a.node.nodes = { environment("GUAVAPOND_NODE") };
-    const bool asksNode = app.got_subcommand("status") || app.got_subcommand("ticket") || app.got_subcommand("request");
+    const bool asksNode
+        = app.got_subcommand("status") || app.got_subcommand("beliefs") || app.got_subcommand("ticket") || app.got_subcommand("request");
     if (asksNode && a.node.nodes.empty())
         return fail(Usage, "--node URL is missing");
     if (!asksNode && !app.got_subcommand("check") && !app.got_subcommand("explain") && a.table.platformUrls.empty())
--- a/src/cli/NodeCommands.cpp
+++ b/src/cli/NodeCommands.cpp
@@ -222,6 +222,78 @@
     return failures == 0 ? Done : Unavailable;
 }
 
+namespace {
+
+struct Column {
+    const char* title;
+    const char* field;
+};
+
+void printList(const json& page, const char* list, std::initializer_list<Column> columns)
+{
+    const auto found = page.find(list);
+    if (found == page.end() || !found->is_array() || found->empty())
+        return;
+    std::vector<std::string> header;
+    Lines lines;
+    for (const Column& column : columns)
+        header.emplace_back(column.title);
+    for (const json& entry : *found) {
+        std::vector<std::string> line;
+        for (const Column& column : columns)
+            line.push_back(member(entry, column.field));
+        lines.push_back(std::move(line));
+    }
+    std::printf("\n");
+    printTable(header, lines);
+}
+
+void printBeliefs(const json& page)
+{
+    printTable({ "NODE", "READY", "CONFIGURATION", "PROOF AGE MS", "IN FLIGHT" },
+        { { member(page, "node"), member(page, "ready"), member(page, "configurationVersion"), member(page, "proofAgeMs"),
+            member(page, "inFlight") } });
+    printList(page, "routes",
+        { { "ROUTE", "name" }, { "HOST", "host" }, { "PREFIX", "prefix" }, { "KIND", "kind" }, { "PRIORITY", "priority" },
+            { "SHARES", "shares" } });
+    printList(page, "services", { { "SERVICE", "name" }, { "WAITING", "waiting" }, { "OCCUPANCY", "occupancy" } });
+    const json none = json::array();
+    for (const json& service : page.value("services", none)) {
+        printList(service, "targets",
+            { { "TARGET", "id" }, { "ADDRESS", "address" }, { "FAILURE DOMAIN", "failureDomain" }, { "VERSION", "version" },
+                { "RUNNING", "running" }, { "SLOTS", "slots" }, { "PREFILL TOKENS", "prefillTokens" }, { "TOKENS/MS", "tokensPerMs" },
+                { "EVENT GAP MS", "eventGapMs" }, { "STATE", "state" } });
+    }
+    printList(page, "workspaces",
+        { { "WORKSPACE", "name" }, { "RATE/S", "ratePerSecond" }, { "BURST", "burst" }, { "LEVEL", "level" }, { "IN WINDOW", "inWindow" },
+            { "WINDOW LIMIT", "windowLimit" } });
+    printList(page, "nodes", { { "OTHER NODE", "node" }, { "ADDRESS", "address" }, { "HEARD MS AGO", "heardMsAgo" } });
+    printList(page, "moves",
+        { { "MOVE OF", "service" }, { "TO VERSION", "version" }, { "STATE", "state" }, { "NEW", "newRequests" }, { "NEW BAD", "newBad" },
+            { "OLD", "oldRequests" }, { "OLD BAD", "oldBad" } });
+}
+
+} // namespace
+
+int showBeliefs(const NodeOptions& options)
+{
+    size_t failures = 0;
+    for (const std::string& url : options.nodes) {
+        const Fetched answer = fetch(options, url, "/beliefs", "");
+        const json page = json::parse(answer.body, nullptr, false);
+        if (!answer.error.empty() || answer.status != 200 || !page.is_object()) {
+            ++failures;
+            fail(Unavailable, url + ": " + (answer.error.empty() ? "status " + std::to_string(answer.status) : answer.error));
+            continue;
+        }
+        if (options.json)
+            printJson(page);
+        else
+            printBeliefs(page);
+    }
+    return failures == 0 ? Done : Unavailable;
+}
+
 int showTicket(const NodeOptions& options, const std::string& id, const std::string& token)
 {
     std::string reason = "no node was named";
--- a/src/cli/NodeCommands.h
+++ b/src/cli/NodeCommands.h
@@ -28,7 +28,8 @@
     std::string idempotent;            // service: "", "true" or "false"
 };
 
-int showStatus(const NodeOptions& options); // GET /v1/admin/status of each node
+int showStatus(const NodeOptions& options);  // GET /v1/admin/status of each node
+int showBeliefs(const NodeOptions& options); // GET /beliefs at the metrics address of each edge node
 int showTicket(const NodeOptions& options, const std::string& id, const std::string& token);
 int sendRequest(const NodeOptions& options, const RequestOptions& request); // a stream is printed as it arrives
 
--- /dev/null
+++ b/src/edge/Beliefs.cpp
@@ -0,0 +1,111 @@
+// Parts of the page.
+#include "edge/Beliefs.h"
+
+#include <nlohmann/json.hpp>
+
+namespace guavapond::edge {
+
+namespace {
+
+using nlohmann::json;
+
+double inMs(Duration value) { return toSeconds(value) * 1000; }
+
+std::string_view kindName(RouteKind kind)
+{
+    switch (kind) {
+    case RouteKind::Idempotent:
+        return "idempotent";
+    case RouteKind::NonIdempotent:
+        return "non_idempotent";
+    case RouteKind::Streaming:
+        break;
+    }
+    return "streaming";
+}
+
+json routes(const Catalog& catalog)
+{
+    json list = json::array();
+    for (const Route& route : catalog.routes) {
+        json shares = json::object();
+        for (const ServiceShare& share : route.shares)
+            shares[share.service] = share.weight;
+        list.push_back({ { "name", route.name }, { "host", route.host }, { "prefix", route.prefix }, { "kind", kindName(route.kind) },
+            { "priority", route.priority }, { "shares", shares } });
+    }
+    return list;
+}
+
+json services(const Relay& relay, TimePoint now)
+{
+    json list = json::array();
+    for (const auto& [name, service] : relay.services()) {
+        json targets = json::array();
+        for (const TargetPool::View& view : service->targets.view(now)) {
+            const TargetInfo& info = *view.info;
+            targets.push_back({ { "id", info.id }, { "address", info.address.ip + ":" + std::to_string(info.address.port) },
+                { "failureDomain", info.failureDomain }, { "version", info.version }, { "running", view.running }, { "slots", info.slots },
+                { "prefillTokens", view.prefillTokens }, { "tokensPerMs", view.tokensPerMs }, { "eventGapMs", inMs(view.gap) },
+                { "state",
+                    view.leaving      ? "leaving"
+                        : view.paused ? "paused"
+                                      : "usable" } });
+        }
+        list.push_back({ { "name", name }, { "waiting", service->queue.size() }, { "occupancy", service->targets.occupancy(now) },
+            { "targets", targets } });
+    }
+    return list;
+}
+
+json workspaces(Relay& relay, const Catalog& catalog, TimePoint now)
+{
+    json list = json::array();
+    for (const Workspace& workspace : catalog.workspaces) {
+        const WorkspaceQuota::View view = relay.quota.view(workspace, now);
+        list.push_back({ { "name", workspace.name }, { "ratePerSecond", workspace.ratePerSecond }, { "burst", workspace.burst },
+            { "level", view.level }, { "inWindow", view.inWindow }, { "windowLimit", view.limit } });
+    }
+    return list;
+}
+
+json nodes(const PeerTable& peers, TimePoint now)
+{
+    json list = json::array();
+    for (const Member& member : peers.members()) {
+        const auto silence = peers.silence(member.node, now);
+        list.push_back({ { "node", member.node }, { "address", member.ip + ":" + std::to_string(member.port) },
+            { "heardMsAgo", silence ? inMs(*silence) : -1 } });
+    }
+    return list;
+}
+
+json moves(Relay& relay)
+{
+    json list = json::array();
+    for (const auto& [service, move] : relay.moves()) {
+        const RouteCounts counts = move.plan.counts();
+        list.push_back({ { "service", service }, { "version", move.plan.order().version }, { "state", moveStateName(move.plan.state()) },
+            { "newRequests", counts.newVersion.requests }, { "newBad", counts.newVersion.bad },
+            { "oldRequests", counts.oldVersion.requests }, { "oldBad", counts.oldVersion.bad } });
+    }
+    return list;
+}
+
+} // namespace
+
+std::string beliefsPage(const std::string& node, Relay& relay, const PeerTable& peers, TimePoint now)
+{
+    const auto proofAge = relay.freshness.age(now);
+    json page { { "node", node }, { "ready", relay.isReady() }, { "inFlight", relay.inFlight() },
+        { "proofAgeMs", proofAge ? inMs(*proofAge) : -1 }, { "services", services(relay, now) }, { "nodes", nodes(peers, now) },
+        { "moves", moves(relay) } };
+    if (const CatalogPointer& catalog = relay.catalog()) {
+        page["configurationVersion"] = catalog->version;
+        page["routes"] = routes(*catalog);
+        page["workspaces"] = workspaces(relay, *catalog, now);
+    }
+    return page.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace guavapond::edge
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -2,6 +2,7 @@
 #include "edge/EdgeNode.h"
 
 #include "adapters/Logging.h"
+#include "edge/Beliefs.h"
 
 namespace guavapond::edge {
 
@@ -100,9 +101,12 @@
 
 void EdgeNode::onMetrics(const CallerPointer& caller, const CallerRequest& request)
 {
+    const TimePoint now = bootTime();
+    if (request.message.target() == this->paths.beliefs)
+        return caller->answer(makeAnswer(
+            { statusOk, beliefsPage(this->settings.node, this->requests, this->peerLink.table(), now), "application/json", {} }));
     if (request.message.target() != this->paths.metrics)
         return caller->answer(makeAnswer({ statusNotFound, "", "", {} }));
-    const TimePoint now = bootTime();
     EdgeMetrics& gauges = this->counters;
     gauges.setGauge("guavapond_edge_in_flight", "Requests under way", static_cast<double>(this->requests.inFlight()));
     gauges.setGauge("guavapond_edge_waiting", "Requests that wait for room at a target", static_cast<double>(this->requests.waiting()));
--- a/src/edge/EdgeNode.h
+++ b/src/edge/EdgeNode.h
@@ -13,6 +13,7 @@
 struct EdgePaths {
     std::string ready = "/ready";
     std::string metrics = "/metrics";
+    std::string beliefs = "/beliefs"; // at the metrics address
 };
 
 class EdgeNode {
--- a/src/edge/PeerTable.cpp
+++ b/src/edge/PeerTable.cpp
@@ -82,6 +82,14 @@
     return found == this->peers.end() ? TimePoint {} : found->second.lastSentAt;
 }
 
+std::optional<Duration> PeerTable::silence(const std::string& node, TimePoint now) const
+{
+    const auto found = this->peers.find(node);
+    if (found == this->peers.end() || found->second.heardAt == TimePoint {})
+        return std::nullopt;
+    return now - found->second.heardAt;
+}
+
 size_t PeerTable::heardCount(TimePoint now) const
 {
     return static_cast<size_t>(std::count_if(this->peers.begin(), this->peers.end(),
--- a/src/edge/PeerTable.h
+++ b/src/edge/PeerTable.h
@@ -56,6 +56,7 @@
     double reachableShare(TimePoint now) const;       // this node and those that are heard, over all members
     size_t nodeCount() const { return this->peers.size() + 1; }
     size_t heardCount(TimePoint now) const;
+    std::optional<Duration> silence(const std::string& node, TimePoint now) const; // since its last beacon; empty: none came yet
     size_t namesBefore(TimePoint now) const; // heard nodes whose names come before this one's: the order in which nodes drive
 
 private:
--- a/src/edge/WorkspaceQuota.h
+++ b/src/edge/WorkspaceQuota.h
@@ -40,6 +40,13 @@
     };
     std::vector<Use> uses() const;
 
+    struct View { // for operators
+        double level = 0;
+        double inWindow = 0;
+        double limit = 0; // of a window, at this node
+    };
+    View view(const Workspace& workspace, TimePoint now);
+
 private:
     static constexpr size_t slices = 32; // of a window; a slice counts until all of it is older than the window
     struct Slice {
--- a/tests/adapters/CliTest.cpp
+++ b/tests/adapters/CliTest.cpp
@@ -217,3 +217,22 @@
     LONGS_EQUAL(4, run.code);
     CHECK(has(run, "queued 3") && has(run, "no answer"));
 }
+
+// Guards against beliefs of a node that are not shown, and a node that does not answer being taken for one without beliefs.
+TEST(Cli, ShowsWhatANodeBelieves)
+{
+    const LoopbackServer node(0, [](const HttpCall& call) {
+        HttpAnswer answer;
+        answer.status = call.path == "/beliefs" ? 200 : 404;
+        answer.body = R"({"node":"n1","ready":true,"configurationVersion":7,"proofAgeMs":120,"inFlight":3,
+            "services":[{"name":"drafts","waiting":1,"occupancy":0.5,"targets":[{"id":"r1","state":"paused","tokensPerMs":84.5}]}],
+            "workspaces":[{"name":"inspectors","inWindow":900}],"nodes":[{"node":"n2","heardMsAgo":20}],"moves":[]})";
+        return answer;
+    });
+    const Run run = command("--node " + node.url() + " beliefs");
+    LONGS_EQUAL(0, run.code);
+    for (const char* text : { "n1", "drafts", "r1", "paused", "84.5", "inspectors", "900", "n2" })
+        CHECK_TEXT(has(run, text), text);
+    CHECK(has(command("--json --node " + node.url() + " beliefs"), "\"configurationVersion\":7"));
+    LONGS_EQUAL(4, command("--node http://127.0.0.1:1 beliefs").code);
+}
