--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -231,7 +231,7 @@
         if (!verdict.allowed) {
             log(LogLevel::Info, "over the quota",
                 { { "request", request.message[names.requestId] }, { "workspace", plan.workspace->name }, { "route", plan.route->name },
-                    { "tokens", plan.tokens }, { "level", verdict.level }, { "inWindow", verdict.inWindow },
+                    { "tokens", plan.tokens }, { "available", verdict.level }, { "inWindow", verdict.inWindow },
                     { "ratePerSecond", plan.workspace->ratePerSecond }, { "burst", plan.workspace->burst },
                     { "keepsForUrgent", this->keepsTokens } });
             return Refusal { 429, "over the workspace's rate", std::max(verdict.retryAfter, this->settings.admission.leastRetryAfter) };
