Test guavapond-edge as a process

EdgeProgramTest starts the real program against the stand-ins of the store and a runner: all faults of its settings at once, an address in use, a stream, metrics and beliefs, reloads with and without a signal, a planned stop under a stream, a kill.

--- a/bench/Nodes.cpp
+++ b/bench/Nodes.cpp
@@ -13,7 +13,7 @@
 #include "ProcessGroup.h"
 #include "Relay.h"
 
-#include "adapters/PortReservation.h"
+#include "PortReservation.h"
 
 #include <algorithm>
 #include <boost/asio/executor_work_guard.hpp>
--- a/standins/LoopbackListener.cpp
+++ b/standins/LoopbackListener.cpp
@@ -1,7 +1,7 @@
 // Port choice, routing and silencing for the stand-ins' listeners.
 #include "LoopbackListener.h"
 
-#include "adapters/PortReservation.h"
+#include "PortReservation.h"
 
 #include <arpa/inet.h>
 #include <dirent.h>
--- a/src/adapters/PortReservation.cpp
+++ b/standins/PortReservation.cpp
@@ -1,5 +1,5 @@
 // Binds a socket to port 0 and keeps it.
-#include "adapters/PortReservation.h"
+#include "PortReservation.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
--- a/tests/edge/EdgeWorld.h
+++ b/tests/edge/EdgeWorld.h
@@ -1,6 +1,7 @@
 // An edge node's relay on an event loop with stand-ins for targets, and a caller. Everything runs on loopback in one thread.
 #pragma once
 
+#include "Caller.h"
 #include "edge/PlatformRunner.h"
 #include "edge/Relay.h"
 #include "edge/ScriptedServer.h"
@@ -10,14 +11,6 @@
 
 namespace guavapond::edge {
 
-struct CallerAnswer {
-    unsigned status = 0;
-    http::fields fields;
-    std::string body;
-    bool whole = false; // false: the connection ended before the answer did
-    bool ended = false;
-};
-
 class EdgeWorld {
 public:
     static constexpr const char* host = "paint.example";
@@ -107,24 +100,9 @@
     std::shared_ptr<CallerAnswer> send(const std::string& path, const std::string& attempt,
         const std::string& fields = "Guavapond-Key: key-1\r\n", const std::string& method = "POST", const std::string& body = "text")
     {
-        auto answer = std::make_shared<CallerAnswer>();
-        const auto connection
-            = std::make_shared<ClientConnection>(this->loop, Address { "127.0.0.1", this->listener.port() }, ConnectionSettings {});
-        AnswerEvents events;
-        events.head = [answer](const http::response_header<>& head) {
-            answer->status = head.result_int();
-            answer->fields = head;
-            return HeadVerdict::Accept;
-        };
-        events.body = [answer](std::string_view bytes) { answer->body += bytes; };
-        events.complete = [answer] { answer->whole = answer->ended = true; };
-        events.failed = [answer](ConnectionFault, bool) { answer->ended = true; };
         const std::string length = body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n";
-        connection->start(
-            method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\nGuavapond-Attempt-Id: " + attempt + "\r\n" + fields + length + "\r\n",
-            body, method != "HEAD", std::move(events));
-        this->callers.push_back(connection);
-        return answer;
+        return callNode(this->loop, { "127.0.0.1", this->listener.port() }, method + " " + path,
+            std::string("Host: ") + host + "\r\nGuavapond-Attempt-Id: " + attempt + "\r\n" + fields + length, body, this->callers);
     }
 
     // Runs the loop until the condition holds; false: it did not within the bound.
--- a/tests/edge/PeerLinkTest.cpp
+++ b/tests/edge/PeerLinkTest.cpp
@@ -1,5 +1,6 @@
 // Tests of what nodes tell each other over datagrams and the exchange of store items, and of datagrams and items that are damaged.
 #include "EdgeWorld.h"
+#include "PortReservation.h"
 
 #include "edge/PeerLink.h"
 
@@ -59,19 +60,13 @@
 TEST_GROUP(PeerLink)
 {
     net::io_context loop;
-    uint16_t port = 0;
+    const PortReservation port { "0.0.0.0" }; // on all addresses of the loopback network
     std::vector<std::unique_ptr<Node>> nodes;
 
-    void setup() override
-    {
-        // Free on all addresses of the loopback network a moment ago.
-        const tcp::acceptor probe(this->loop, { net::ip::address_v4::any(), 0 });
-        this->port = probe.local_endpoint().port();
-    }
     Node& add(const std::string& name, uint64_t incarnation = 7)
     {
         const std::string ip = "127.0.0." + std::to_string(11 + this->nodes.size());
-        return *this->nodes.emplace_back(std::make_unique<Node>(this->loop, name, ip, this->port, incarnation));
+        return *this->nodes.emplace_back(std::make_unique<Node>(this->loop, name, ip, this->port.port(), incarnation));
     }
     void introduce()
     {
--- a/tests/edge/StoreSyncTest.cpp
+++ b/tests/edge/StoreSyncTest.cpp
@@ -1,5 +1,6 @@
 // Contract tests of the adapter to the platform's store, against the stand-in: what is read, believed and proved, also in outages.
 #include "platform/StoreSync.h"
+#include "StoreTexts.h"
 #include "edge/PlatformStore.h"
 #include "platform/Decode.h"
 
@@ -11,26 +12,8 @@
 using namespace std::chrono_literals;
 using edge::bootTime;
 using standins::StoreMode;
-
-namespace {
-
-std::string configText(int version, const std::string& route)
-{
-    return R"({"version":)" + std::to_string(version) + R"(,"routes":[{"name":")" + route
-        + R"(","host":"A.example","prefix":"/x/","route_type":"streaming","timeout_ms":12000,"target_latency_ms":250,"priority":1,)"
-          R"("service":"s1","max_attempts":2,"anonymous":false,"resumable":true,"itl_target_ms":200}],)"
-          R"("services":[{"name":"s1","health_path":"/h","max_conns":360,"engine":{"slots":13,"kv_capacity":1000,"stride":6}}],)"
-          R"("limits":{"max_header_bytes":1000,"max_body_bytes":2000,"header_timeout_ms":3000,"idle_timeout_ms":15000},)"
-          R"("tenants":[{"name":"t1","api_keys":["k"],"priority":1,"unit":"token_count","uncached_tokens":200,"rate_per_s":310,"burst":620}]})";
-}
-
-std::string targetText(const std::string& state, int sequence)
-{
-    return R"({"service":"s1","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":13,"state":")" + state
-        + R"(","cold_left_ms":0,"sequence":)" + std::to_string(sequence) + "}";
-}
-
-} // namespace
+using test::configText;
+using test::targetText;
 
 TEST_GROUP(StoreSync)
 {
--- a/tests/system/Processes.h
+++ b/tests/system/Processes.h
@@ -1,13 +1,12 @@
 // Real processes for the system tests: stand-ins and nodes on loopback ports chosen by the kernel, and a small HTTP client.
 //
 // Index
-//   waitFor          polls a condition up to a generous bound
-//   Process          a child, ended by its own id
 //   HttpResponse, HttpClient, fetch
 //   Deployment       a directory, the platform's stand-in, engines, services, and nodes that know each other
 #pragma once
 
-#include "adapters/PortReservation.h"
+#include "ChildProcess.h"
+#include "PortReservation.h"
 #include "core/TableStore.h"
 
 #include <boost/asio.hpp>
@@ -20,31 +19,6 @@
 
 namespace guavapond::test {
 
-constexpr std::chrono::seconds patience(40); // reached only when a test fails
-
-bool waitFor(const std::function<bool()>& condition, std::chrono::milliseconds bound = patience);
-
-class Process {
-public:
-    // Standard output and error go to NAME.out and NAME.err in the directory.
-    Process(const std::string& directory, const std::string& name, const std::string& program, const std::vector<std::string>& arguments);
-    ~Process(); // SIGKILL if it still runs
-    Process(const Process&) = delete;
-    Process& operator=(const Process&) = delete;
-
-    void send(int signal) const;
-    std::optional<int> waitForExit(); // exit status; 128 + signal if killed; none: still running
-    bool isRunning();
-    nlohmann::json ready(); // its first line, once printed; null: ended or too late
-    std::string output() const;
-    std::string errors() const;
-
-private:
-    std::string base;
-    pid_t pid = -1;
-    std::optional<int> status;
-};
-
 using Headers = std::vector<std::pair<std::string, std::string>>;
 
 struct HttpResponse {
