--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr size_t mostPumped = 64;                                 // waiting requests looked at in one round
-constexpr Duration housekeeping = std::chrono::milliseconds(100); // between checks for silent targets and old connections
+constexpr Duration housekeeping = std::chrono::milliseconds(100); // between checks for silent targets, old connections and full services
 constexpr double eventsBeforeLearning = 30;                       // of an answer
 constexpr double occupancyOfFull = 0.9;                           // from here on the ranks in the queue decide who is served
 
@@ -283,9 +283,7 @@
 void Relay::tick()
 {
     const TimePoint now = bootTime();
-    this->keepsTokens = true;
     for (auto& [name, service] : this->byService) {
-        this->keepsTokens = this->keepsTokens && service->targets.occupancy(now) < occupancyOfFull;
         this->pump(*service);
         this->expireWaiting(*service, now);
     }
@@ -293,6 +291,8 @@
         return;
     this->lastHousekeeping = now;
     this->connections.expire(now);
+    this->keepsTokens = std::all_of(this->byService.begin(), this->byService.end(),
+        [&](const auto& item) { return item.second->targets.occupancy(now) < occupancyOfFull; });
     const auto copy = this->exchanges;
     for (const auto& exchange : copy)
         exchange->checkProgress(now);
