Weigh failing targets in the choice, and let probation end by itself

Probation ended only with a repeatable request, never in a service where nothing may repeat. Change: the share of failed answers of each target counts like time in the choice (a certain failure like 1 s) and fades by half in 3 s; probation ends 4 s after the pause.

--- a/src/edge/TargetPool.cpp
+++ b/src/edge/TargetPool.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <bit>
 #include <cassert>
+#include <cmath>
 
 namespace guavapond::edge {
 
@@ -18,7 +19,9 @@
 constexpr uint32_t answersJudged = 12;
 constexpr uint32_t badAnswersToPause = 4;
 constexpr uint32_t badAnswersMask = (1U << answersJudged) - 1;
-constexpr size_t cacheBound = 20000; // chain hashes
+constexpr double failureWeight = 0.15; // of the newest answer in the share of failures
+constexpr double failuresHalved = 3;   // seconds until a share that nothing is learned about counts half: the target is tried again
+constexpr size_t cacheBound = 20000;   // chain hashes
 
 void learn(double& value, double sample) { value = value == 0 ? sample : value + learnWeight * (sample - value); }
 
@@ -54,6 +57,7 @@
         target.failures = 0;
         target.recentBad = 0;
         target.recentCount = 0;
+        target.failedShare = 0;
         target.pausedUntil = {};
         target.probation = false;
     }
@@ -100,7 +104,8 @@
         return false;
     if (target.running > 0 && now - target.lastProgress > this->settings.stallAfter)
         return false;
-    return !target.probation || (demand.repeatable && target.running == 0);
+    // Where nothing may be repeated, time alone has to end the probation.
+    return !target.probation || (demand.repeatable && target.running == 0) || now > target.pausedUntil + this->settings.longestPause;
 }
 
 void TargetPool::refreshMeans()
@@ -148,7 +153,12 @@
     return wait + fromSeconds(ms / 1000);
 }
 
-double TargetPool::score(const Target& target, const Load& load, uint32_t tokens, const Demand& demand) const
+double TargetPool::expectedFailures(const Target& target, TimePoint now) const
+{
+    return target.failedShare * std::exp2(-toSeconds(now - target.judgedAt) / failuresHalved);
+}
+
+double TargetPool::score(const Target& target, const Load& load, uint32_t tokens, const Demand& demand, TimePoint now) const
 {
     double ms = toMs(this->predictFirst(target, load, tokens));
     if (this->isEngine)
@@ -157,6 +167,7 @@
         ms += load.running; // spreads work over idle targets that are alike
     if (target.info.failureDomain != this->settings.failureDomain)
         ms *= 1 + this->settings.otherDomainCost;
+    ms += toMs(this->settings.failureCost) * this->expectedFailures(target, now);
     return ms * (1 + noise * this->random());
 }
 
@@ -191,7 +202,7 @@
             continue;
         const uint32_t cached = std::min(this->cachedTokens(i, demand, now), demand.promptTokens);
         const uint32_t tokens = demand.promptTokens - cached;
-        const double score = this->score(target, load, tokens, demand);
+        const double score = this->score(target, load, tokens, demand, now);
         if (!best || score < bestScore) {
             best = Choice { i, this->predictFirst(target, load, tokens), load.prefillTokens + tokens };
             bestScore = score;
@@ -276,6 +287,9 @@
     case TargetOutcome::Cancelled:
         return;
     }
+    t.failedShare = this->expectedFailures(t, now);
+    t.failedShare += failureWeight * ((outcome == TargetOutcome::Answered ? 0.0 : 1.0) - t.failedShare);
+    t.judgedAt = now;
     t.recentBad = ((t.recentBad << 1) | (failed ? 1U : 0U)) & badAnswersMask;
     t.recentCount = std::min(t.recentCount + 1, answersJudged);
     if (failed && std::popcount(t.recentBad) >= static_cast<int>(badAnswersToPause)) {
--- a/src/edge/TargetPool.h
+++ b/src/edge/TargetPool.h
@@ -65,8 +65,9 @@
     Duration stallAfter = std::chrono::milliseconds(700);    // without a byte while work is in flight, a target gets no new work
     Duration firstPause = std::chrono::milliseconds(300);    // after a connection failure; doubles with each further one
     Duration longestPause = std::chrono::seconds(4);
-    Duration cacheLife = std::chrono::seconds(10); // a prompt part is expected in a target's memory for that long
-    double mostPaused = 0.5;                       // part of the targets that may be paused for failing answers
+    Duration cacheLife = std::chrono::seconds(10);  // a prompt part is expected in a target's memory for that long
+    double mostPaused = 0.5;                        // part of the targets that may be paused for failing answers
+    Duration failureCost = std::chrono::seconds(1); // a certain failure weighs like this much time; a likely one like its part of it
 };
 
 enum class TargetOutcome : uint8_t {
@@ -152,6 +153,8 @@
         uint32_t failures = 0;  // connection failures in a row
         uint32_t recentBad = 0; // bits of the last answers, 1: failed
         uint32_t recentCount = 0;
+        double failedShare = 0; // of answers, the last ones weigh most
+        TimePoint judgedAt {};  // when failedShare was learned
         TimePoint pausedUntil {};
         bool probation = false; // paused before and not yet answered again
         TimePoint lastProgress {};
@@ -176,7 +179,8 @@
     Duration predictFirst(const Target& target, const Load& load, uint32_t tokens) const;
     Duration slotWait(const Target& target, const Load& load) const; // predicted, until a slot is free
     double gapMs(const Target& target, uint32_t running) const;
-    double score(const Target& target, const Load& load, uint32_t tokens, const Demand& demand) const;
+    double score(const Target& target, const Load& load, uint32_t tokens, const Demand& demand, TimePoint now) const;
+    double expectedFailures(const Target& target, TimePoint now) const; // share of the answers, fades while nothing is learned
     uint32_t cachedTokens(Index target, const Demand& demand, TimePoint now) const;
     void pause(Target& target, TimePoint now);
     void refreshMeans();
