Share reads of the store between edge nodes

Ruled out: bytes between failure domains as the first target (a quarter are beacons, the rest requests; calls to the store do not count there).

Change: SharedCopy decides when a range is read. Beacons carry a digest of each range and the age of the proof that it equals the store; equal copies take the proof over, different ones are read at once. Loads and uses travel in columns. The proof of a peer is dated by SharedCopy; Freshness keeps only the bound.

--- a/src/edge/Freshness.h
+++ b/src/edge/Freshness.h
@@ -1,7 +1,8 @@
 // Proof that the configuration in force is current. A key that was taken away must not be served for longer than a bound, on any
 // node, so a request with a key is sent on only while a proof is young enough.
 //
-// A proof says: at `provedAt`, the store held no newer configuration. It is dated from the start of the call that brought it.
+// A proof says: at `provedAt`, the store held no newer configuration. It is dated from the start of the call that brought it, this
+// node's or a peer's (SharedCopy).
 #pragma once
 
 #include "core/Types.h"
@@ -16,9 +17,7 @@
         : bound(bound)
     {
     }
-    void prove(TimePoint callStarted) { this->provedAt = std::max(this->provedAt.value_or(callStarted), callStarted); }
-    // A peer's proof was `proofAge` old when it answered a beacon that this node sent at `askedAt`.
-    void provedByPeer(TimePoint askedAt, Duration proofAge) { this->prove(askedAt - proofAge); }
+    void prove(TimePoint time) { this->provedAt = std::max(this->provedAt.value_or(time), time); }
     bool holds(TimePoint now) const { return this->provedAt && now - *this->provedAt < this->bound; }
     std::optional<Duration> age(TimePoint now) const
     {
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -14,10 +14,21 @@
 
 constexpr size_t datagramBytes = 64 * 1024;
 constexpr std::string_view itemsPath = "/store-items";
+constexpr Duration newsMargin = std::chrono::milliseconds(50); // the store's answer and the way between nodes
 
 int64_t microseconds(TimePoint time) { return time.time_since_epoch().count(); }
 TimePoint fromMicroseconds(int64_t value) { return TimePoint(Duration(value)); }
 
+CopyReport copyReport(uint64_t digest, int64_t ageUs) { return { digest, ageUs >= 0 ? std::optional<Duration>(ageUs) : std::nullopt }; }
+
+int64_t ageField(const CopyReport& report) { return report.age ? report.age->count() : -1; }
+
+bool hasEqualColumns(const wire::Beacon& message)
+{
+    return message.load_targets_size() == message.load_running_size() && message.load_targets_size() == message.load_prefill_tokens_size()
+        && message.used_workspaces_size() == message.used_tokens_size();
+}
+
 // Empty: not a list of items.
 std::optional<std::vector<StoreItem>> readItems(const std::string& text)
 {
@@ -84,7 +95,7 @@
 void PeerLink::onDatagram(size_t bytes)
 {
     wire::Beacon message;
-    if (!message.ParseFromArray(this->buffer.data(), static_cast<int>(bytes)))
+    if (!message.ParseFromArray(this->buffer.data(), static_cast<int>(bytes)) || !hasEqualColumns(message))
         return log(LogLevel::Warn, "beacon can't be read", { { "from", this->sender.address().to_string() }, { "bytes", bytes } });
     const TimePoint now = bootTime();
     Beacon beacon;
@@ -93,12 +104,11 @@
     beacon.sequence = message.sequence();
     beacon.sentAt = fromMicroseconds(message.sent_at_us());
     beacon.echo = fromMicroseconds(message.echo_sent_at_us());
-    if (message.proof_age_us() >= 0)
-        beacon.proofAge = Duration(message.proof_age_us());
-    beacon.catalogRevision = message.catalog_revision();
+    beacon.copies.operators = copyReport(message.operators_digest(), message.operators_age_us());
+    beacon.copies.targets = copyReport(message.targets_digest(), message.targets_age_us());
     beacon.port = static_cast<uint16_t>(message.tcp_port());
-    for (const auto& use : message.uses())
-        beacon.uses.push_back({ use.workspace(), use.tokens() });
+    for (int i = 0; i < message.used_workspaces_size(); ++i)
+        beacon.uses.push_back({ message.used_workspaces(i), message.used_tokens(i) });
     const PeerTable::News news = this->peers.heard(beacon, this->sender.address().to_string(), now);
     if (!news.accepted)
         return;
@@ -107,8 +117,8 @@
     for (const auto& [workspace, tokens] : news.uses)
         this->relay.quota.peerUsed(workspace, tokens, now);
     std::vector<TargetLoadReport> loads;
-    for (const auto& load : message.loads())
-        loads.push_back({ load.target(), load.running(), load.prefill_tokens() });
+    for (int i = 0; i < message.load_targets_size(); ++i)
+        loads.push_back({ message.load_targets(i), message.load_running(i), message.load_prefill_tokens(i) });
     this->relay.peerLoads(nameHash(beacon.node), loads);
     for (const auto& move : message.moves()) {
         VersionMove::Report report { move.order_revision(), move.arrivals(), {}, move.old_in_flight(), move.called_bad(), move.switched() };
@@ -116,16 +126,27 @@
             report.routes[route.route()] = { { route.new_requests(), route.new_bad() }, { route.old_requests(), route.old_bad() } };
         this->relay.peerMove(nameHash(beacon.node), move.service(), report);
     }
-    // The peer's proof counts only for the configuration that it holds.
-    if (beacon.proofAge && beacon.echo != TimePoint {} && beacon.catalogRevision == this->hooks.catalogRevision()
-        && beacon.catalogRevision > 0)
-        this->relay.freshness.provedByPeer(beacon.echo, *beacon.proofAge);
-    const bool hasNewer = beacon.catalogRevision > this->hooks.catalogRevision() && now - this->itemsAskedAt > this->settings.itemsInterval;
-    const bool isAhead = beacon.proofAge && this->hooks.isBehind() && now - this->itemsAskedAt > this->settings.behindInterval;
-    if (hasNewer || isAhead) {
-        this->itemsAskedAt = now;
-        this->fetchItems({ beacon.node, this->sender.address().to_string(), beacon.port });
-    }
+    this->followCopies(beacon, now);
+}
+
+void PeerLink::followCopies(const Beacon& beacon, TimePoint now)
+{
+    this->hooks.peerCopies(beacon.node, beacon.copies, beacon.echo);
+    if (!beacon.copies.operators.age || !this->hooks.isBehind(now))
+        return;
+    const CopyReports own = this->hooks.copies(now);
+    const bool differs = beacon.copies.operators.digest != own.operators.digest || beacon.copies.targets.digest != own.targets.digest;
+    if (now - this->itemsAskedAt <= (differs ? this->settings.itemsInterval : this->settings.behindInterval))
+        return;
+    this->itemsAskedAt = now;
+    this->fetchItems({ beacon.node, this->sender.address().to_string(), beacon.port });
+}
+
+ReadOrder PeerLink::readOrder(TimePoint now) const
+{
+    // A peer's news are dated from this node's last beacon before them, and come with the peer's next one.
+    const Duration news = this->settings.idleInterval + 2 * this->interval() + newsMargin;
+    return { this->peers.namesBefore(now), this->peers.heardCount(now) + 1, news };
 }
 
 void PeerLink::fetchItems(const Member& member)
@@ -195,29 +216,30 @@
 {
     wire::Beacon message;
     for (const TargetLoadReport& load : this->relay.ownLoads()) {
-        auto* entry = message.add_loads();
-        entry->set_target(load.targetHash);
-        entry->set_running(load.running);
-        entry->set_prefill_tokens(load.prefillTokens);
+        message.add_load_targets(load.targetHash);
+        message.add_load_running(load.running);
+        message.add_load_prefill_tokens(load.prefillTokens);
     }
     for (const WorkspaceQuota::Use& use : this->relay.quota.uses()) {
-        auto* entry = message.add_uses();
-        entry->set_workspace(use.workspaceHash);
-        entry->set_tokens(use.tokens);
+        message.add_used_workspaces(use.workspaceHash);
+        message.add_used_tokens(use.tokens);
     }
     this->addMoves(message);
     std::string loads = message.SerializeAsString();
-    if (loads == this->lastLoads && now - this->sentAt < this->settings.idleInterval)
+    if (loads == this->lastLoads && !this->announcing && now - this->sentAt < this->settings.idleInterval)
         return;
+    this->announcing = false;
     this->lastLoads = std::move(loads);
     this->sentAt = now;
     message.set_node(this->settings.node);
     message.set_incarnation(this->incarnation);
     message.set_sequence(++this->sequence);
     message.set_sent_at_us(microseconds(now));
-    const auto proofAge = this->relay.freshness.age(now);
-    message.set_proof_age_us(proofAge ? proofAge->count() : -1);
-    message.set_catalog_revision(this->hooks.catalogRevision());
+    const CopyReports copies = this->hooks.copies(now);
+    message.set_operators_digest(copies.operators.digest);
+    message.set_operators_age_us(ageField(copies.operators));
+    message.set_targets_digest(copies.targets.digest);
+    message.set_targets_age_us(ageField(copies.targets));
     message.set_tcp_port(this->settings.address.port);
     // Only the echo differs by peer. Serialized messages that are joined are merged when they are parsed.
     const std::string common = message.SerializeAsString();
--- a/src/edge/PeerLink.h
+++ b/src/edge/PeerLink.h
@@ -39,14 +39,18 @@
     struct Hooks {
         std::function<std::vector<StoreItem>()> items;            // what this node would pass on
         std::function<void(std::span<const StoreItem>)> received; // a peer's items
-        std::function<uint64_t()> catalogRevision;
-        std::function<bool()> isBehind; // the store does not answer this node: peers' items are asked for now and then
+        std::function<CopyReports(TimePoint now)> copies;         // what this node knows of the store
+        // A peer's copies, in a beacon that echoes one sent at `askedAt`.
+        std::function<void(const std::string& peer, const CopyReports& copies, TimePoint askedAt)> peerCopies;
+        std::function<bool(TimePoint now)> isBehind; // the store does not answer this node: peers' items are asked for now and then
     };
     PeerLink(net::io_context& loop, const PeerLinkSettings& settings, Relay& relay, Hooks hooks, uint64_t incarnation);
 
     void start(); // throws boost::system::system_error if the address can't be used
     void setMembers(std::span<const Member> members);
-    void tick(); // sends a beacon when one is due, and notices silent peers
+    void tick();                                 // sends a beacon when one is due, and notices silent peers
+    void announce() { this->announcing = true; } // the next beacon goes out also if loads have not changed
+    ReadOrder readOrder(TimePoint now) const;
     const PeerTable& table() const { return this->peers; }
 
 private:
@@ -55,6 +59,7 @@
     void sendBeacons(TimePoint now);
     void addMoves(wire::Beacon& message);
     void fetchItems(const Member& member);
+    void followCopies(const Beacon& beacon, TimePoint now);
     Duration interval() const;
 
     net::io_context& loop;
@@ -72,6 +77,7 @@
     TimePoint sentAt {};
     TimePoint itemsAskedAt {};
     std::string lastLoads; // serialized, to see a change
+    bool announcing = false;
 };
 
 } // namespace guavapond::edge
--- a/src/edge/PeerTable.h
+++ b/src/edge/PeerTable.h
@@ -6,6 +6,7 @@
 //   PeerTable   setMembers, heard, reachableShare
 #pragma once
 
+#include "edge/SharedCopy.h"
 #include "edge/WorkspaceQuota.h"
 
 #include <map>
@@ -25,10 +26,9 @@
     std::string node;
     uint64_t incarnation = 0;
     uint64_t sequence = 0;
-    TimePoint sentAt {};              // by the sender's clock
-    TimePoint echo {};                // by the receiver's clock; the epoch: none
-    std::optional<Duration> proofAge; // of the sender's configuration
-    uint64_t catalogRevision = 0;
+    TimePoint sentAt {}; // by the sender's clock
+    TimePoint echo {};   // by the receiver's clock; the epoch: none
+    CopyReports copies;  // the sender's
     uint16_t port = 0;
     std::vector<WorkspaceQuota::Use> uses;
 };
--- /dev/null
+++ b/src/edge/SharedCopy.cpp
@@ -0,0 +1,57 @@
+// When a copy is read again.
+#include "edge/SharedCopy.h"
+
+#include <algorithm>
+
+namespace guavapond::edge {
+
+void SharedCopy::wasRead(TimePoint started, TimePoint now)
+{
+    this->provedAt = std::max(this->provedAt.value_or(started), started);
+    this->triedAt = now;
+    this->failing = false;
+}
+
+void SharedCopy::readFailed(TimePoint now)
+{
+    this->triedAt = now;
+    this->failing = true;
+}
+
+bool SharedCopy::peerReports(const CopyReport& report, TimePoint askedAt)
+{
+    if (!report.age || askedAt == TimePoint {})
+        return false;
+    const TimePoint peerProvedAt = askedAt - *report.age;
+    const bool isEqual = report.digest == this->digest;
+    std::optional<TimePoint>& latest = isEqual ? this->provedAt : this->otherAt;
+    latest = std::max(latest.value_or(peerProvedAt), peerProvedAt);
+    return isEqual;
+}
+
+TimePoint SharedCopy::readDueAt(const ReadOrder& order) const
+{
+    if (!this->triedAt)
+        return {};
+    const Duration share = this->settings.retryPerNode * static_cast<int64_t>(order.nodes);
+    const TimePoint soonest = *this->triedAt + std::max(this->settings.retryInterval, share);
+    if (this->differs() || !this->provedAt)
+        return soonest;
+    const auto place = static_cast<int64_t>(order.place);
+    const Duration wait = place == 0 ? Duration::zero()
+                                     : std::min(order.newsDelay, this->settings.longestNews)
+            + std::min<Duration>(this->settings.turn * place, this->settings.longestTurn);
+    const TimePoint due = *this->provedAt + this->settings.interval + wait;
+    if (!this->failing)
+        return std::max(due, soonest);
+    // A node that the store turns away goes on trying, so that it notices its return.
+    const TimePoint relaxed = *this->triedAt + this->settings.relaxedRetry;
+    return std::max(soonest, std::min(due, relaxed));
+}
+
+CopyReport SharedCopy::report(TimePoint now) const
+{
+    return { this->digest, this->provedAt ? std::optional<Duration>(now - *this->provedAt) : std::nullopt };
+}
+
+} // namespace guavapond::edge
