Date orders from peers, honour granted leases, remove what nothing reads

A process that started during a move counted the move's deadline from its own start; a lease that the store granted for less than was asked lapsed between renewals; a port above 65,535 in a target's entry wrapped.

Change: reports of moves carry the age of the order, which a node without a proof from before it takes over. Renewals follow the granted lease. Addresses are parsed and written in one place. Removed: fields and functions that nothing reads (recentCount, idleCount, isOpen, closeWhenAnswered, storeRevision, healthPath, maxConnections, longestGap, slots and cacheTokens of EngineSpec; the check of longestGap in a decoder test went with the field). One conversion to milliseconds, one predicate for peers that are heard, one error body. The relay collects stalled exchanges instead of copying all; reading the beliefs changes nothing.

--- a/src/core/Types.h
+++ b/src/core/Types.h
@@ -25,7 +25,8 @@
 
 constexpr double toSeconds(Duration d) { return static_cast<double>(d.count()) / 1e6; }
 constexpr Duration fromSeconds(double s) { return Duration(static_cast<int64_t>(s * 1e6)); }
-constexpr int64_t toMilliseconds(Duration d) { return d.count() / 1000; }
+constexpr int64_t toMilliseconds(Duration d) { return d.count() / 1000; } // whole ones
+constexpr double inMilliseconds(Duration d) { return static_cast<double>(d.count()) / 1000; }
 
 // ---- Ids: dense indexes given by TableIndex, so that lookups on the request path are array reads.
 enum class RequestId : uint64_t {};
--- a/src/edge/Beliefs.cpp
+++ b/src/edge/Beliefs.cpp
@@ -9,8 +9,6 @@
 
 using nlohmann::json;
 
-double inMs(Duration value) { return toSeconds(value) * 1000; }
-
 std::string_view kindName(RouteKind kind)
 {
     switch (kind) {
@@ -44,9 +42,9 @@
         json targets = json::array();
         for (const TargetPool::View& view : service->targets.view(now)) {
             const TargetInfo& info = *view.info;
-            targets.push_back({ { "id", info.id }, { "address", info.address.ip + ":" + std::to_string(info.address.port) },
-                { "failureDomain", info.failureDomain }, { "version", info.version }, { "running", view.running }, { "slots", info.slots },
-                { "prefillTokens", view.prefillTokens }, { "tokensPerMs", view.tokensPerMs }, { "eventGapMs", inMs(view.gap) },
+            targets.push_back({ { "id", info.id }, { "address", addressText(info.address) }, { "failureDomain", info.failureDomain },
+                { "version", info.version }, { "running", view.running }, { "slots", info.slots }, { "prefillTokens", view.prefillTokens },
+                { "tokensPerMs", view.tokensPerMs }, { "eventGapMs", inMilliseconds(view.gap) },
                 { "state",
                     view.leaving      ? "leaving"
                         : view.paused ? "paused"
@@ -74,8 +72,8 @@
     json list = json::array();
     for (const Member& member : peers.members()) {
         const auto silence = peers.silence(member.node, now);
-        list.push_back({ { "node", member.node }, { "address", member.ip + ":" + std::to_string(member.port) },
-            { "heardMsAgo", silence ? inMs(*silence) : -1 } });
+        list.push_back({ { "node", member.node }, { "address", addressText({ member.ip, member.port }) },
+            { "heardMsAgo", silence ? inMilliseconds(*silence) : -1 } });
     }
     return list;
 }
@@ -98,7 +96,7 @@
 {
     const auto proofAge = relay.freshness.age(now);
     json page { { "node", node }, { "ready", relay.isReady() }, { "inFlight", relay.inFlight() },
-        { "proofAgeMs", proofAge ? inMs(*proofAge) : -1 }, { "services", services(relay, now) }, { "nodes", nodes(peers, now) },
+        { "proofAgeMs", proofAge ? inMilliseconds(*proofAge) : -1 }, { "services", services(relay, now) }, { "nodes", nodes(peers, now) },
         { "moves", moves(relay) } };
     if (const CatalogPointer& catalog = relay.catalog()) {
         page["configurationVersion"] = catalog->version;
--- a/src/edge/Catalog.h
+++ b/src/edge/Catalog.h
@@ -31,11 +31,10 @@
     std::string host;   // lower case
     std::string prefix; // begins and ends with a slash
     RouteKind kind = RouteKind::NonIdempotent;
-    Duration timeout = std::chrono::seconds(10);          // an answer is due by then
-    Duration objective = std::chrono::milliseconds(500);  // to the whole answer, or to the first event of a stream
-    Duration longestGap = std::chrono::milliseconds(250); // between two events of a stream
-    int priority = 0;                                     // 0 is the highest
-    uint32_t maxTargets = 1;                              // targets that one request may be sent to
+    Duration timeout = std::chrono::seconds(10);         // an answer is due by then
+    Duration objective = std::chrono::milliseconds(500); // to the whole answer, or to the first event of a stream
+    int priority = 0;                                    // 0 is the highest
+    uint32_t maxTargets = 1;                             // targets that one request may be sent to
     bool needsKey = true;
     bool resumable = false; // a stream may go on at another target
     std::vector<ServiceShare> shares;
@@ -44,15 +43,11 @@
 };
 
 struct EngineSpec {
-    uint32_t slots = 1;       // requests that run at once
-    uint64_t cacheTokens = 0; // memory for prompts and answers, tokens
     uint32_t eventTokens = 1; // tokens in one event of a stream
 };
 
 struct Service {
     std::string name;
-    std::string healthPath;
-    uint32_t maxConnections = 64;     // of all nodes together, for each target
     std::optional<EngineSpec> engine; // empty: a plain service
 };
 
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -62,7 +62,7 @@
     , peerLink(loop, peerSettings(settings), this->requests, std::move(peerHooks), incarnation)
     , callers(
           loop, { settings.callers, mostCallers(settings) },
-          [this](const CallerPointer& caller, CallerRequest request) { this->onRequest(caller, std::move(request)); },
+          [this](const CallerPointer& caller, CallerRequest request) { this->requests.handle(caller, std::move(request)); },
           [this] { return this->requests.callerLimits(); })
     , ready(
           loop, { settings.ready, 64 },
@@ -122,13 +122,6 @@
     caller->answer(makeAnswer({ statusOk, gauges.page(), "text/plain; version=0.0.4", {} }));
 }
 
-void EdgeNode::onRequest(const CallerPointer& caller, CallerRequest request)
-{
-    if (this->stoppingSince && bootTime() - *this->stoppingSince > takesAllFor)
-        this->requests.refuseBeyond(*this->stoppingSince + this->settings.stopGrace - stopMargin);
-    this->requests.handle(caller, std::move(request));
-}
-
 void EdgeNode::stop(std::function<void()> whenDrained)
 {
     if (this->stoppingSince)
@@ -146,6 +139,8 @@
     if (!this->stoppingSince || !this->drained)
         return;
     const Duration elapsed = now - *this->stoppingSince;
+    if (elapsed > takesAllFor)
+        this->requests.refuseBeyond(*this->stoppingSince + this->settings.stopGrace - stopMargin);
     if (elapsed > balancerNotices)
         this->callers.closeIdle();
     const bool idle = elapsed > balancerNotices && this->requests.inFlight() == 0 && this->callers.connections() == 0;
@@ -169,7 +164,10 @@
             { "stopping", this->stoppingSince.has_value() } });
 }
 
-void EdgeNode::orderMove(const MoveOrder& order, TimePoint earliest) { this->requests.orderMove(order, this->settings.moves, earliest); }
+void EdgeNode::orderMove(const MoveOrder& order, std::optional<TimePoint> earliest)
+{
+    this->requests.orderMove(order, this->settings.moves, earliest);
+}
 
 void EdgeNode::driveMoves(TimePoint now)
 {
--- a/src/edge/EdgeNode.h
+++ b/src/edge/EdgeNode.h
@@ -27,7 +27,7 @@
 
     Relay& relay() { return this->requests; }
     void onMoveResult(std::function<void(const MoveOrder&, MoveState)> hook) { this->publishMove = std::move(hook); }
-    void orderMove(const MoveOrder& order, TimePoint earliest);
+    void orderMove(const MoveOrder& order, std::optional<TimePoint> earliest); // empty: it may be older than this process
     PeerLink& peers() { return this->peerLink; }
     EdgeMetrics& metrics() { return this->counters; }
 
@@ -35,7 +35,6 @@
     static RelaySettings relaySettings(const EdgeSettings& settings, const WireHeaders& headers);
     void onReady(const CallerPointer& caller, const CallerRequest& request);
     void onMetrics(const CallerPointer& caller, const CallerRequest& request);
-    void onRequest(const CallerPointer& caller, CallerRequest request);
     void tick();
     void checkStop(TimePoint now);
     void noteReadiness();
--- a/src/edge/EdgeSettings.cpp
+++ b/src/edge/EdgeSettings.cpp
@@ -68,12 +68,8 @@
     Address address(std::string_view key)
     {
         const std::string value = this->text(key);
-        const size_t colon = value.rfind(':');
-        boost::system::error_code error;
-        const bool hasIp = colon != std::string::npos && (net::ip::make_address(value.substr(0, colon), error), !error);
-        const int port = hasIp ? std::atoi(value.c_str() + colon + 1) : 0;
-        if (port > 0 && port <= UINT16_MAX)
-            return { value.substr(0, colon), static_cast<uint16_t>(port) };
+        if (auto address = parseAddress(value))
+            return *address;
         if (!value.empty())
             this->faults.push_back({ std::string(key), "an address IP:PORT is needed, not \"" + value + "\"" });
         return {};
@@ -89,26 +85,27 @@
 
 Duration milliseconds(double value) { return fromSeconds(value / 1000); }
 
-double inMs(Duration value) { return toSeconds(value) * 1000; }
-
 void readPlacement(Reader& reader, PlacementSettings& placement)
 {
     placement.mostPerSlot = reader.number("placement.mostPerSlot", 0.1, 10, placement.mostPerSlot);
-    placement.queueForUrgent = milliseconds(reader.number("placement.queueForUrgentMs", 0, longestMs, inMs(placement.queueForUrgent)));
-    placement.queueForOthers = milliseconds(reader.number("placement.queueForOthersMs", 0, longestMs, inMs(placement.queueForOthers)));
+    placement.queueForUrgent
+        = milliseconds(reader.number("placement.queueForUrgentMs", 0, longestMs, inMilliseconds(placement.queueForUrgent)));
+    placement.queueForOthers
+        = milliseconds(reader.number("placement.queueForOthersMs", 0, longestMs, inMilliseconds(placement.queueForOthers)));
     placement.otherDomainCost = reader.number("placement.otherDomainCost", 0, 10, placement.otherDomainCost);
-    placement.stallAfter = milliseconds(reader.number("placement.stallAfterMs", 10, longestMs, inMs(placement.stallAfter)));
-    placement.firstPause = milliseconds(reader.number("placement.firstPauseMs", 1, longestMs, inMs(placement.firstPause)));
-    placement.longestPause = milliseconds(reader.number("placement.longestPauseMs", 1, longestMs, inMs(placement.longestPause)));
+    placement.stallAfter = milliseconds(reader.number("placement.stallAfterMs", 10, longestMs, inMilliseconds(placement.stallAfter)));
+    placement.firstPause = milliseconds(reader.number("placement.firstPauseMs", 1, longestMs, inMilliseconds(placement.firstPause)));
+    placement.longestPause = milliseconds(reader.number("placement.longestPauseMs", 1, longestMs, inMilliseconds(placement.longestPause)));
 }
 
 void readAdmission(Reader& reader, AdmissionSettings& admission)
 {
     admission.longestWait = reader.number("admission.longestWait", 0, 1, admission.longestWait);
     admission.latestFirstEvent = reader.number("admission.latestFirstEvent", 0.1, 100, admission.latestFirstEvent);
-    admission.leastRetryAfter = milliseconds(reader.number("admission.leastRetryAfterMs", 0, longestMs, inMs(admission.leastRetryAfter)));
+    admission.leastRetryAfter
+        = milliseconds(reader.number("admission.leastRetryAfterMs", 0, longestMs, inMilliseconds(admission.leastRetryAfter)));
     admission.retryAfterSpread
-        = milliseconds(reader.number("admission.retryAfterSpreadMs", 0, longestMs, inMs(admission.retryAfterSpread)));
+        = milliseconds(reader.number("admission.retryAfterSpreadMs", 0, longestMs, inMilliseconds(admission.retryAfterSpread)));
 }
 
 } // namespace
--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -497,12 +497,15 @@
     this->run.reset();
 }
 
-void Exchange::checkProgress(TimePoint now)
+bool Exchange::isStalled(TimePoint now) const
 {
     if (!this->run || !this->plan.route->mayRepeat() || this->form == AnswerForm::PassedOn)
-        return;
-    if (now - this->run->sentAt < this->relay.settings.placement.stallAfter || !this->targets().isStalled(this->run->target, now))
-        return;
+        return false;
+    return now - this->run->sentAt >= this->relay.settings.placement.stallAfter && this->service.targets.isStalled(this->run->target, now);
+}
+
+void Exchange::leaveStalledTarget()
+{
     this->stopRun(TargetOutcome::Silent);
     this->afterRun(RunEnd::Silent);
 }
--- a/src/edge/Exchange.h
+++ b/src/edge/Exchange.h
@@ -4,7 +4,7 @@
 // Index
 //   ExchangePlan    what was decided on admission
 //   Run             one send to a target
-//   Exchange        begin, place, checkProgress
+//   Exchange        begin, place, leaveStalledTarget
 #pragma once
 
 #include "edge/EventScanner.h"
@@ -58,8 +58,9 @@
     void begin();
     bool place(); // true: sent or ended; false: has to wait
     void giveUpWaiting();
-    void abandon();                    // the relay ends: releases the connections, answers nobody
-    void checkProgress(TimePoint now); // ends a run at a target that went silent, where the request may go elsewhere
+    void abandon();                      // the relay ends: releases the connections, answers nobody
+    bool isStalled(TimePoint now) const; // it runs at a target that went silent, and may go elsewhere
+    void leaveStalledTarget();
 
 private:
     TargetPool& targets() { return this->service.targets; }
--- a/src/edge/HttpClient.cpp
+++ b/src/edge/HttpClient.cpp
@@ -326,12 +326,4 @@
     std::erase_if(this->idle, [](const auto& item) { return item.second.empty(); });
 }
 
-size_t ConnectionPool::idleCount() const
-{
-    size_t count = 0;
-    for (const auto& item : this->idle)
-        count += item.second.size();
-    return count;
-}
-
 } // namespace guavapond::edge
--- a/src/edge/HttpClient.h
+++ b/src/edge/HttpClient.h
@@ -114,7 +114,6 @@
     void give(const ConnectionPointer& connection, TimePoint now); // keeps it if it can be used again
     void drop(const Address& address);                             // closes the idle connections
     void expire(TimePoint now);
-    size_t idleCount() const;
     uint64_t opened() const { return this->openedCount; }
 
 private:
--- a/src/edge/HttpListener.cpp
+++ b/src/edge/HttpListener.cpp
@@ -31,6 +31,14 @@
 
 } // namespace
 
+OwnAnswer errorAnswer(unsigned status, std::string_view reason)
+{
+    OwnAnswer answer;
+    answer.status = status;
+    answer.body = "{\"error\":\"" + std::string(reason) + "\"}";
+    return answer;
+}
+
 http::response<http::string_body> makeAnswer(const OwnAnswer& answer)
 {
     http::response<http::string_body> message;
@@ -149,8 +157,7 @@
 {
     this->handling = true;
     this->closing = true;
-    OwnAnswer refusal { static_cast<unsigned>(status), "{\"error\":\"" + std::string(reason) + "\"}", "application/json", {} };
-    this->answer(makeAnswer(refusal));
+    this->answer(makeAnswer(errorAnswer(static_cast<unsigned>(status), reason)));
 }
 
 void CallerConnection::connectionFields(http::fields& fields)
--- a/src/edge/HttpListener.h
+++ b/src/edge/HttpListener.h
@@ -48,9 +48,7 @@
     void onGone(std::function<void()> hook) { this->gone = std::move(hook); } // the caller left before its answer was whole
     void onDrained(std::function<void()> hook) { this->drained = std::move(hook); }
     size_t unsentBytes() const { return this->output.size() + this->writing.size(); }
-    bool isOpen() const { return this->open; }
     bool isIdle() const { return this->open && !this->handling && !this->receiving && this->unsentBytes() == 0; }
-    void closeWhenAnswered() { this->closing = true; } // the current answer, or the next one, is the last
     void close();
 
 private:
@@ -123,6 +121,7 @@
     bool accepting = false;
 };
 
+OwnAnswer errorAnswer(unsigned status, std::string_view reason); // the reason as JSON
 http::response<http::string_body> makeAnswer(const OwnAnswer& answer);
 
 } // namespace guavapond::edge
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -121,7 +121,8 @@
         loads.push_back({ message.load_targets(i), message.load_running(i), message.load_prefill_tokens(i) });
     this->relay.peerLoads(nameHash(beacon.node), loads);
     for (const auto& move : message.moves()) {
-        VersionMove::Report report { move.order_revision(), move.arrivals(), {}, move.old_in_flight(), move.called_bad(), move.switched() };
+        VersionMove::Report report { move.order_revision(), move.arrivals(), {}, move.old_in_flight(), move.called_bad(), move.switched(),
+            move.order_age_us() > 0 ? std::optional<Duration>(move.order_age_us()) : std::nullopt };
         for (const auto& route : move.routes())
             report.routes[route.route()] = { { route.new_requests(), route.new_bad() }, { route.old_requests(), route.old_bad() } };
         this->relay.peerMove(nameHash(beacon.node), move.service(), report);
@@ -190,10 +191,10 @@
         this->sendBeacons(now);
 }
 
-void PeerLink::addMoves(wire::Beacon& message)
+void PeerLink::addMoves(wire::Beacon& message, TimePoint now)
 {
     for (const auto& [service, move] : this->relay.moves()) {
-        const auto report = move.plan.report(this->relay.inFlightOutside(service, move.plan.order().version));
+        const auto report = move.plan.report(this->relay.inFlightOutside(service, move.plan.order().version), now);
         auto* entry = message.add_moves();
         entry->set_service(nameHash(service));
         entry->set_order_revision(report.revision);
@@ -209,6 +210,7 @@
         entry->set_old_in_flight(report.oldInFlight);
         entry->set_called_bad(report.calledBad);
         entry->set_switched(report.switched);
+        entry->set_order_age_us(report.age ? report.age->count() : 0);
     }
 }
 
@@ -224,7 +226,7 @@
         message.add_used_workspaces(use.workspaceHash);
         message.add_used_tokens(use.tokens);
     }
-    this->addMoves(message);
+    this->addMoves(message, now);
     std::string loads = message.SerializeAsString();
     if (loads == this->lastLoads && !this->announcing && now - this->sentAt < this->settings.idleInterval)
         return;
--- a/src/edge/PeerLink.h
+++ b/src/edge/PeerLink.h
@@ -57,7 +57,7 @@
     void receive();
     void onDatagram(size_t bytes);
     void sendBeacons(TimePoint now);
-    void addMoves(wire::Beacon& message);
+    void addMoves(wire::Beacon& message, TimePoint now);
     void fetchItems(const Member& member);
     void followCopies(const Beacon& beacon, TimePoint now);
     Duration interval() const;
--- a/src/edge/PeerTable.cpp
+++ b/src/edge/PeerTable.cpp
@@ -92,15 +92,14 @@
 
 size_t PeerTable::heardCount(TimePoint now) const
 {
-    return static_cast<size_t>(std::count_if(this->peers.begin(), this->peers.end(),
-        [&](const auto& item) { return !item.second.silent && now - item.second.heardAt <= this->settings.silentAfter; }));
+    return static_cast<size_t>(
+        std::count_if(this->peers.begin(), this->peers.end(), [&](const auto& item) { return this->isHeard(item.second, now); }));
 }
 
 size_t PeerTable::namesBefore(TimePoint now) const
 {
-    return static_cast<size_t>(std::count_if(this->peers.begin(), this->peers.end(), [&](const auto& item) {
-        return item.first < this->self && !item.second.silent && now - item.second.heardAt <= this->settings.silentAfter;
-    }));
+    return static_cast<size_t>(std::count_if(this->peers.begin(), this->peers.end(),
+        [&](const auto& item) { return item.first < this->self && this->isHeard(item.second, now); }));
 }
 
 double PeerTable::reachableShare(TimePoint now) const
--- a/src/edge/PeerTable.h
+++ b/src/edge/PeerTable.h
@@ -70,6 +70,7 @@
         bool silent = true;
         std::map<uint64_t, uint64_t> uses;
     };
+    bool isHeard(const Peer& peer, TimePoint now) const { return !peer.silent && now - peer.heardAt <= this->settings.silentAfter; }
 
     std::string self;
     PeerSettings settings;
--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -129,9 +129,7 @@
 void Relay::answerOwn(
     const CallerPointer& caller, std::string_view requestId, unsigned status, std::string_view reason, std::optional<Duration> retry)
 {
-    OwnAnswer answer;
-    answer.status = status;
-    answer.body = "{\"error\":\"" + std::string(reason) + "\"}";
+    OwnAnswer answer = errorAnswer(status, reason);
     if (!requestId.empty())
         answer.fields.set(this->settings.headers.requestId, std::string(requestId));
     if (retry) {
@@ -293,27 +291,30 @@
     this->connections.expire(now);
     this->keepsTokens = std::all_of(this->byService.begin(), this->byService.end(),
         [&](const auto& item) { return item.second->targets.occupancy(now) < occupancyOfFull; });
-    const auto copy = this->exchanges;
-    for (const auto& exchange : copy)
-        exchange->checkProgress(now);
+    std::vector<std::shared_ptr<Exchange>> stalled; // leaving a target may end an exchange
+    std::copy_if(this->exchanges.begin(), this->exchanges.end(), std::back_inserter(stalled),
+        [&](const auto& exchange) { return exchange->isStalled(now); });
+    for (const auto& exchange : stalled)
+        exchange->leaveStalledTarget();
 }
 
-void Relay::orderMove(const MoveOrder& order, const MoveSettings& bounds, TimePoint earliest)
+void Relay::orderMove(const MoveOrder& order, const MoveSettings& bounds, std::optional<TimePoint> earliest)
 {
     const auto known = this->movesByService.find(order.service);
     if (known != this->movesByService.end() && known->second.plan.order().revision >= order.revision)
         return;
     log(LogLevel::Info, "move ordered",
         { { "service", order.service }, { "version", order.version }, { "revision", order.revision },
-            { "spanMs", toMilliseconds(order.span) } });
-    this->movesByService.insert_or_assign(order.service, RunningMove { VersionMove(order, bounds, earliest), MoveState::Trying, {} });
+            { "spanMs", toMilliseconds(order.span) }, { "isDated", earliest.has_value() } });
+    this->movesByService.insert_or_assign(
+        order.service, RunningMove { VersionMove(order, bounds, earliest, bootTime()), MoveState::Trying, {} });
 }
 
 void Relay::peerMove(uint64_t peer, uint64_t serviceHash, const VersionMove::Report& report)
 {
     for (auto& [service, move] : this->movesByService) {
         if (nameHash(service) == serviceHash)
-            move.plan.peer(peer, report);
+            move.plan.peer(peer, report, bootTime());
     }
 }
 
--- a/src/edge/Relay.h
+++ b/src/edge/Relay.h
@@ -75,7 +75,7 @@
     void removeTarget(const std::string& id);
     void handle(const CallerPointer& caller, CallerRequest request);
     // A move of a service to a new version. `earliest` is the first moment at which the order may have been given.
-    void orderMove(const MoveOrder& order, const MoveSettings& bounds, TimePoint earliest);
+    void orderMove(const MoveOrder& order, const MoveSettings& bounds, std::optional<TimePoint> earliest);
     struct RunningMove {
         VersionMove plan;
         MoveState lastState = MoveState::Trying;
--- a/src/edge/TargetPool.cpp
+++ b/src/edge/TargetPool.cpp
@@ -27,8 +27,6 @@
 
 double learnedOr(double value, double mean) { return value > 0 ? value : mean; }
 
-constexpr double toMs(Duration d) { return static_cast<double>(d.count()) / 1000.0; }
-
 } // namespace
 
 TargetPool::TargetPool(const PlacementSettings& settings, bool isEngine, std::function<double()> random)
@@ -56,7 +54,6 @@
     if (target.info.startedUnixMs != info.startedUnixMs || target.info.address != info.address) {
         target.failures = 0;
         target.recentBad = 0;
-        target.recentCount = 0;
         target.failedShare = 0;
         target.pausedUntil = {};
         target.probation = false;
@@ -121,8 +118,9 @@
         }
         return known > 0 ? sum / known : initial;
     };
-    this->means = { mean(&Target::tokensPerMs, this->settings.firstTokensPerMs), mean(&Target::gapMs, toMs(this->settings.firstEventGap)),
-        mean(&Target::serviceMs, toMs(this->settings.firstServiceTime)) };
+    this->means
+        = { mean(&Target::tokensPerMs, this->settings.firstTokensPerMs), mean(&Target::gapMs, inMilliseconds(this->settings.firstEventGap)),
+              mean(&Target::serviceMs, inMilliseconds(this->settings.firstServiceTime)) };
 }
 
 double TargetPool::gapMs(const Target& target, uint32_t running) const
@@ -160,14 +158,14 @@
 
 double TargetPool::score(const Target& target, const Load& load, uint32_t tokens, const Demand& demand, TimePoint now) const
 {
-    double ms = toMs(this->predictFirst(target, load, tokens));
+    double ms = inMilliseconds(this->predictFirst(target, load, tokens));
     if (this->isEngine)
         ms += this->gapMs(target, load.running) * demand.outputEvents;
     else
         ms += load.running; // spreads work over idle targets that are alike
     if (target.info.failureDomain != this->settings.failureDomain)
         ms *= 1 + this->settings.otherDomainCost;
-    ms += toMs(this->settings.failureCost) * this->expectedFailures(target, now);
+    ms += inMilliseconds(this->settings.failureCost) * this->expectedFailures(target, now);
     return ms * (1 + noise * this->random());
 }
 
@@ -236,8 +234,8 @@
     t.lastProgress = now;
     if (backlogTokens < leastPromptSample)
         return;
-    const double readingMs = toMs(afterStart) - this->gapMs(t, this->load(t, now).running);
-    learn(t.tokensPerMs, backlogTokens / std::max(readingMs, leastReadingPart * toMs(afterStart)));
+    const double readingMs = inMilliseconds(afterStart) - this->gapMs(t, this->load(t, now).running);
+    learn(t.tokensPerMs, backlogTokens / std::max(readingMs, leastReadingPart * inMilliseconds(afterStart)));
     this->refreshMeans();
 }
 
@@ -245,7 +243,7 @@
 {
     Target& t = this->targets[target];
     const Load load = this->load(t, now);
-    learn(t.gapMs, toMs(gap) / (1 + gapGrowthPerRequest * load.running));
+    learn(t.gapMs, inMilliseconds(gap) / (1 + gapGrowthPerRequest * load.running));
     this->refreshMeans();
 }
 
@@ -270,7 +268,7 @@
         t.probation = false;
         t.lastProgress = now;
         if (serviceTime) {
-            learn(t.serviceMs, toMs(*serviceTime));
+            learn(t.serviceMs, inMilliseconds(*serviceTime));
             this->refreshMeans();
         }
         break;
@@ -291,7 +289,6 @@
     t.failedShare += failureWeight * ((outcome == TargetOutcome::Answered ? 0.0 : 1.0) - t.failedShare);
     t.judgedAt = now;
     t.recentBad = ((t.recentBad << 1) | (failed ? 1U : 0U)) & badAnswersMask;
-    t.recentCount = std::min(t.recentCount + 1, answersJudged);
     if (failed && std::popcount(t.recentBad) >= static_cast<int>(badAnswersToPause)) {
         const auto paused = std::count_if(this->targets.begin(), this->targets.end(),
             [&](const Target& other) { return !other.leaving && (other.probation || now < other.pausedUntil); });
--- a/src/edge/TargetPool.h
+++ b/src/edge/TargetPool.h
@@ -11,6 +11,7 @@
 //       pool.started(choice->target, demand, now);
 #pragma once
 
+#include "edge/Address.h"
 #include "edge/Catalog.h"
 
 #include <functional>
@@ -19,12 +20,6 @@
 
 namespace guavapond::edge {
 
-struct Address {
-    std::string ip;
-    uint16_t port = 0;
-    bool operator==(const Address&) const = default;
-};
-
 struct TargetInfo {
     std::string id;
     std::string service;
@@ -152,7 +147,6 @@
         double serviceMs = 0;   // 0: not learned yet
         uint32_t failures = 0;  // connection failures in a row
         uint32_t recentBad = 0; // bits of the last answers, 1: failed
-        uint32_t recentCount = 0;
         double failedShare = 0; // of answers, the last ones weigh most
         TimePoint judgedAt {};  // when failedShare was learned
         TimePoint pausedUntil {};
--- a/src/edge/VersionMove.cpp
+++ b/src/edge/VersionMove.cpp
@@ -20,11 +20,11 @@
     return names.at(static_cast<size_t>(state));
 }
 
-VersionMove::VersionMove(const MoveOrder& order, const MoveSettings& settings, TimePoint seenAt)
+VersionMove::VersionMove(const MoveOrder& order, const MoveSettings& settings, std::optional<TimePoint> orderedAfter, TimePoint now)
     : asked(order)
     , settings(settings)
-    , seenAt(seenAt)
-    , deadline(seenAt + order.span)
+    , orderedAt(orderedAfter.value_or(now))
+    , isDated(orderedAfter.has_value())
 {
 }
 
@@ -110,23 +110,28 @@
         || std::any_of(byRoute.begin(), byRoute.end(), [&](const auto& item) { return this->isBad(item.second); });
 }
 
-VersionMove::Report VersionMove::report(uint64_t oldInFlight) const
+VersionMove::Report VersionMove::report(uint64_t oldInFlight, TimePoint now) const
 {
     const bool switched = this->current == MoveState::Switching || this->current == MoveState::Completed;
-    return { this->asked.revision, this->arrivals, this->routes, oldInFlight, this->calledBad, switched };
+    return { this->asked.revision, this->arrivals, this->routes, oldInFlight, this->calledBad, switched,
+        this->isDated ? std::optional<Duration>(now - this->orderedAt) : std::nullopt };
 }
 
-void VersionMove::peer(uint64_t node, const Report& report)
+void VersionMove::peer(uint64_t node, const Report& report, TimePoint now)
 {
     if (report.revision != this->asked.revision)
         return;
     this->peers[node] = report;
     this->calledBad = this->calledBad || report.calledBad;
+    if (!this->isDated && report.age) {
+        this->orderedAt = std::min(this->orderedAt, now - *report.age);
+        this->isDated = true;
+    }
 }
 
 Duration VersionMove::switchTime(TimePoint now) const
 {
-    const double elapsed = std::max(toSeconds(now - this->seenAt), 0.001);
+    const double elapsed = std::max(toSeconds(now - this->orderedAt), 0.001);
     const double perSecond = static_cast<double>(this->totalArrivals()) / elapsed;
     const double expected = perSecond * toSeconds(this->asked.span);
     const double allowed = exposureSafety * (this->settings.mostExposed * expected + this->settings.exposedAllowance);
@@ -151,11 +156,11 @@
         this->current = MoveState::Reverted;
     else if (this->current == MoveState::Trying) {
         const bool proved = this->tried() >= this->settings.leastTried;
-        if (proved && now >= this->deadline - this->switchTime(now))
+        if (proved && now >= this->deadline() - this->switchTime(now))
             this->current = MoveState::Switching;
-        else if (now >= this->deadline - this->settings.finishBefore)
+        else if (now >= this->deadline() - this->settings.finishBefore)
             this->current = MoveState::Reverted; // too little was seen to move all
-    } else if (this->isDrained(oldInFlight, otherNodes) || now >= this->deadline - this->settings.finishBefore)
+    } else if (this->isDrained(oldInFlight, otherNodes) || now >= this->deadline() - this->settings.finishBefore)
         this->current = MoveState::Completed;
     return this->current;
 }
--- a/src/edge/VersionMove.h
+++ b/src/edge/VersionMove.h
@@ -68,7 +68,8 @@
 
 class VersionMove {
 public:
-    VersionMove(const MoveOrder& order, const MoveSettings& settings, TimePoint seenAt);
+    // `orderedAfter`: a time at which the order was not there yet; empty: it may be older than this process, and peers tell its age.
+    VersionMove(const MoveOrder& order, const MoveSettings& settings, std::optional<TimePoint> orderedAfter, TimePoint now);
 
     bool sendToNew(double random) const; // `random` is uniform in [0, 1)
     void onRequest() { ++this->arrivals; }
@@ -80,11 +81,12 @@
         std::map<uint64_t, RouteCounts> routes; // by hash of the route's name
         uint64_t oldInFlight = 0;
         bool calledBad = false;
-        bool switched = false; // sends nothing to other versions any longer
+        bool switched = false;       // sends nothing to other versions any longer
+        std::optional<Duration> age; // of the order; empty: the node does not know it
     };
-    Report report(uint64_t oldInFlight) const;
+    Report report(uint64_t oldInFlight, TimePoint now) const;
     RouteCounts counts() const; // of all nodes and routes
-    void peer(uint64_t node, const Report& report);
+    void peer(uint64_t node, const Report& report, TimePoint now);
 
     // Advances the state. `oldInFlight` counts this node's work at old targets, `otherNodes` the nodes that may send to them besides this
     // one. A final state is what the driver writes.
@@ -103,13 +105,14 @@
     uint64_t tried() const;                         // requests that the new version ended, at all nodes
     uint64_t totalArrivals() const;
     bool isBad(const RouteCounts& counts) const;
-    bool isBad() const;                       // on one route, or on all together
+    bool isBad() const; // on one route, or on all together
+    TimePoint deadline() const { return this->orderedAt + this->asked.span; }
     Duration switchTime(TimePoint now) const; // before the deadline; what the bound on exposure leaves
 
     MoveOrder asked;
     MoveSettings settings;
-    TimePoint seenAt;
-    TimePoint deadline;
+    TimePoint orderedAt; // at most this long ago; the start of this process until isDated
+    bool isDated;
     MoveState current = MoveState::Trying;
     uint64_t arrivals = 0;
     std::map<uint64_t, RouteCounts> routes; // of this node
--- a/src/edge/WorkspaceQuota.cpp
+++ b/src/edge/WorkspaceQuota.cpp
@@ -140,13 +140,14 @@
         bucket.level = std::max(bucket.level, -bucket.burst);
 }
 
-WorkspaceQuota::View WorkspaceQuota::view(const Workspace& workspace, TimePoint now)
+WorkspaceQuota::View WorkspaceQuota::view(const Workspace& workspace, TimePoint now) const
 {
     const auto found = this->buckets.find(nameHash(workspace.name));
     if (found == this->buckets.end() || workspace.ratePerSecond <= 0)
         return {};
-    this->fill(found->second, workspace, now);
-    return { found->second.level, this->inWindow(found->second).dispatched, this->windowLimit(workspace) };
+    Bucket bucket = found->second;
+    this->fill(bucket, workspace, now);
+    return { bucket.level, this->inWindow(bucket).dispatched, this->windowLimit(workspace) };
 }
 
 std::vector<WorkspaceQuota::Use> WorkspaceQuota::uses() const
--- a/src/edge/WorkspaceQuota.h
+++ b/src/edge/WorkspaceQuota.h
@@ -45,7 +45,7 @@
         double inWindow = 0;
         double limit = 0; // of a window, at this node
     };
-    View view(const Workspace& workspace, TimePoint now);
+    View view(const Workspace& workspace, TimePoint now) const;
 
 private:
     static constexpr size_t slices = 32; // of a window; a slice counts until all of it is older than the window
--- a/standins/edge/PlatformStore.cpp
+++ b/standins/edge/PlatformStore.cpp
@@ -118,8 +118,9 @@
     return { 200, { { "revision", this->revision } }, true };
 }
 
-StoreModel::Answer StoreModel::grant(Duration ttl, TimePoint now)
+StoreModel::Answer StoreModel::grant(Duration asked, TimePoint now)
 {
+    const Duration ttl = std::min(asked, this->longestLease);
     const uint64_t id = ++this->nextLease;
     this->leases[id] = { ttl, now + ttl };
     return { 200, { { "lease", id }, { "ttl_ms", toMilliseconds(ttl) } }, true };
--- a/standins/edge/PlatformStore.h
+++ b/standins/edge/PlatformStore.h
@@ -38,13 +38,14 @@
     void remove(const std::string& key);
     Answer range(const std::string& prefix, const std::string& after) const;
     Answer transact(const nlohmann::json& request);
-    Answer grant(Duration ttl, TimePoint now);
+    Answer grant(Duration asked, TimePoint now);
     Answer renew(uint64_t lease, TimePoint now);
     Answer end(uint64_t lease);
     void expire(TimePoint now); // removes the keys of leases that ran out
     const std::map<std::string, Item>& items() const { return this->byKey; }
 
     size_t pageItems = 500;
+    Duration longestLease = std::chrono::minutes(10); // a longer one is cut to it
 
 private:
     struct Lease {
--- a/tests/edge/StoreSyncTest.cpp
+++ b/tests/edge/StoreSyncTest.cpp
@@ -33,6 +33,7 @@
     std::vector<edge::Member> members;
     std::optional<TimePoint> proof;
     std::optional<edge::MoveOrder> order;
+    std::optional<TimePoint> orderedAfter;
     std::optional<edge::MoveState> ended;
     size_t reads = 0;
     edge::ReadOrder readOrder { 0, 2, 10ms };
@@ -59,7 +60,10 @@
         hooks.proof = [this](TimePoint time) { this->proof = time; };
         hooks.wasRead = [this] { ++this->reads; };
         hooks.readOrder = [this](TimePoint) { return this->readOrder; };
-        hooks.move = [this](const edge::MoveOrder& value, TimePoint) { this->order = value; };
+        hooks.move = [this](const edge::MoveOrder& value, std::optional<TimePoint> after) {
+            this->order = value;
+            this->orderedAfter = after;
+        };
         hooks.moveEnded = [this](const edge::MoveOrder&, edge::MoveState state) { this->ended = state; };
         hooks.random = [this] { return std::uniform_real_distribution<double>()(this->generator); };
         this->sync = std::make_unique<StoreSync>(this->loop, *this->client, settings, std::move(hooks));
@@ -82,7 +86,7 @@
     const edge::Route* route = decoded.value->findRoute("a.example", "/x/1");
     CHECK(route != nullptr);
     CHECK(route->kind == edge::RouteKind::Streaming && route->resumable && route->needsKey);
-    CHECK(route->timeout == 12s && route->objective == 250ms && route->longestGap == 200ms);
+    CHECK(route->timeout == 12s && route->objective == 250ms);
     LONGS_EQUAL(2, route->maxTargets);
     const edge::Workspace* workspace = decoded.value->findWorkspace("k");
     CHECK(workspace->countsTokens && workspace->priority == 1);
@@ -208,6 +212,22 @@
     CHECK(store->model.items().empty());
 }
 
+// Guards against an entry that lapses again and again, because the store grants a shorter lease than was asked for.
+TEST(StoreSync, RenewsAsOftenAsTheGrantedLeaseNeeds)
+{
+    store->model.longestLease = 300ms;
+    begin();
+    CHECK(runUntil([&] { return this->members.size() == 1; }));
+    const auto created = [&] {
+        const auto found = this->store->model.items().find("guavapond/nodes/n1");
+        return found == this->store->model.items().end() ? 0 : found->second.created;
+    };
+    const uint64_t first = created();
+    CHECK(first > 0);
+    this->loop.run_for(1200ms);
+    LONGS_EQUAL(first, created());
+}
+
 // Guards against new work for a target that is gone, because a peer that is behind still passes its entry on (seen on the recorded days
 // of both deployments), and against a node without the store that never hears that a target is gone.
 TEST(StoreSync, PeersNeitherBringBackWhatIsGoneNorHideIt)
@@ -253,6 +273,7 @@
     begin();
     CHECK(runUntil([&] { return this->order.has_value(); }));
     CHECK(order->span == 12s);
+    CHECK_FALSE_TEXT(orderedAfter.has_value(), "it may be older than this process");
     this->loop.run_for(60ms);
     CHECK_TEXT(!ended, "the state in the store speaks of an earlier order");
     const auto stateInStore = [&] { return this->store->model.items().at("status/rollout/s1").value; };
@@ -341,6 +362,18 @@
     CHECK(std::any_of(passedOn.begin(), passedOn.end(), [](const edge::StoreItem& item) { return item.key == "op/rollout/s1"; }));
 }
 
+// Guards against a move whose deadline is counted from the time at which the node happened to read the order.
+TEST(StoreSync, DatesAnOrderFromTheLastReadWithoutIt)
+{
+    store->model.put("op/config", configText(1, "r"));
+    begin();
+    CHECK(runUntil([&] { return this->proof.has_value(); }));
+    const TimePoint orderedAt = bootTime();
+    store->model.put("op/rollout/s1", R"({"service":"s1","target":"v2","duration_s":12})");
+    CHECK(runUntil([&] { return this->order.has_value(); }));
+    CHECK(orderedAfter.has_value() && *orderedAfter <= orderedAt && *orderedAfter > orderedAt - 5s);
+}
+
 // Guards against a log line for each read of an item that can't be read.
 TEST(StoreSync, ReportsAnUnreadableItemOnce)
 {
--- a/tests/edge/VersionMoveTest.cpp
+++ b/tests/edge/VersionMoveTest.cpp
@@ -31,13 +31,26 @@
     return settings;
 }
 
+// Good answers of the new version until all requests go to it, with work left at old targets. Returns when that is.
+TimePoint proveAndSwitch(VersionMove& move, size_t otherNodes)
+{
+    for (int i = 0; i < 200; ++i) {
+        move.onRequest();
+        move.count(true, "letters", false, 100ms);
+    }
+    TimePoint now = start;
+    while (move.advance(3, otherNodes, now) == MoveState::Trying && now < start + span)
+        now += 10ms;
+    return now;
+}
+
 // 5 nodes with 40 requests/s each. `answer` tells whether a request of the new version fails and how long it takes.
 Played play(const std::function<std::pair<bool, Duration>(Duration sinceStart, int route)>& answer, uint64_t seed)
 {
     constexpr size_t nodes = 5;
     std::mt19937_64 generator(seed);
     std::uniform_real_distribution<double> uniform;
-    std::vector<VersionMove> moves(nodes, VersionMove({ "drafts", "v2", span, 9 }, bounds(), start));
+    std::vector<VersionMove> moves(nodes, VersionMove({ "drafts", "v2", span, 9 }, bounds(), start, start));
     Played played;
     uint64_t badAnswers = 0;
     std::optional<TimePoint> fiftieth;
@@ -46,7 +59,7 @@
             VersionMove& move = moves[node];
             for (size_t other = 0; other < nodes; ++other) {
                 if (other != node)
-                    move.peer(other, moves[other].report(0));
+                    move.peer(other, moves[other].report(0, now), now);
             }
             const MoveState state = move.advance(0, 0, now);
             if (node == 0 && played.state != state) {
@@ -127,14 +140,8 @@
 // Guards against old targets that are stopped while they work, and against a move that never ends because of one node.
 TEST(VersionMove, WaitsForOldWorkUntilShortlyBeforeTheDeadline)
 {
-    VersionMove move({ "drafts", "v2", span, 9 }, bounds(), start);
-    for (int i = 0; i < 200; ++i) {
-        move.onRequest();
-        move.count(true, "letters", false, 100ms);
-    }
-    TimePoint now = start;
-    while (move.advance(3, 0, now) == MoveState::Trying && now < start + span)
-        now += 10ms;
+    VersionMove move({ "drafts", "v2", span, 9 }, bounds(), start, start);
+    const TimePoint now = proveAndSwitch(move, 0);
     CHECK(move.state() == MoveState::Switching);
     CHECK(move.advance(3, 0, now + 10ms) == MoveState::Switching);
     CHECK(move.advance(3, 0, start + span - 250ms) == MoveState::Completed);
@@ -144,39 +151,51 @@
 // not heard about this order yet.
 TEST(VersionMove, IsDrainedOnlyWhenAllNodesHaveSwitched)
 {
-    VersionMove move({ "drafts", "v2", span, 9 }, bounds(), start);
-    for (int i = 0; i < 200; ++i) {
-        move.onRequest();
-        move.count(true, "letters", false, 100ms);
-    }
-    TimePoint now = start;
-    while (move.advance(3, 1, now) == MoveState::Trying && now < start + span)
-        now += 10ms;
+    VersionMove move({ "drafts", "v2", span, 9 }, bounds(), start, start);
+    const TimePoint now = proveAndSwitch(move, 1);
     CHECK_TEXT(move.advance(0, 1, now) == MoveState::Switching, "the other node was not heard");
     VersionMove::Report report;
     report.revision = 9;
-    move.peer(1, report);
+    move.peer(1, report, now);
     CHECK_TEXT(move.advance(0, 1, now) == MoveState::Switching, "it has no work there, but may send some");
     report.switched = true;
     report.oldInFlight = 1;
-    move.peer(1, report);
+    move.peer(1, report, now);
     CHECK(move.advance(0, 1, now) == MoveState::Switching);
     report.oldInFlight = 0;
-    move.peer(1, report);
+    move.peer(1, report, now);
     CHECK(move.advance(0, 1, now) == MoveState::Completed);
 }
 
 // Guards against a report about an earlier order, and against a verdict of a peer that is not followed.
 TEST(VersionMove, FollowsAPeersVerdictOnThisOrderOnly)
 {
-    VersionMove move({ "drafts", "v2", span, 9 }, bounds(), start);
+    VersionMove move({ "drafts", "v2", span, 9 }, bounds(), start, start);
     VersionMove::Report report;
     report.calledBad = true;
     report.revision = 8;
-    move.peer(1, report);
+    move.peer(1, report, start);
     CHECK(move.advance(0, 0, start) == MoveState::Trying);
     report.revision = 9;
-    move.peer(1, report);
+    move.peer(1, report, start);
     CHECK(move.advance(0, 0, start) == MoveState::Reverted);
     CHECK_FALSE(move.sendToNew(0));
 }
+
+// Guards against a move that ends after its deadline, because the process that drives it started in its midst and counts from there.
+TEST(VersionMove, TakesTheAgeOfTheOrderFromAPeer)
+{
+    const TimePoint restarted = start + 9s;
+    VersionMove known({ "drafts", "v2", span, 9 }, bounds(), start, start + 300ms);
+    VersionMove move({ "drafts", "v2", span, 9 }, bounds(), std::nullopt, restarted);
+    VersionMove other({ "drafts", "v2", span, 9 }, bounds(), std::nullopt, restarted + 1s);
+    CHECK_FALSE(move.report(0, restarted).age.has_value());
+    other.peer(1, move.report(0, restarted + 1s), restarted + 1s);
+    CHECK_FALSE_TEXT(other.report(0, restarted + 1s).age.has_value(), "the start of a process says nothing of the order");
+    move.peer(1, known.report(0, restarted + 1s), restarted + 1010ms);
+    CHECK(*move.report(0, restarted + 2s).age == 10990ms);
+    proveAndSwitch(move, 0);
+    CHECK(move.advance(0, 0, start + span - 200ms) == MoveState::Completed);
+    known.peer(1, move.report(0, restarted), restarted + 5s);
+    CHECK_TEXT(*known.report(0, restarted).age == 9s, "a node that knows the age keeps it");
+}
