Move forwarding and replies out of the request path

Cause: RequestPath.cpp (1,011 lines) held the request's path, forwarding between nodes and the forms of answers; NodeApi had a second sendFailure without Retry-After.

Change: Forwarding (to and from the owner of a ticket), QueueReply and Replies stand apart; RequestPath.cpp has 823 lines. No behaviour changes; RequestPathTest, ServingTest and the witness tests pass as they are.

--- a/src/node/NodeApi.cpp
+++ b/src/node/NodeApi.cpp
@@ -1,6 +1,8 @@
 // Routing of a node's HTTP paths, and its own status pages.
 #include "node/NodeApi.h"
 
+#include "node/Replies.h"
+
 namespace guavapond {
 
 using Json = nlohmann::json;
@@ -15,11 +17,6 @@
     reply.send(status, headers, std::move(body));
 }
 
-void sendFailure(HttpReply& reply, const Failure& failure)
-{
-    sendText(reply, failureStatus(failure.kind), "application/json", errorBody(failure, {}));
-}
-
 std::string_view healthName(TargetHealth health)
 {
     switch (health) {
@@ -84,7 +81,8 @@
 void NodeApi::status(const HttpRequest& request, HttpReply& reply)
 {
     if (!this->ports.adminToken.empty() && request.header("Authorization") != "Bearer " + this->ports.adminToken)
-        return sendFailure(reply, { FailureKind::Unauthorized, Disposition::NotRun, "the administrator's token is missing or wrong", {} });
+        return sendFailure(
+            reply, { FailureKind::Unauthorized, Disposition::NotRun, "the administrator's token is missing or wrong", {} }, {});
     auto now = this->ports.clock();
     auto active = this->path.active();
     auto rows = this->table.get();
--- a/src/node/RequestPath.cpp
+++ b/src/node/RequestPath.cpp
@@ -1,9 +1,10 @@
 // The path of a request.
 #include "node/RequestPath.h"
 
+#include "node/Replies.h"
+
 #include <algorithm>
 #include <cassert>
-#include <deque>
 
 namespace guavapond {
 
@@ -11,10 +12,7 @@
 
 namespace {
 
-constexpr std::string_view forwardedHeader = "Guavapond-Forwarded";
 constexpr std::string_view eventStreamType = "text/event-stream";
-constexpr std::string_view jsonType = "application/json";
-constexpr Duration attachRetryAfter = std::chrono::seconds(1);
 constexpr Duration callbackTimerSlack = std::chrono::milliseconds(50);
 
 Failure notRun(FailureKind kind, std::string message, Duration retryAfter = {})
@@ -27,110 +25,6 @@
     return { request.method, request.target, request.body, [&request](std::string_view name) { return request.header(name); } };
 }
 
-std::vector<HttpHeader> answerHeaders(std::string_view ticket, std::string_view contentType)
-{
-    std::vector<HttpHeader> headers { { "Content-Type", std::string(contentType) } };
-    if (!ticket.empty())
-        headers.emplace_back(ticketHeader, ticket);
-    return headers;
-}
-
-void sendFailure(HttpReply& reply, const Failure& failure, std::string_view ticket)
-{
-    auto headers = answerHeaders(ticket, jsonType);
-    if (failure.retryAfter > Duration::zero()) {
-        auto seconds = std::chrono::ceil<std::chrono::seconds>(failure.retryAfter).count();
-        headers.emplace_back("Retry-After", std::to_string(seconds));
-    }
-    reply.send(failureStatus(failure.kind), headers, errorBody(failure, ticket));
-}
-
-// A stream that can't be completed ends with an error event and without its terminator.
-void endWithErrorEvent(HttpReply& reply, const Failure& failure, std::string_view ticket)
-{
-    reply.write("event: error\ndata: " + errorBody(failure, ticket) + "\n\n");
-    reply.finish();
-}
-
-// The answer of a forwarded request on its way back to the node that forwarded it: written on one thread, taken on another.
-class QueueReply final : public HttpReply {
-public:
-    void send(int status, std::span<const HttpHeader> headers, std::string body) override
-    {
-        this->push({ status, { headers.begin(), headers.end() }, std::move(body), true });
-    }
-    void start(int status, std::span<const HttpHeader> headers) override
-    {
-        this->push({ status, { headers.begin(), headers.end() }, {}, false });
-    }
-    void write(std::string_view data) override { this->push({ 0, {}, std::string(data), false }); }
-    void finish() override { this->push({ 0, {}, {}, true }); }
-    void abort() override
-    {
-        std::lock_guard lock(this->mutex);
-        this->aborted = true;
-        this->changed.notify_one();
-    }
-    bool isGone() const override { return this->gone; }
-    void onGone(std::function<void()> callback) override
-    {
-        std::lock_guard lock(this->mutex);
-        this->goneCallback = std::move(callback);
-    }
-
-    // Next piece; none: aborted, or nothing came within `wait`.
-    std::optional<ForwardedChunk> take(Duration wait)
-    {
-        std::unique_lock lock(this->mutex);
-        this->changed.wait_for(lock, wait, [this] { return this->aborted || !this->chunks.empty(); });
-        if (this->chunks.empty())
-            return std::nullopt;
-        auto chunk = std::move(this->chunks.front());
-        this->chunks.pop_front();
-        return chunk;
-    }
-    bool isAborted() const
-    {
-        std::lock_guard lock(this->mutex);
-        return this->aborted && this->chunks.empty();
-    }
-    void markGone()
-    {
-        std::function<void()> callback;
-        {
-            std::lock_guard lock(this->mutex);
-            this->gone = true;
-            callback.swap(this->goneCallback);
-        }
-        if (callback)
-            callback();
-    }
-
-private:
-    void push(ForwardedChunk chunk)
-    {
-        std::lock_guard lock(this->mutex);
-        if (this->gone)
-            return;
-        // Consecutive pieces of a stream travel as one message when the taker is slower than the engine.
-        bool joins = !this->chunks.empty() && chunk.status == 0 && this->chunks.back().status == 0 && !this->chunks.back().last;
-        if (joins) {
-            this->chunks.back().data += chunk.data;
-            this->chunks.back().last = chunk.last;
-        } else {
-            this->chunks.push_back(std::move(chunk));
-        }
-        this->changed.notify_one();
-    }
-
-    mutable std::mutex mutex;
-    std::condition_variable changed;
-    std::deque<ForwardedChunk> chunks;
-    bool aborted = false;
-    std::function<void()> goneCallback;
-    std::atomic<bool> gone { false };
-};
-
 } // namespace
 
 RequestPath::RequestPath(const RequestPathSettings& s, RequestPathPorts p, const Snapshot<TableIndex>& t, Decisions& d)
@@ -138,6 +32,9 @@
     , ports(std::move(p))
     , table(t)
     , decisions(d)
+    , forwarding(s.maxForwards,
+          { this->ports.peer, this->ports.background, this->ports.peerAddress, this->ports.resolve,
+              [this](const HttpRequest& request, const std::shared_ptr<HttpReply>& reply) { this->serve(request, reply); } })
 {
 }
 
@@ -151,11 +48,11 @@
     if (!parsed) {
         if (this->ports.observer.refusedOnEntry)
             this->ports.observer.refusedOnEntry(*parsed.reason);
-        return this->refuse(reply, *parsed.reason, {});
+        return sendFailure(*reply, *parsed.reason, {});
     }
     if (parsed->ticket.empty()) {
         if (!parsed->spec.idempotent) {
-            return this->refuse(reply,
+            return sendFailure(*reply,
                 notRun(FailureKind::TicketRequired,
                     "a call that is not idempotent needs a ticket: POST /v1/tickets, then send it as " + std::string(ticketHeader)),
                 {});
@@ -164,12 +61,12 @@
     }
     auto ticket = parseTicket(parsed->ticket);
     if (!ticket)
-        return this->refuse(reply, *ticket.reason, {});
+        return sendFailure(*reply, *ticket.reason, {});
     if (ticket->owner.node != this->decisions.ledger.identity().node) {
-        if (request.header(forwardedHeader))
-            return this->refuse(
-                reply, { FailureKind::OutcomeUnknown, Disposition::Unknown, "this node does not own the ticket", {} }, parsed->ticket);
-        return this->forward(request, *ticket, reply);
+        if (Forwarding::isForwarded(request))
+            return sendFailure(
+                *reply, { FailureKind::OutcomeUnknown, Disposition::Unknown, "this node does not own the ticket", {} }, parsed->ticket);
+        return this->forwarding.send(request, *ticket, reply);
     }
     this->admit(std::move(*parsed), *ticket, reply, now);
 }
@@ -180,9 +77,9 @@
     auto input = inputOf(request);
     auto workspace = this->table.read([&](const TableIndex& rows) { return authorize(input, rows); });
     if (!workspace)
-        return this->refuse(reply, *workspace.reason, {});
+        return sendFailure(*reply, *workspace.reason, {});
     if (this->stopping)
-        return this->refuse(reply, notRun(FailureKind::Stopping, "the node is shutting down", this->settings.stoppingRetryAfter), {});
+        return sendFailure(*reply, notRun(FailureKind::Stopping, "the node is shutting down", this->settings.stoppingRetryAfter), {});
     std::string text;
     {
         std::lock_guard lock(this->decisions.mutex);
@@ -195,17 +92,17 @@
 {
     auto ticket = parseTicket(text);
     if (!ticket)
-        return this->refuse(reply, *ticket.reason, {});
+        return sendFailure(*reply, *ticket.reason, {});
     auto send = [reply](const std::string& json) { reply->send(200, answerHeaders({}, jsonType), json); };
     if (ticket->owner.node == this->decisions.ledger.identity().node)
         return send(this->outcomeJson(text));
     auto address = this->ports.peerAddress(ticket->owner.node);
     if (!address)
-        return this->refuse(reply, { FailureKind::NotFound, Disposition::Unknown, "the ticket names an unknown node", {} }, text);
+        return sendFailure(*reply, { FailureKind::NotFound, Disposition::Unknown, "the ticket names an unknown node", {} }, text);
     this->ports.background([this, reply, send, address = *address, held = std::string(text)] {
         auto json = this->ports.peer.outcome(address, held);
         if (!json)
-            return this->refuse(reply, *json.reason, held);
+            return sendFailure(*reply, *json.reason, held);
         send(*json);
     });
 }
@@ -286,10 +183,10 @@
     if (refused) {
         if (this->ports.observer.refusedOnEntry)
             this->ports.observer.refusedOnEntry(*refused);
-        return this->refuse(reply, *refused, text);
+        return sendFailure(*reply, *refused, text);
     }
     if (claim.kind == Claim::Kind::Gone)
-        return this->resolveLost(*given, reply);
+        return this->forwarding.resolveLost(*given, reply);
     if (claim.kind != Claim::Kind::Run)
         return this->answerClaim(claim, request, text, running, reply);
     reply->onGone([this, running, raw = reply.get()] { this->onCallerGone(running, raw); });
@@ -307,7 +204,7 @@
 {
     bool asked = this->decisions.owner.ask(flight->ticket.sequence);
     if (!asked && this->decisions.owner.mintsWitnessed())
-        return notRun(FailureKind::QueueFull, "too many requests wait for the witness", attachRetryAfter);
+        return notRun(FailureKind::QueueFull, "too many requests wait for the witness", callerRetryAfter);
     // Without a witness the request waits for the next one; grantsChanged() asks again.
     if (!asked && !this->ungrantedSince)
         this->ungrantedSince = now;
@@ -363,18 +260,13 @@
     }
 }
 
-void RequestPath::resolveLost(const Ticket& ticket, const std::shared_ptr<HttpReply>& reply)
-{
-    this->ports.background([this, ticket, reply] { this->refuse(reply, this->ports.resolve(ticket), ticketText(ticket)); });
-}
-
 void RequestPath::answerClaim(const Claim& claim, const CallerRequest& request, const std::string& text, const FlightPtr& running,
     const std::shared_ptr<HttpReply>& reply)
 {
     if (claim.kind == Claim::Kind::Attach) {
         if (running)
             return this->attach(running, reply);
-        return this->refuse(reply, { FailureKind::Conflict, Disposition::Unknown, "the request is about to end", attachRetryAfter }, text);
+        return sendFailure(*reply, { FailureKind::Conflict, Disposition::Unknown, "the request is about to end", callerRetryAfter }, text);
     }
     if (claim.kind == Claim::Kind::Answer) {
         auto headers = answerHeaders(text, claim.answer->contentType);
@@ -382,7 +274,7 @@
     }
     auto failure = claim.failure.value_or(
         Failure { FailureKind::OutcomeUnknown, Disposition::Unknown, "what became of " + request.model + " is not known", {} });
-    this->refuse(reply, failure, text);
+    sendFailure(*reply, failure, text);
 }
 
 void RequestPath::attach(const FlightPtr& flight, const std::shared_ptr<HttpReply>& reply)
@@ -393,8 +285,8 @@
         bool canWait = flight->request.spec.kind == RequestKind::Service || flight->assembler.has_value();
         if (!canWait && !flight->result) {
             Failure failure { FailureKind::Conflict, Disposition::Unknown,
-                "the request runs for another connection and its answer is not kept", attachRetryAfter };
-            return this->refuse(reply, failure, flight->ticketText);
+                "the request runs for another connection and its answer is not kept", callerRetryAfter };
+            return sendFailure(*reply, failure, flight->ticketText);
         }
         if (flight->result)
             ended = flight->result;
@@ -408,84 +300,6 @@
     reply->onGone([this, flight, raw = reply.get()] { this->onCallerGone(flight, raw); });
 }
 
-void RequestPath::forward(const HttpRequest& request, const Ticket& ticket, const std::shared_ptr<HttpReply>& reply)
-{
-    auto text = ticketText(ticket);
-    auto address = this->ports.peerAddress(ticket.owner.node);
-    if (!address)
-        return this->resolveLost(ticket, reply);
-    if (this->forwards.fetch_add(1) >= this->settings.maxForwards) {
-        --this->forwards;
-        // The owner was not asked, so nothing is known of an earlier call under this ticket.
-        return this->refuse(
-            reply, { FailureKind::OwnerUnreachable, Disposition::Unknown, "too many requests for other nodes", attachRetryAfter }, text);
-    }
-    ForwardedRequest message { request.method, request.target, request.headers, request.body };
-    message.headers.emplace_back(forwardedHeader, "1");
-    this->ports.background([this, message = std::move(message), address = *address, ticket, text, reply] {
-        bool started = false;
-        auto failure = this->ports.peer.forward(address, message, [&](const ForwardedChunk& chunk) {
-            // Empty pieces come while the request waits at its owner; the first one with a status carries the head.
-            if (!started && chunk.status == 0)
-                return !reply->isGone();
-            if (!started && chunk.last) {
-                started = true;
-                reply->send(chunk.status, chunk.headers, chunk.data);
-                return true;
-            }
-            if (!started)
-                reply->start(chunk.status, chunk.headers);
-            started = true;
-            reply->write(chunk.data);
-            if (chunk.last)
-                reply->finish();
-            return !reply->isGone();
-        });
-        if (failure && !started)
-            this->refuse(reply, this->ports.resolve(ticket), text);
-        else if (failure)
-            endWithErrorEvent(*reply, *failure, text);
-        --this->forwards;
-    });
-}
-
-void RequestPath::forwarded(const ForwardedRequest& message, const std::function<bool(const ForwardedChunk&)>& onChunk)
-{
-    // Counted until the other node has taken the last piece, which may be after the request itself has ended here.
-    struct Count {
-        std::atomic<size_t>& value;
-        explicit Count(std::atomic<size_t>& v)
-            : value(v)
-        {
-            ++this->value;
-        }
-        ~Count() { --this->value; }
-    };
-    const Count count(this->answersToPeers);
-    HttpRequest request { message.method, message.path, message.headers, message.body, {} };
-    auto reply = std::make_shared<QueueReply>();
-    this->serve(request, reply);
-    constexpr Duration poll = std::chrono::seconds(1);
-    while (true) {
-        auto chunk = reply->take(poll);
-        if (!chunk && reply->isAborted())
-            return;
-        // An empty piece at each poll finds out whether the other node still waits.
-        bool wanted = onChunk(chunk.value_or(ForwardedChunk {}));
-        if (chunk && chunk->last)
-            return;
-        if (!wanted) {
-            reply->markGone();
-            return;
-        }
-    }
-}
-
-void RequestPath::refuse(const std::shared_ptr<HttpReply>& reply, const Failure& failure, std::string_view ticket)
-{
-    sendFailure(*reply, failure, ticket);
-}
-
 // ---- Carrying out decisions
 
 std::vector<RequestPath::Step> RequestPath::takeSteps(TimePoint now)
@@ -1005,7 +819,7 @@
 size_t RequestPath::active() const
 {
     std::lock_guard lock(this->decisions.mutex);
-    return this->flights.size() + this->forwards + this->answersToPeers;
+    return this->flights.size() + this->forwarding.active();
 }
 
 } // namespace guavapond
--- a/src/node/RequestPath.h
+++ b/src/node/RequestPath.h
@@ -14,10 +14,10 @@
 
 #include "node/Decisions.h"
 #include "node/Flight.h"
+#include "node/Forwarding.h"
 #include "node/Observer.h"
 #include "node/Snapshot.h"
 #include "ports/Caller.h"
-#include "ports/Peer.h"
 #include "ports/Target.h"
 
 #include <atomic>
@@ -57,7 +57,10 @@
     void outcome(std::string_view ticket, const std::shared_ptr<HttpReply>& reply);
 
     // ---- Peers
-    void forwarded(const ForwardedRequest& request, const std::function<bool(const ForwardedChunk&)>& onChunk);
+    void forwarded(const ForwardedRequest& request, const std::function<bool(const ForwardedChunk&)>& onChunk)
+    {
+        this->forwarding.answer(request, onChunk);
+    }
     std::string outcomeJson(std::string_view ticket);
 
     // ---- Time
@@ -84,9 +87,6 @@
     void answerClaim(const Claim& claim, const CallerRequest& request, const std::string& text, const FlightPtr& running,
         const std::shared_ptr<HttpReply>& reply);
     void attach(const FlightPtr& flight, const std::shared_ptr<HttpReply>& reply);
-    void resolveLost(const Ticket& ticket, const std::shared_ptr<HttpReply>& reply);
-    void forward(const HttpRequest& request, const Ticket& ticket, const std::shared_ptr<HttpReply>& reply);
-    void refuse(const std::shared_ptr<HttpReply>& reply, const Failure& failure, std::string_view ticket);
 
     // ---- Carrying out decisions
     std::vector<Step> takeSteps(TimePoint now);                             // under the decision mutex
@@ -125,8 +125,7 @@
     std::optional<TimePoint> ungrantedSince;     // requests wait and there is no witness
     uint64_t nextRequest = 1;
 
-    std::atomic<size_t> forwards { 0 };       // requests passed on to other nodes
-    std::atomic<size_t> answersToPeers { 0 }; // requests of other nodes that are answered here
+    Forwarding forwarding;
     std::atomic<bool> stopping { false };
 
     std::mutex timerMutex;
