--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -54,8 +54,7 @@
 
 EdgeNode::EdgeNode(net::io_context& loop, const EdgeSettings& settings, const WireHeaders& headers, const EdgePaths& paths,
     PeerLink::Hooks peerHooks, uint64_t incarnation, std::function<double()> random)
-    : loop(loop)
-    , settings(settings)
+    : settings(settings)
     , headers(headers)
     , paths(paths)
     , requests(loop, relaySettings(settings, headers), this->counters, std::move(random))
--- a/src/edge/EdgeNode.h
+++ b/src/edge/EdgeNode.h
@@ -40,7 +40,6 @@
     void noteReadiness();
     void driveMoves(TimePoint now);
 
-    net::io_context& loop;
     EdgeSettings settings;
     WireHeaders headers;
     EdgePaths paths;
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -117,6 +117,7 @@
     for (const auto& [workspace, tokens] : news.uses)
         this->relay.quota.peerUsed(workspace, tokens, now);
     std::vector<TargetLoadReport> loads;
+    loads.reserve(static_cast<size_t>(message.load_targets_size()));
     for (int i = 0; i < message.load_targets_size(); ++i)
         loads.push_back({ message.load_targets(i), message.load_running(i), message.load_prefill_tokens(i) });
     this->relay.peerLoads(nameHash(beacon.node), loads);
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -8,10 +8,10 @@
 shift $(($# > 2 ? 2 : $#))
 stamps="$build/lint"
 mkdir -p "$stamps"
-headers=$(cat .clang-tidy $(git ls-files --cached --others --exclude-standard '*.h' | grep -E '^(src|platform|standins|bench|tests)/') 2>/dev/null | sha256sum)
+headers=$(cat .clang-tidy $(git ls-files --cached --others --exclude-standard '*.h' | grep -E '^(src|platform|standins|bench|tests|fuzz)/') 2>/dev/null | sha256sum)
 files=("$@")
 if [ "${#files[@]}" -eq 0 ]; then
-    mapfile -t files < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'platform/*.cpp' 'standins/*.cpp' 'tests/*.cpp' 'bench/*.cpp')
+    mapfile -t files < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'platform/*.cpp' 'standins/*.cpp' 'tests/*.cpp' 'bench/*.cpp' 'fuzz/*.cpp')
 fi
 # One compile command for each file: clang-tidy reads a file once for every command that names it.
 jq 'unique_by(.file)' "$build/compile_commands.json" >"$stamps/compile_commands.json"
