--- a/src/edge/PeerLink.h
+++ b/src/edge/PeerLink.h
@@ -4,7 +4,7 @@
 // Index
 //   StoreItem         an item of the store, passed on as bytes
 //   PeerLinkSettings
-//   PeerLink
+//   PeerLink          start, tick, announce, readOrder
 #pragma once
 
 #include "edge/PeerTable.h"
--- a/src/edge/SharedCopy.cpp
+++ b/src/edge/SharedCopy.cpp
@@ -7,7 +7,7 @@
 
 void SharedCopy::wasRead(TimePoint started, TimePoint now)
 {
-    this->provedAt = std::max(this->provedAt.value_or(started), started);
+    this->equalAt = std::max(this->equalAt.value_or(started), started);
     this->triedAt = now;
     this->failing = false;
 }
@@ -24,7 +24,7 @@
         return false;
     const TimePoint peerProvedAt = askedAt - *report.age;
     const bool isEqual = report.digest == this->digest;
-    std::optional<TimePoint>& latest = isEqual ? this->provedAt : this->otherAt;
+    std::optional<TimePoint>& latest = isEqual ? this->equalAt : this->otherAt;
     latest = std::max(latest.value_or(peerProvedAt), peerProvedAt);
     return isEqual;
 }
@@ -35,13 +35,13 @@
         return {};
     const Duration share = this->settings.retryPerNode * static_cast<int64_t>(order.nodes);
     const TimePoint soonest = *this->triedAt + std::max(this->settings.retryInterval, share);
-    if (this->differs() || !this->provedAt)
+    if (this->differs() || !this->equalAt)
         return soonest;
     const auto place = static_cast<int64_t>(order.place);
     const Duration wait = place == 0 ? Duration::zero()
                                      : std::min(order.newsDelay, this->settings.longestNews)
             + std::min<Duration>(this->settings.turn * place, this->settings.longestTurn);
-    const TimePoint due = *this->provedAt + this->settings.interval + wait;
+    const TimePoint due = *this->equalAt + this->settings.interval + wait;
     if (!this->failing)
         return std::max(due, soonest);
     // A node that the store turns away goes on trying, so that it notices its return.
@@ -51,7 +51,7 @@
 
 CopyReport SharedCopy::report(TimePoint now) const
 {
-    return { this->digest, this->provedAt ? std::optional<Duration>(now - *this->provedAt) : std::nullopt };
+    return { this->digest, this->equalAt ? std::optional<Duration>(now - *this->equalAt) : std::nullopt };
 }
 
 } // namespace guavapond::edge
--- a/src/edge/SharedCopy.h
+++ b/src/edge/SharedCopy.h
@@ -59,16 +59,16 @@
     bool peerReports(const CopyReport& report, TimePoint askedAt);
     TimePoint readDueAt(const ReadOrder& order) const; // may lie in the past; the epoch: never read yet
     CopyReport report(TimePoint now) const;
-    std::optional<TimePoint> equalSince() const { return this->provedAt; } // last time at which the copy was known to equal the store
-    bool differs() const { return this->otherAt && (!this->provedAt || *this->otherAt > *this->provedAt); } // a peer knows something newer
+    std::optional<TimePoint> provedAt() const { return this->equalAt; } // last time at which the copy was known to equal the store
+    bool differs() const { return this->otherAt && (!this->equalAt || *this->otherAt > *this->equalAt); } // a peer knows something newer
 
 private:
     SharedCopySettings settings;
     uint64_t digest = 0;
-    std::optional<TimePoint> provedAt; // never goes back
-    std::optional<TimePoint> otherAt;  // last time at which a peer's copy that is different was known to equal the store
-    std::optional<TimePoint> triedAt;  // end of the last read
-    bool failing = false;              // the last read failed
+    std::optional<TimePoint> equalAt; // never goes back
+    std::optional<TimePoint> otherAt; // last time at which a peer's copy that is different was known to equal the store
+    std::optional<TimePoint> triedAt; // end of the last read
+    bool failing = false;             // the last read failed
 };
 
 } // namespace guavapond::edge
--- a/tests/edge/PeerLinkTest.cpp
+++ b/tests/edge/PeerLinkTest.cpp
@@ -124,12 +124,12 @@
     introduce();
     CHECK(runUntil([&] { return second.link.table().heardCount(bootTime()) == 1; }));
     first.read();
-    CHECK_FALSE(runUntil([&] { return second.copy.equalSince().has_value(); }, 400ms));
+    CHECK_FALSE(runUntil([&] { return second.copy.provedAt().has_value(); }, 400ms));
     CHECK_TEXT(second.copy.differs(), "it has to read for itself");
     second.copy.setDigest(4);
     first.read();
-    CHECK(runUntil([&] { return second.copy.equalSince().has_value(); }));
-    CHECK_TEXT(*second.copy.equalSince() <= *first.copy.equalSince(), "never younger than the peer's");
+    CHECK(runUntil([&] { return second.copy.provedAt().has_value(); }));
+    CHECK_TEXT(*second.copy.provedAt() <= *first.copy.provedAt(), "never younger than the peer's");
 }
 
 // Guards against a node without the store that stays behind its peers.
@@ -193,7 +193,7 @@
     second.link.announce(); // the question from which the proof is dated
     CHECK(runUntil([&] { return first.link.table().heardCount(bootTime()) == 1; }));
     first.read();
-    CHECK_FALSE(runUntil([&] { return second.copy.equalSince().has_value(); }, 100ms));
+    CHECK_FALSE(runUntil([&] { return second.copy.provedAt().has_value(); }, 100ms));
     first.link.announce();
-    CHECK(runUntil([&] { return second.copy.equalSince().has_value(); }));
+    CHECK(runUntil([&] { return second.copy.provedAt().has_value(); }));
 }
--- a/tests/edge/SharedCopyTest.cpp
+++ b/tests/edge/SharedCopyTest.cpp
@@ -40,13 +40,13 @@
 {
     SharedCopy copy = readAt(start);
     CHECK(copy.peerReports({ revisions, 300ms }, start + 2s));
-    CHECK(copy.equalSince() == start + 1700ms);
+    CHECK(copy.provedAt() == start + 1700ms);
     CHECK(copy.peerReports({ revisions, 2s }, start + 2s));
-    CHECK_TEXT(copy.equalSince() == start + 1700ms, "never goes back");
+    CHECK_TEXT(copy.provedAt() == start + 1700ms, "never goes back");
     CHECK_FALSE(copy.peerReports({ revisions, std::nullopt }, start + 3s));
     CHECK_FALSE_TEXT(copy.peerReports({ revisions, 1ms }, TimePoint {}), "no question of this node was echoed");
     CHECK_FALSE(copy.peerReports({ revisions + 1, 1ms }, start + 3s));
-    CHECK(copy.equalSince() == start + 1700ms);
+    CHECK(copy.provedAt() == start + 1700ms);
 }
 
 // Guards against a change that a node hears of and does not read, and against reads for the sake of a peer that is behind.
