Take changes of the store's items from the node that read them

Change: a node that hears of a newer copy asks that peer for what changed since its own copy's revision, and reads the store after 0.4 s, or at once where the answer would be long or the peer fails. Changed in SharedCopyTest: a node whose peer holds something newer reads at 0.4 s, and as soon as before once the peer failed. Tests: PeerLinkTest TakesChangesFromTheNodeThatReadThem, StoreSyncTest PassesOnWhatChangedSince, SharedCopyTest APeersItemsMakeACopyCurrent.

--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -2,6 +2,7 @@
 #include "edge/PeerLink.h"
 
 #include "adapters/Logging.h"
+#include "edge/RequestFields.h"
 
 #include <beacon.pb.h>
 #include <nlohmann/json.hpp>
@@ -14,6 +15,7 @@
 
 constexpr size_t datagramBytes = 64 * 1024;
 constexpr std::string_view itemsPath = "/store-items";
+constexpr std::string_view smallOnly = "small=1";              // the asker reaches the store, so a long answer is not worth the way
 constexpr Duration newsMargin = std::chrono::milliseconds(50); // the store's answer and the way between nodes
 
 int64_t microseconds(TimePoint time) { return time.time_since_epoch().count(); }
@@ -30,13 +32,15 @@
 }
 
 // Empty: not a list of items.
-std::optional<std::vector<StoreItem>> readItems(const std::string& text)
+std::optional<StoreItems> readItems(const std::string& text)
 {
-    std::vector<StoreItem> result;
+    StoreItems result;
     try {
-        for (const json& item : json::parse(text)) {
-            result.push_back({ item.at("key").get<std::string>(), item.at("value").get<std::string>(), item.at("revision").get<uint64_t>(),
-                item.at("gone").get<bool>() });
+        const json object = json::parse(text);
+        result.upTo = { object.at("operators").get<uint64_t>(), object.at("targets").get<uint64_t>() };
+        for (const json& item : object.at("items")) {
+            result.items.push_back({ item.at("key").get<std::string>(), item.at("value").get<std::string>(),
+                item.at("revision").get<uint64_t>(), item.at("gone").get<bool>() });
         }
     } catch (const json::exception&) {
         return std::nullopt;
@@ -57,12 +61,7 @@
     , buffer(datagramBytes)
     , itemsListener(
           loop, { settings.address, 64, std::chrono::seconds(5) },
-          [this](const CallerPointer& caller, const CallerRequest&) {
-              json items = json::array();
-              for (const StoreItem& item : this->hooks.items())
-                  items.push_back({ { "key", item.key }, { "value", item.value }, { "revision", item.revision }, { "gone", item.gone } });
-              caller->answer(makeAnswer({ 200, items.dump(-1, ' ', false, json::error_handler_t::replace), "application/json", {} }));
-          },
+          [this](const CallerPointer& caller, const CallerRequest& request) { this->answerItems(caller, request.message.target()); },
           [] { return CallerLimits {}; })
     , connections(loop, {})
 {
@@ -133,15 +132,37 @@
 
 void PeerLink::followCopies(const Beacon& beacon, TimePoint now)
 {
-    this->hooks.peerCopies(beacon.node, beacon.copies, beacon.echo);
-    if (!beacon.copies.operators.age || !this->hooks.isBehind(now))
+    const bool isNewer = this->hooks.peerCopies(beacon.node, beacon.copies, beacon.echo);
+    if (!beacon.copies.operators.age || (!isNewer && !this->hooks.isBehind(now)))
         return;
     const CopyReports own = this->hooks.copies(now);
     const bool differs = beacon.copies.operators.digest != own.operators.digest || beacon.copies.targets.digest != own.targets.digest;
-    if (now - this->itemsAskedAt <= (differs ? this->settings.itemsInterval : this->settings.behindInterval))
+    const Duration interval = isNewer ? this->settings.newsInterval
+        : differs                     ? this->settings.itemsInterval
+                                      : this->settings.behindInterval;
+    if (now - this->itemsAskedAt <= interval)
         return;
     this->itemsAskedAt = now;
-    this->fetchItems({ beacon.node, this->sender.address().to_string(), beacon.port });
+    this->fetchItems({ beacon.node, this->sender.address().to_string(), beacon.port }, isNewer && !this->hooks.isBehind(now));
+}
+
+void PeerLink::answerItems(const CallerPointer& caller, std::string_view target)
+{
+    const auto number = [&](std::string_view name) {
+        const size_t at = target.find(name);
+        return at == std::string_view::npos
+            ? 0
+            : parseNumber<uint64_t>(target.substr(at + name.size(), target.find('&', at) - at - name.size())).value_or(0);
+    };
+    const StoreItems found = this->hooks.items({ number("operators="), number("targets=") });
+    json items = json::array();
+    for (const StoreItem& item : found.items)
+        items.push_back({ { "key", item.key }, { "value", item.value }, { "revision", item.revision }, { "gone", item.gone } });
+    const json object { { "operators", found.upTo.operators }, { "targets", found.upTo.targets }, { "items", std::move(items) } };
+    std::string text = object.dump(-1, ' ', false, json::error_handler_t::replace);
+    if (target.find(smallOnly) != std::string_view::npos && text.size() > this->settings.mostItemBytes)
+        return caller->answer(makeAnswer(errorAnswer(503, "too much; read the store")));
+    caller->answer(makeAnswer({ 200, std::move(text), "application/json", {} }));
 }
 
 ReadOrder PeerLink::readOrder(TimePoint now) const
@@ -151,7 +172,8 @@
     return { this->peers.namesBefore(now), this->peers.heardCount(now) + 1, news };
 }
 
-void PeerLink::fetchItems(const Member& member)
+// `isNewer`: the peer has something new, which the store would answer as well.
+void PeerLink::fetchItems(const Member& member, bool isNewer)
 {
     const auto connection = this->connections.take({ member.ip, member.port }, std::chrono::seconds(1), bootTime());
     const auto body = std::make_shared<std::string>();
@@ -164,13 +186,18 @@
         const auto items = readItems(*body);
         if (!items)
             return log(LogLevel::Warn, "store items can't be read", { { "peer", member.node }, { "bytes", body->size() } });
-        log(LogLevel::Info, "store items from peer", { { "peer", member.node }, { "items", items->size() } });
+        log(LogLevel::Info, "store items from peer", { { "peer", member.node }, { "items", items->items.size() } });
         this->hooks.received(*items);
     };
-    events.failed = [member](ConnectionFault fault, bool) {
-        log(LogLevel::Warn, "store items not received", { { "peer", member.node }, { "fault", connectionFaultName(fault) } });
+    events.failed = [this, member, isNewer](ConnectionFault fault, bool) {
+        log(LogLevel::Info, "store items not received", { { "peer", member.node }, { "fault", connectionFaultName(fault) } });
+        if (isNewer)
+            this->hooks.notReceived();
     };
-    connection->start("GET " + std::string(itemsPath) + " HTTP/1.1\r\nHost: " + member.ip + "\r\n\r\n", "", true, std::move(events));
+    const ItemRevisions after = this->hooks.known();
+    const std::string target = std::string(itemsPath) + "?operators=" + std::to_string(after.operators)
+        + "&targets=" + std::to_string(after.targets) + (isNewer ? "&" + std::string(smallOnly) : "");
+    connection->start("GET " + target + " HTTP/1.1\r\nHost: " + member.ip + "\r\n\r\n", "", true, std::move(events));
 }
 
 Duration PeerLink::interval() const
--- a/src/edge/PeerLink.h
+++ b/src/edge/PeerLink.h
@@ -23,6 +23,17 @@
     bool gone = false; // the item was there with this revision, and is no more
 };
 
+// How far a copy of the store's items is complete: it holds every change up to these revisions of the store.
+struct ItemRevisions {
+    uint64_t operators = 0;
+    uint64_t targets = 0;
+};
+
+struct StoreItems {
+    ItemRevisions upTo;
+    std::vector<StoreItem> items;
+};
+
 struct PeerLinkSettings {
     std::string node;
     Address address;                                          // of beacons and store items
@@ -30,18 +41,22 @@
     Duration idleInterval = std::chrono::milliseconds(150);   // between beacons otherwise
     size_t nodesAtBusyInterval = 6;                           // with more nodes the interval grows in proportion
     Duration behindInterval = std::chrono::milliseconds(800); // the same while this node is behind, whatever peers announce
-    Duration itemsInterval = std::chrono::milliseconds(300);  // between two requests for a peer's store items
+    Duration itemsInterval = std::chrono::milliseconds(300);  // the same while the peer's copy differs
+    Duration newsInterval = std::chrono::milliseconds(80);    // the same while the peer's copy is newer
+    size_t mostItemBytes = 24 * 1024; // passed on to a node that reaches the store; more would fill a small VM's link
     PeerSettings peers;
 };
 
 class PeerLink {
 public:
     struct Hooks {
-        std::function<std::vector<StoreItem>()> items;            // what this node would pass on
-        std::function<void(std::span<const StoreItem>)> received; // a peer's items
-        std::function<CopyReports(TimePoint now)> copies;         // what this node knows of the store
-        // A peer's copies, in a beacon that echoes one sent at `askedAt`.
-        std::function<void(const std::string& peer, const CopyReports& copies, TimePoint askedAt)> peerCopies;
+        std::function<StoreItems(const ItemRevisions& after)> items; // what this node would pass on: changes after these revisions
+        std::function<ItemRevisions()> known;                        // of this node's copy
+        std::function<void(const StoreItems&)> received;             // a peer's items
+        std::function<void()> notReceived;                           // a newer peer's items did not come
+        std::function<CopyReports(TimePoint now)> copies;            // what this node knows of the store
+        // A peer's copies, in a beacon that echoes one sent at `askedAt`. True: the peer's copy is newer than this node's.
+        std::function<bool(const std::string& peer, const CopyReports& copies, TimePoint askedAt)> peerCopies;
         std::function<bool(TimePoint now)> isBehind; // the store does not answer this node: peers' items are asked for now and then
     };
     PeerLink(net::io_context& loop, const PeerLinkSettings& settings, Relay& relay, Hooks hooks, uint64_t incarnation);
@@ -58,7 +73,8 @@
     void onDatagram(size_t bytes);
     void sendBeacons(TimePoint now);
     void addMoves(wire::Beacon& message, TimePoint now);
-    void fetchItems(const Member& member);
+    void fetchItems(const Member& member, bool isNewer);
+    void answerItems(const CallerPointer& caller, std::string_view target);
     void followCopies(const Beacon& beacon, TimePoint now);
     Duration interval() const;
 
--- a/src/edge/SharedCopy.cpp
+++ b/src/edge/SharedCopy.cpp
@@ -5,6 +5,13 @@
 
 namespace guavapond::edge {
 
+void SharedCopy::setDigest(uint64_t value)
+{
+    this->digest = value;
+    if (this->differs() && value == this->otherDigest)
+        this->equalAt = this->otherAt;
+}
+
 void SharedCopy::wasRead(TimePoint started, TimePoint now)
 {
     this->equalAt = std::max(this->equalAt.value_or(started), started);
@@ -18,14 +25,19 @@
     this->failing = true;
 }
 
-bool SharedCopy::peerReports(const CopyReport& report, TimePoint askedAt)
+bool SharedCopy::peerReports(const CopyReport& report, TimePoint askedAt, TimePoint now)
 {
     if (!report.age || askedAt == TimePoint {})
         return false;
     const TimePoint peerProvedAt = askedAt - *report.age;
     const bool isEqual = report.digest == this->digest;
+    const bool differed = this->differs();
     std::optional<TimePoint>& latest = isEqual ? this->equalAt : this->otherAt;
+    if (!isEqual && (!latest || peerProvedAt >= *latest))
+        this->otherDigest = report.digest;
     latest = std::max(latest.value_or(peerProvedAt), peerProvedAt);
+    if (!differed && this->differs())
+        this->differsSince = now;
     return isEqual;
 }
 
@@ -40,8 +52,10 @@
         return {};
     const Duration share = this->settings.retryPerNode * static_cast<int64_t>(order.nodes);
     const TimePoint soonest = *this->triedAt + std::max(this->settings.retryInterval, share);
-    if (this->differs() || !this->equalAt)
+    if (!this->equalAt)
         return soonest;
+    if (this->differs())
+        return this->differsSince ? std::max(soonest, *this->differsSince + this->settings.peerFirst) : soonest;
     const auto place = static_cast<int64_t>(order.place);
     const Duration wait = place == 0 ? Duration::zero()
                                      : std::min(order.newsDelay, this->settings.longestNews)
--- a/src/edge/SharedCopy.h
+++ b/src/edge/SharedCopy.h
@@ -41,6 +41,7 @@
     Duration longestNews = std::chrono::milliseconds(600);   // the same for the news of large deployments
     Duration retryInterval = std::chrono::milliseconds(250); // between reads that fail, or while a peer's copy differs
     Duration relaxedRetry = std::chrono::seconds(1);         // between reads that fail while peers keep the copy current
+    Duration peerFirst = std::chrono::milliseconds(400);     // a peer's newer copy is asked for before the store, for this long
     Duration retryPerNode = std::chrono::milliseconds(2);    // least share of the retries; bounds the calls of all nodes together
 };
 
@@ -51,12 +52,14 @@
     {
     }
 
-    void setDigest(uint64_t value) { this->digest = value; }
+    void setDigest(uint64_t value);                 // a copy that has become a peer's newer one is as current as that
     void wasRead(TimePoint started, TimePoint now); // the copy equals the store as of `started`
     void readFailed(TimePoint now);                 // or brought nothing that can be used
     // A peer's report in a beacon that echoes one sent by this node at `askedAt`. True: the copies are equal, and the peer's proof
     // is this copy's, too.
-    bool peerReports(const CopyReport& report, TimePoint askedAt);
+    bool peerReports(const CopyReport& report, TimePoint askedAt, TimePoint now);
+    bool isNewest(const CopyReport& report) const { return this->differs() && report.digest == this->otherDigest; }
+    void peersFailed() { this->differsSince.reset(); } // the store is asked for what a peer has read
     TimePoint readDueAt(const ReadOrder& order) const; // may lie in the past; the epoch: never read yet
     CopyReport report(TimePoint now) const;
     std::optional<TimePoint> provedAt() const { return this->equalAt; } // last time at which the copy was known to equal the store
@@ -66,10 +69,12 @@
 private:
     SharedCopySettings settings;
     uint64_t digest = 0;
-    std::optional<TimePoint> equalAt; // never goes back
-    std::optional<TimePoint> otherAt; // last time at which a peer's copy that is different was known to equal the store
-    std::optional<TimePoint> triedAt; // end of the last read
-    bool failing = false;             // the last read failed
+    std::optional<TimePoint> equalAt;      // never goes back
+    std::optional<TimePoint> otherAt;      // last time at which a peer's copy that is different was known to equal the store
+    uint64_t otherDigest = 0;              // of that copy
+    std::optional<TimePoint> differsSince; // when this node heard of it
+    std::optional<TimePoint> triedAt;      // end of the last read
+    bool failing = false;                  // the last read failed
 };
 
 } // namespace guavapond::edge
