--- a/cmake/Edge.cmake
+++ b/cmake/Edge.cmake
@@ -7,7 +7,7 @@
 pkg_check_modules(PROTOBUF_LITE REQUIRED IMPORTED_TARGET protobuf-lite)
 
 file(GLOB EDGE_SOURCES CONFIGURE_DEPENDS src/edge/*.cpp)
-add_library(guavapondBeacon STATIC generated/beacon.pb.cc)
+add_library(guavapondBeacon STATIC generated/beacon.pb.cc generated/placement.pb.cc)
 target_include_directories(guavapondBeacon SYSTEM PUBLIC generated)
 target_link_libraries(guavapondBeacon PUBLIC PkgConfig::PROTOBUF_LITE)
 add_library(guavapondLogging STATIC src/adapters/Logging.cpp)
--- a/src/edge/Admission.cpp
+++ b/src/edge/Admission.cpp
@@ -45,9 +45,9 @@
     return std::chrono::duration_cast<Duration>(objective * settings.longestWait);
 }
 
-bool isTooLate(const AdmissionSettings& settings, Duration predictedFirst, Duration alreadyWaited, Duration objective)
+Duration latestFirst(const AdmissionSettings& settings, Duration objective)
 {
-    return predictedFirst + alreadyWaited > std::chrono::duration_cast<Duration>(objective * settings.latestFirstEvent);
+    return std::chrono::duration_cast<Duration>(objective * settings.latestFirstEvent);
 }
 
 Duration retryAfter(const AdmissionSettings& settings, double occupancy, double random)
--- a/src/edge/Admission.h
+++ b/src/edge/Admission.h
@@ -55,7 +55,7 @@
 };
 
 Duration waitBound(const AdmissionSettings& settings, Duration objective);
-bool isTooLate(const AdmissionSettings& settings, Duration predictedFirst, Duration alreadyWaited, Duration objective);
+Duration latestFirst(const AdmissionSettings& settings, Duration objective); // after the request's arrival, for a first event
 // `random` is uniform in [0, 1). `occupancy` is the part of the service's slots that is taken.
 Duration retryAfter(const AdmissionSettings& settings, double occupancy, double random);
 
--- a/src/edge/Beliefs.cpp
+++ b/src/edge/Beliefs.cpp
@@ -50,7 +50,10 @@
                         : view.paused ? "paused"
                                       : "usable" } });
         }
-        list.push_back({ { "name", name }, { "waiting", service->queue.size() }, { "occupancy", service->targets.occupancy(now) },
+        json homes = json::array();
+        for (const Placement::HomeView& view : relay.placement.view(service->hash, now))
+            homes.push_back({ { "group", view.group }, { "home", view.home }, { "waiting", view.waiting }, { "granted", view.granted } });
+        list.push_back({ { "name", name }, { "occupancy", relay.placement.occupancy(service->hash, now) }, { "homes", homes },
             { "targets", targets } });
     }
     return list;
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -27,6 +27,7 @@
 {
     PeerLinkSettings result;
     result.node = settings.node;
+    result.failureDomain = settings.placement.failureDomain;
     result.address = settings.peers;
     return result;
 }
@@ -113,6 +114,14 @@
         "guavapond_edge_peers_heard", "Other nodes that are heard", static_cast<double>(this->peerLink.table().heardCount(now)));
     gauges.setGauge("guavapond_edge_catalog_version", "Version of the configuration in force",
         this->requests.catalog() ? static_cast<double>(this->requests.catalog()->version) : 0);
+    const Placement::Counts& places = this->requests.placement.counts();
+    gauges.setGauge("guavapond_edge_places_asked", "Places asked for since the start", static_cast<double>(places.asked));
+    gauges.setGauge("guavapond_edge_places_granted", "Places granted since the start", static_cast<double>(places.granted));
+    gauges.setGauge("guavapond_edge_places_refused", "Places refused since the start", static_cast<double>(places.full));
+    gauges.setGauge(
+        "guavapond_edge_places_elsewhere", "Asks sent on to another group since the start", static_cast<double>(places.elsewhere));
+    gauges.setGauge("guavapond_edge_places_alone", "Requests placed without a home since the start", static_cast<double>(places.alone));
+    gauges.setGauge("guavapond_edge_homes_silent", "Homes that did not answer in time since the start", static_cast<double>(places.silent));
     const auto age = this->requests.freshness.age(now);
     gauges.setGauge(
         "guavapond_edge_proof_age_seconds", "Age of the proof that the configuration is current; -1: none", age ? toSeconds(*age) : -1);
@@ -128,6 +137,8 @@
     this->stoppingSince = bootTime();
     this->drained = std::move(whenDrained);
     this->callers.stopKeepingConnections();
+    this->peerLink.setStopping();
+    this->peerLink.announce();
     log(LogLevel::Info, "stopping",
         { { "inFlight", this->requests.inFlight() }, { "connections", this->callers.connections() },
             { "graceMs", toMilliseconds(this->settings.stopGrace) } });
--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -14,6 +14,7 @@
 constexpr size_t pauseAboveUnsent = 256 * 1024; // bytes that a caller has not taken yet
 constexpr uint64_t fewestGapEvents = 4;         // a mean over fewer gaps says little
 constexpr double eventsLearnWeight = 0.05;
+constexpr uint32_t mostRefusedPlaces = 3; // of a request, at targets that this node does not use
 
 constexpr double longestRetryAfterSeconds = 1e6; // keeps the conversion to a duration in range
 
@@ -52,19 +53,30 @@
             self->onDue();
     });
     this->relay.secondTries.onRequest(this->plan.service, this->request.arrivedAt);
-    if (!this->place())
-        this->wait(bootTime());
-}
-
-Demand Exchange::demand() const
-{
-    Demand demand = this->plan.demand;
-    demand.parts = this->plan.parts;
-    this->ruleVersion(demand);
-    return demand;
+    this->place();
+}
+
+PlaceAsk Exchange::placeAsk(TimePoint now) const
+{
+    PlaceAsk ask;
+    ask.service = this->service.hash;
+    ask.rank = this->plan.rank;
+    ask.promptTokens = this->plan.demand.promptTokens;
+    ask.outputEvents = this->plan.demand.outputEvents;
+    ask.urgent = this->plan.demand.urgent;
+    ask.repeatable = this->plan.demand.repeatable;
+    ask.parts = this->plan.parts;
+    for (const TargetPool::Index index : this->tried)
+        ask.leftOut.push_back(this->service.targets.hashOf(index));
+    ask.mayWait = waitBound(this->relay.settings.admission, this->plan.route->objective);
+    // A request that was sent before is better answered late than not at all.
+    if (this->life.sends() == 0)
+        ask.firstWithin = latestFirst(this->relay.settings.admission, this->plan.route->objective) - (now - this->life.arrival());
+    this->ruleVersion(ask);
+    return ask;
 }
 
-void Exchange::ruleVersion(Demand& demand) const
+void Exchange::ruleVersion(PlaceAsk& ask) const
 {
     const auto found = this->relay.movesByService.find(this->plan.service);
     if (found == this->relay.movesByService.end())
@@ -74,11 +86,12 @@
     const bool isKnown = this->service.targets.hasVersion(version);
     if (move.state() == MoveState::Switching || move.state() == MoveState::Completed) {
         if (isKnown) // else there is nobody but the old version to ask
-            demand.onlyVersion = version;
-    } else if (move.state() == MoveState::Trying && this->plan.triesNewVersion && isKnown)
-        demand.onlyVersion = version;
-    else
-        demand.notVersion = version;
+            ask.onlyVersion = version;
+    } else if (move.state() == MoveState::Trying && this->plan.triesNewVersion && isKnown) {
+        ask.onlyVersion = version;
+        ask.mayWait = Duration::zero(); // the old version answers where the new one has no room
+    } else
+        ask.notVersion = version;
 }
 
 void Exchange::countForMove(const Run& ended, TargetOutcome outcome, TimePoint now)
@@ -92,54 +105,49 @@
     move.count(isNew, this->plan.route->name, outcome != TargetOutcome::Answered, time);
 }
 
-bool Exchange::place()
+void Exchange::place()
 {
     const TimePoint now = bootTime();
-    if (!this->maySend(now)) {
-        this->follow(this->life.onNoTarget(), "no young proof of the configuration");
-        return true;
-    }
-    const Demand demand = this->demand();
-    auto choice = this->targets().choose(demand, this->tried, now);
-    if (!choice && this->plan.triesNewVersion) {
-        this->plan.triesNewVersion = false; // the old version answers where the new one has no room
-        choice = this->targets().choose(this->demand(), this->tried, now);
-    }
-    if (!choice)
-        return false;
-    const Duration waited = now - this->life.arrival();
-    // A request that was sent before is better answered late than not at all.
-    if (this->life.sends() == 0 && isTooLate(this->relay.settings.admission, choice->firstEvent, waited, this->plan.route->objective)) {
-        this->predictedFirst = choice->firstEvent;
-        return false;
-    }
-    this->send(*choice, now);
-    return true;
-}
-
-void Exchange::wait(TimePoint now)
-{
-    if (!this->targets().hasUsable(now) && this->targets().usableCount() == 0)
+    if (!this->maySend(now))
+        return this->follow(this->life.onNoTarget(), "no young proof of the configuration");
+    if (this->targets().usableCount() == 0)
         return this->follow(this->life.onNoTarget(), "no usable target");
-    const Duration bound = waitBound(this->relay.settings.admission, this->plan.route->objective);
     this->waitingSince = now;
-    this->waitKey = this->service.queue.add(this->plan.rank, now + bound);
-    this->service.waiting[*this->waitKey] = this->shared_from_this();
+    this->isAsking = true;
+    const uint64_t id = this->relay.placement.ask(
+        this->placeAsk(now), [self = this->shared_from_this()](const PlaceAnswer& answer) { self->onPlaced(answer); }, now);
+    if (this->isAsking)
+        this->askId = id;
 }
 
-void Exchange::leaveQueue(TimePoint now)
+void Exchange::stopAsking()
 {
-    if (!this->waitKey)
-        return;
-    this->service.queue.remove(*this->waitKey);
-    this->service.waiting.erase(*this->waitKey);
-    this->waitKey.reset();
-    this->relay.metrics.waited(now - *this->waitingSince);
+    if (this->askId)
+        this->relay.placement.withdraw(*this->askId);
+    this->askId.reset();
+    this->isAsking = false;
 }
 
-void Exchange::giveUpWaiting()
+void Exchange::onPlaced(const PlaceAnswer& answer)
 {
-    this->leaveQueue(bootTime());
+    this->isAsking = false;
+    this->askId.reset();
+    if (this->finishedFlag)
+        return;
+    const TimePoint now = bootTime();
+    this->relay.metrics.waited(now - *this->waitingSince);
+    if (answer.verdict == PlaceVerdict::Granted) {
+        const auto target = this->targets().find(answer.target);
+        if (target && this->targets().takesWork(*target, now))
+            return this->send({ *target, answer.firstEvent, answer.backlogTokens }, now);
+        // This node knows something of the target that its home does not.
+        if (target)
+            this->tried.push_back(*target);
+        if (++this->refusedPlaces < mostRefusedPlaces)
+            return this->place();
+    }
+    if (std::exchange(this->plan.triesNewVersion, false))
+        return this->place();
     this->follow(this->life.onNoTarget(), "no room at any target");
 }
 
@@ -177,7 +185,6 @@
 
 void Exchange::send(const TargetPool::Choice& choice, TimePoint now)
 {
-    this->leaveQueue(now);
     const TargetInfo& target = this->targets().info(choice.target);
     this->predictedFirst = choice.firstEvent;
     this->lastTarget = target.id;
@@ -309,10 +316,15 @@
         this->run->firstEventAt = now;
         this->targets().firstEvent(this->run->target, this->run->prefillPending, this->run->backlogTokens, now - this->run->sentAt, now);
         this->targets().remember(this->run->target, this->plan.parts, now);
+        RunSample sample;
+        sample.backlogTokens = this->run->backlogTokens;
+        sample.firstAfter = now - this->run->sentAt;
+        sample.parts = this->plan.parts;
+        this->tell(*this->run, std::move(sample));
         this->run->prefillPending = 0;
         if (!this->firstEventAfter)
             this->firstEventAfter = now - this->life.arrival();
-        this->relay.pump(this->service);
+        this->relay.placement.changed(this->service.hash, now);
     }
     this->run->lastEventAt = now;
     this->beginAnswer();
@@ -360,7 +372,11 @@
         }
         const uint64_t events = this->scanner.events() - finished.eventsBefore;
         if (events >= fewestGapEvents) {
-            this->targets().eventGap(finished.target, (finished.lastEventAt - *finished.firstEventAt) / (events - 1), now);
+            const Duration gap = (finished.lastEventAt - *finished.firstEventAt) / (events - 1);
+            this->targets().eventGap(finished.target, gap, now);
+            RunSample sample;
+            sample.eventGap = gap;
+            this->tell(finished, std::move(sample));
             double& mean = this->relay.eventsOfRoute[this->plan.route->name];
             mean += eventsLearnWeight * (static_cast<double>(events) - mean);
         }
@@ -425,15 +441,26 @@
     this->countForMove(finished, outcome, now);
     this->plan.triesNewVersion = false; // a second try goes to the old version
     this->targets().ended(finished.target, finished.prefillPending, outcome, now - finished.sentAt, now);
+    RunSample sample;
+    sample.outcome = outcome;
+    sample.serviceTime = now - finished.sentAt;
+    this->tell(finished, std::move(sample));
     if (finished.connection->isReusable())
         this->relay.connections.give(finished.connection, now);
     else
         finished.connection->close();
     // Requests that wait are served from the loop, not from within the end of another one.
-    net::post(this->relay.loop, [self = this->shared_from_this()] { self->relay.pump(self->service); });
+    net::post(this->relay.loop, [self = this->shared_from_this()] { self->relay.placement.changed(self->service.hash, bootTime()); });
     this->tried.push_back(finished.target);
 }
 
+void Exchange::tell(const Run& finished, RunSample sample)
+{
+    sample.service = this->service.hash;
+    sample.target = this->targets().hashOf(finished.target);
+    this->relay.placement.learned(sample, bootTime());
+}
+
 void Exchange::stopRun(TargetOutcome outcome)
 {
     if (!this->run)
@@ -461,13 +488,12 @@
 {
     switch (step) {
     case NextStep::SendElsewhere:
-        if (!this->place())
-            this->wait(bootTime());
-        return;
+        return this->place();
     case NextStep::PassFailureOn:
         return this->passFailureOn();
     case NextStep::AnswerNotRun:
-        return this->answerOwn(unavailable, RequestResult::Refused, reason, this->relay.comeBack(this->targets().occupancy(bootTime())));
+        return this->answerOwn(unavailable, RequestResult::Refused, reason,
+            this->relay.comeBack(this->relay.placement.occupancy(this->service.hash, bootTime())));
     case NextStep::AnswerUnknown:
         return this->answerOwn(badGateway, RequestResult::Unknown, reason, std::nullopt);
     case NextStep::CutOff:
@@ -508,6 +534,7 @@
 {
     this->finishedFlag = true;
     this->timer.cancel();
+    this->stopAsking();
     this->caller->onGone({});
     this->caller->onDrained({});
     if (this->run)
@@ -548,7 +575,7 @@
     const TimePoint now = bootTime();
     this->finishedFlag = true;
     this->timer.cancel();
-    this->leaveQueue(now);
+    this->stopAsking();
     const bool ran = this->life.mayHaveRun() || this->life.state() == LifeState::Answering || result == RequestResult::Answered
         || result == RequestResult::FailureRelayed || (result == RequestResult::CallerGone && this->life.sends() > 0)
         || this->life.state() == LifeState::Sent;
@@ -568,7 +595,7 @@
             { "ms", toMilliseconds(total) }, { "firstEventMs", this->firstEventAfter ? toMilliseconds(*this->firstEventAfter) : -1 },
             { "predictedFirstMs", this->predictedFirst ? toMilliseconds(*this->predictedFirst) : -1 },
             { "waitedMs", this->waitingSince ? toMilliseconds(now - *this->waitingSince) : 0 },
-            { "occupancy", this->targets().occupancy(now) }, { "catalogVersion", this->plan.catalog->version },
+            { "occupancy", this->relay.placement.occupancy(this->service.hash, now) }, { "catalogVersion", this->plan.catalog->version },
             { "proofAgeMs", proofAge ? toMilliseconds(*proofAge) : -1 } });
     this->relay.finished(this->shared_from_this());
 }
--- a/src/edge/Exchange.h
+++ b/src/edge/Exchange.h
@@ -4,7 +4,7 @@
 // Index
 //   ExchangePlan    what was decided on admission
 //   Run             one send to a target
-//   Exchange        begin, place, leaveStalledTarget
+//   Exchange        begin, leaveStalledTarget
 #pragma once
 
 #include "edge/EventScanner.h"
@@ -57,19 +57,19 @@
     Exchange(Relay& relay, CallerPointer caller, CallerRequest request, ExchangePlan plan);
 
     void begin();
-    bool place(); // true: sent or ended; false: has to wait
-    void giveUpWaiting();
     void abandon();                      // the relay ends: releases the connections, answers nobody
     bool isStalled(TimePoint now) const; // it runs at a target that went silent, and may go elsewhere
     void leaveStalledTarget();
 
 private:
     TargetPool& targets() { return this->service.targets; }
-    Demand demand() const;
-    void ruleVersion(Demand& demand) const;
+    void place(); // asks for a place at a target
+    void onPlaced(const PlaceAnswer& answer);
+    PlaceAsk placeAsk(TimePoint now) const;
+    void ruleVersion(PlaceAsk& ask) const;
+    void tell(const Run& run, RunSample sample); // to the home of the target
     void countForMove(const Run& ended, TargetOutcome outcome, TimePoint now);
-    void wait(TimePoint now);
-    void leaveQueue(TimePoint now);
+    void stopAsking();
     void send(const TargetPool::Choice& choice, TimePoint now);
     std::string requestHead(const TargetInfo& target, TimePoint now) const;
     bool maySend(TimePoint now) const;
@@ -101,13 +101,15 @@
     CallerPointer caller;
     CallerRequest request;
     ExchangePlan plan;
-    ServiceQueue& service;
+    ServiceTargets& service;
     RequestLife life;
     net::steady_timer timer;
     EventScanner scanner;
     std::optional<Run> run;
     std::vector<TargetPool::Index> tried;
-    std::optional<WaitKey> waitKey;
+    bool isAsking = false;         // for a place
+    std::optional<uint64_t> askId; // while the answer is not there
+    uint32_t refusedPlaces = 0;    // granted at targets that this node does not use
     std::optional<TimePoint> waitingSince;
     std::optional<Duration> predictedFirst;
     std::optional<Duration> firstEventAfter;
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -2,6 +2,7 @@
 #include "edge/PeerLink.h"
 
 #include "adapters/Logging.h"
+#include "edge/PlacementWire.h"
 #include "edge/RequestFields.h"
 
 #include <beacon.pb.h>
@@ -25,11 +26,7 @@
 
 int64_t ageField(const CopyReport& report) { return report.age ? report.age->count() : -1; }
 
-bool hasEqualColumns(const wire::Beacon& message)
-{
-    return message.load_targets_size() == message.load_running_size() && message.load_targets_size() == message.load_prefill_tokens_size()
-        && message.used_workspaces_size() == message.used_tokens_size();
-}
+bool hasEqualColumns(const wire::Beacon& message) { return message.used_workspaces_size() == message.used_tokens_size(); }
 
 // Empty: not a list of items.
 std::optional<StoreItems> readItems(const std::string& text)
@@ -65,6 +62,9 @@
           [] { return CallerLimits {}; })
     , connections(loop, {})
 {
+    this->relay.placement.setSelf({ settings.node, settings.failureDomain }, incarnation);
+    this->relay.onPlacementMessage(
+        [this](const std::string& node, const PlacementMessage& message) { this->sendPlacement(node, message); });
 }
 
 void PeerLink::start()
@@ -97,12 +97,18 @@
     if (!message.ParseFromArray(this->buffer.data(), static_cast<int>(bytes)) || !hasEqualColumns(message))
         return log(LogLevel::Warn, "beacon can't be read", { { "from", this->sender.address().to_string() }, { "bytes", bytes } });
     const TimePoint now = bootTime();
+    if (!message.placement().empty())
+        return this->onPlacement(message.placement(), now);
     Beacon beacon;
+    beacon.failureDomain = message.failure_domain();
+    beacon.stopping = message.stopping();
     beacon.node = message.node();
     beacon.incarnation = message.incarnation();
     beacon.sequence = message.sequence();
     beacon.sentAt = fromMicroseconds(message.sent_at_us());
-    beacon.echo = fromMicroseconds(message.echo_sent_at_us());
+    // A time that an earlier process of this node sent is by a clock that may have started anew with the machine.
+    if (message.echo_incarnation() == this->incarnation)
+        beacon.echo = fromMicroseconds(message.echo_sent_at_us());
     beacon.copies.operators = copyReport(message.operators_digest(), message.operators_age_us());
     beacon.copies.targets = copyReport(message.targets_digest(), message.targets_age_us());
     beacon.port = static_cast<uint16_t>(message.tcp_port());
@@ -115,11 +121,8 @@
         log(LogLevel::Info, "peer regained", { { "peer", beacon.node }, { "nodes", this->peers.nodeCount() } });
     for (const auto& [workspace, tokens] : news.uses)
         this->relay.quota.peerUsed(workspace, tokens, now);
-    std::vector<TargetLoadReport> loads;
-    loads.reserve(static_cast<size_t>(message.load_targets_size()));
-    for (int i = 0; i < message.load_targets_size(); ++i)
-        loads.push_back({ message.load_targets(i), message.load_running(i), message.load_prefill_tokens(i) });
-    this->relay.peerLoads(nameHash(beacon.node), loads);
+    for (const uint64_t target : message.leaving_targets())
+        this->relay.targetLeaves(target);
     for (const auto& move : message.moves()) {
         VersionMove::Report report { move.order_revision(), move.arrivals(), {}, move.old_in_flight(), move.called_bad(), move.switched(),
             move.order_age_us() > 0 ? std::optional<Duration>(move.order_age_us()) : std::nullopt };
@@ -212,12 +215,42 @@
     this->peers.setBeaconInterval(std::max(this->interval(), this->settings.idleInterval));
     for (const std::string& node : this->peers.takeSilent(now)) {
         log(LogLevel::Warn, "peer lost", { { "peer", node }, { "heard", this->peers.heardCount(now) } });
-        this->relay.peerLoads(nameHash(node), {});
     }
     this->relay.quota.setReachable(this->peers.reachableShare(now));
     this->relay.secondTries.setNodes(this->peers.nodeCount());
     if (now - this->sentAt >= this->interval())
         this->sendBeacons(now);
+    if (now - this->nodesSetAt >= this->settings.nodesInterval) {
+        this->nodesSetAt = now;
+        this->relay.placement.setNodes(this->peers.working(now));
+    }
+}
+
+void PeerLink::onPlacement(std::string_view bytes, TimePoint now)
+{
+    const auto message = decodePlacement(bytes);
+    if (!message)
+        return log(LogLevel::Warn, "placement message can't be read",
+            { { "from", this->sender.address().to_string() }, { "bytes", bytes.size() } });
+    this->relay.placement.received(*message, now);
+}
+
+void PeerLink::sendPlacement(const std::string& node, const PlacementMessage& content)
+{
+    const auto member = this->peers.member(node);
+    if (!member)
+        return;
+    wire::Beacon envelope;
+    envelope.set_placement(encodePlacement(content));
+    this->sendTo(*member, envelope.SerializeAsString());
+}
+
+void PeerLink::sendTo(const Member& member, const std::string& datagram)
+{
+    boost::system::error_code error;
+    const auto ip = net::ip::make_address(member.ip, error);
+    if (!error) // a send that the kernel refuses is a lost datagram, and datagrams may be lost
+        this->socket.send_to(net::buffer(datagram), { ip, member.port }, 0, error);
 }
 
 void PeerLink::addMoves(wire::Beacon& message, TimePoint now)
@@ -246,23 +279,22 @@
 void PeerLink::sendBeacons(TimePoint now)
 {
     wire::Beacon message;
-    for (const TargetLoadReport& load : this->relay.ownLoads()) {
-        message.add_load_targets(load.targetHash);
-        message.add_load_running(load.running);
-        message.add_load_prefill_tokens(load.prefillTokens);
-    }
+    for (const uint64_t target : this->relay.leavingTargets())
+        message.add_leaving_targets(target);
     for (const WorkspaceQuota::Use& use : this->relay.quota.uses()) {
         message.add_used_workspaces(use.workspaceHash);
         message.add_used_tokens(use.tokens);
     }
     this->addMoves(message, now);
-    std::string loads = message.SerializeAsString();
-    if (loads == this->lastLoads && !this->announcing && now - this->sentAt < this->settings.idleInterval)
+    std::string news = message.SerializeAsString();
+    if (news == this->lastNews && !this->announcing && now - this->sentAt < this->settings.idleInterval)
         return;
     this->announcing = false;
-    this->lastLoads = std::move(loads);
+    this->lastNews = std::move(news);
     this->sentAt = now;
     message.set_node(this->settings.node);
+    message.set_failure_domain(this->settings.failureDomain);
+    message.set_stopping(this->stopping);
     message.set_incarnation(this->incarnation);
     message.set_sequence(++this->sequence);
     message.set_sent_at_us(microseconds(now));
@@ -276,12 +308,10 @@
     const std::string common = message.SerializeAsString();
     for (const Member& member : this->peers.members()) {
         wire::Beacon own;
-        own.set_echo_sent_at_us(microseconds(this->peers.echoFor(member.node)));
-        const std::string datagram = common + own.SerializeAsString();
-        boost::system::error_code error;
-        const auto ip = net::ip::make_address(member.ip, error);
-        if (!error) // a send that the kernel refuses is a lost datagram, and beacons may be lost
-            this->socket.send_to(net::buffer(datagram), { ip, member.port }, 0, error);
+        const PeerTable::Echo echo = this->peers.echoFor(member.node);
+        own.set_echo_sent_at_us(microseconds(echo.sentAt));
+        own.set_echo_incarnation(echo.incarnation);
+        this->sendTo(member, common + own.SerializeAsString());
     }
 }
 
--- a/src/edge/PeerLink.h
+++ b/src/edge/PeerLink.h
@@ -36,14 +36,16 @@
 
 struct PeerLinkSettings {
     std::string node;
+    std::string failureDomain;
     Address address;                                          // of beacons and store items
-    Duration busyInterval = std::chrono::milliseconds(20);    // between beacons while loads change
+    Duration busyInterval = std::chrono::milliseconds(20);    // between beacons while there is news
     Duration idleInterval = std::chrono::milliseconds(150);   // between beacons otherwise
     size_t nodesAtBusyInterval = 6;                           // with more nodes the interval grows in proportion
     Duration behindInterval = std::chrono::milliseconds(800); // the same while this node is behind, whatever peers announce
     Duration itemsInterval = std::chrono::milliseconds(300);  // the same while the peer's copy differs
     Duration newsInterval = std::chrono::milliseconds(80);    // the same while the peer's copy is newer
-    size_t mostItemBytes = 24 * 1024; // passed on to a node that reaches the store; more would fill a small VM's link
+    size_t mostItemBytes = 24 * 1024;                       // passed on to a node that reaches the store; more would fill a small VM's link
+    Duration nodesInterval = std::chrono::milliseconds(50); // between looks at which nodes can be homes
     PeerSettings peers;
 };
 
@@ -63,14 +65,18 @@
 
     void start(); // throws boost::system::system_error if the address can't be used
     void setMembers(std::span<const Member> members);
-    void tick();                                 // sends a beacon when one is due, and notices silent peers
-    void announce() { this->announcing = true; } // the next beacon goes out also if loads have not changed
+    void tick();                                  // sends a beacon when one is due, and notices silent peers
+    void setStopping() { this->stopping = true; } // peers choose other homes
+    void announce() { this->announcing = true; }  // the next beacon goes out also if it says nothing new
     ReadOrder readOrder(TimePoint now) const;
     const PeerTable& table() const { return this->peers; }
 
 private:
     void receive();
     void onDatagram(size_t bytes);
+    void onPlacement(std::string_view bytes, TimePoint now);
+    void sendPlacement(const std::string& node, const PlacementMessage& content);
+    void sendTo(const Member& member, const std::string& datagram);
     void sendBeacons(TimePoint now);
     void addMoves(wire::Beacon& message, TimePoint now);
     void fetchItems(const Member& member, bool isNewer);
@@ -92,8 +98,10 @@
     uint64_t sequence = 0;
     TimePoint sentAt {};
     TimePoint itemsAskedAt {};
-    std::string lastLoads; // serialized, to see a change
+    std::string lastNews; // serialized, to see a change
     bool announcing = false;
+    bool stopping = false;
+    TimePoint nodesSetAt {};
 };
 
 } // namespace guavapond::edge
--- a/src/edge/PeerTable.cpp
+++ b/src/edge/PeerTable.cpp
@@ -59,6 +59,8 @@
     peer.heardAt = now;
     peer.lastSentAt = beacon.sentAt;
     peer.member = { beacon.node, ip, beacon.port };
+    peer.failureDomain = beacon.failureDomain;
+    peer.stopping = beacon.stopping;
     return news;
 }
 
@@ -82,10 +84,26 @@
     return result;
 }
 
-TimePoint PeerTable::echoFor(const std::string& node) const
+std::optional<Member> PeerTable::member(const std::string& node) const
 {
     const auto found = this->peers.find(node);
-    return found == this->peers.end() ? TimePoint {} : found->second.lastSentAt;
+    return found == this->peers.end() ? std::nullopt : std::optional<Member>(found->second.member);
+}
+
+std::vector<Placement::Node> PeerTable::working(TimePoint now) const
+{
+    std::vector<Placement::Node> result;
+    for (const auto& [node, peer] : this->peers) {
+        if (this->isHeard(peer, now) && !peer.stopping)
+            result.push_back({ node, peer.failureDomain });
+    }
+    return result;
+}
+
+PeerTable::Echo PeerTable::echoFor(const std::string& node) const
+{
+    const auto found = this->peers.find(node);
+    return found == this->peers.end() ? Echo {} : Echo { found->second.lastSentAt, found->second.incarnation };
 }
 
 std::optional<Duration> PeerTable::silence(const std::string& node, TimePoint now) const
--- a/src/edge/PeerTable.h
+++ b/src/edge/PeerTable.h
@@ -6,6 +6,7 @@
 //   PeerTable   setMembers, heard, reachableShare
 #pragma once
 
+#include "edge/Placement.h"
 #include "edge/SharedCopy.h"
 #include "edge/WorkspaceQuota.h"
 
@@ -27,9 +28,11 @@
     uint64_t incarnation = 0;
     uint64_t sequence = 0;
     TimePoint sentAt {}; // by the sender's clock
-    TimePoint echo {};   // by the receiver's clock; the epoch: none
+    TimePoint echo {};   // by the receiver's clock; the epoch: none of this process of the receiver
     CopyReports copies;  // the sender's
     uint16_t port = 0;
+    std::string failureDomain;
+    bool stopping = false; // it takes over nothing any more
     std::vector<WorkspaceQuota::Use> uses;
 };
 
@@ -53,9 +56,15 @@
     News heard(const Beacon& beacon, const std::string& ip, TimePoint now);
     std::vector<std::string> takeSilent(TimePoint now); // nodes that fell silent since the last call
 
-    std::vector<Member> members() const;              // without this node
-    TimePoint echoFor(const std::string& node) const; // sentAt of its last beacon; the epoch: none
-    double reachableShare(TimePoint now) const;       // this node and those that are heard, over all members
+    std::vector<Member> members() const; // without this node
+    std::optional<Member> member(const std::string& node) const;
+    std::vector<Placement::Node> working(TimePoint now) const; // that are heard and don't stop, without this node
+    struct Echo {                                              // of a node's last beacon
+        TimePoint sentAt {};                                   // by its clock; the epoch: none came
+        uint64_t incarnation = 0;
+    };
+    Echo echoFor(const std::string& node) const;
+    double reachableShare(TimePoint now) const; // this node and those that are heard, over all members
     size_t nodeCount() const { return this->peers.size() + 1; }
     size_t heardCount(TimePoint now) const;
     std::optional<Duration> silence(const std::string& node, TimePoint now) const; // since its last beacon; empty: none came yet
@@ -70,6 +79,8 @@
         TimePoint lastSentAt {}; // by its clock
         TimePoint listedAt {};   // last time in the store's list
         bool silent = true;
+        std::string failureDomain;
+        bool stopping = false;
         std::map<uint64_t, uint64_t> uses;
     };
     bool isHeard(const Peer& peer, TimePoint now) const { return !peer.silent && now - peer.heardAt <= this->silentAfter; }
--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr size_t mostPumped = 64;                                 // waiting requests looked at in one round
 constexpr Duration housekeeping = std::chrono::milliseconds(100); // between checks for silent targets, old connections and full services
 constexpr double eventsBeforeLearning = 30;                       // of an answer
 constexpr double occupancyOfFull = 0.9;                           // from here on the ranks in the queue decide who is served
@@ -26,6 +25,7 @@
     : freshness(initial.keyProofBound)
     , quota(bootTime())
     , secondTries(initial.secondTries, bootTime())
+    , placement(this->placementHooks())
     , loop(loop)
     , metrics(metrics)
     , random(std::move(random))
@@ -65,13 +65,14 @@
         this->service(service.name).targets.setEngine(service.engine.has_value());
 }
 
-ServiceQueue& Relay::service(const std::string& name)
+ServiceTargets& Relay::service(const std::string& name)
 {
     auto& entry = this->byService[name];
     if (!entry) {
         const Service* service = this->current ? this->current->findService(name) : nullptr;
         const bool isEngine = service && service->engine;
-        entry = std::make_unique<ServiceQueue>(TargetPool(this->settings.placement, isEngine, this->random));
+        entry = std::make_unique<ServiceTargets>(TargetPool(this->settings.placement, isEngine, this->random), nameHash(name));
+        this->byServiceHash[entry->hash] = entry.get();
     }
     return *entry;
 }
@@ -82,9 +83,9 @@
     if (known != this->serviceOfTarget.end() && known->second != info.service)
         this->service(known->second).targets.leave(info.id);
     this->serviceOfTarget[info.id] = info.service;
-    ServiceQueue& service = this->service(info.service);
+    ServiceTargets& service = this->service(info.service);
     service.targets.upsert(info, bootTime());
-    this->pump(service);
+    this->placement.changed(service.hash, bootTime());
 }
 
 void Relay::removeTarget(const std::string& id)
@@ -104,12 +105,33 @@
         this->byService.begin(), this->byService.end(), [](const auto& item) { return item.second->targets.usableCount() > 0; });
 }
 
-size_t Relay::waiting() const
+Placement::Hooks Relay::placementHooks()
 {
-    size_t count = 0;
-    for (const auto& item : this->byService)
-        count += item.second->queue.size();
-    return count;
+    Placement::Hooks hooks;
+    hooks.pool = [this](uint64_t service) {
+        const auto found = this->byServiceHash.find(service);
+        return found == this->byServiceHash.end() ? nullptr : &found->second->targets;
+    };
+    hooks.services = [this] {
+        std::vector<uint64_t> result;
+        for (const auto& item : this->byServiceHash)
+            result.push_back(item.first);
+        return result;
+    };
+    hooks.send = [this](const std::string& node, const PlacementMessage& message) {
+        if (this->sendPlacement)
+            this->sendPlacement(node, message);
+    };
+    hooks.flushSoon = [this] {
+        if (std::exchange(this->isFlushing, true))
+            return;
+        net::post(this->loop, [this] {
+            this->isFlushing = false;
+            this->placement.flush(bootTime());
+        });
+    };
+    hooks.random = [this] { return this->random(); };
+    return hooks;
 }
 
 const std::string& Relay::chooseService(const Route& route)
@@ -251,46 +273,16 @@
     return std::nullopt;
 }
 
-void Relay::pump(ServiceQueue& service)
-{
-    if (service.isPumping || service.queue.empty())
-        return;
-    service.isPumping = true;
-    for (const WaitKey& key : service.queue.first(mostPumped)) {
-        const auto found = service.waiting.find(key);
-        if (found == service.waiting.end())
-            continue;
-        const std::shared_ptr<Exchange> exchange = found->second;
-        exchange->place();
-    }
-    service.isPumping = false;
-}
-
-void Relay::expireWaiting(ServiceQueue& service, TimePoint now)
-{
-    for (const WaitKey& key : service.queue.expired(now)) {
-        const auto found = service.waiting.find(key);
-        const std::shared_ptr<Exchange> exchange = found == service.waiting.end() ? nullptr : found->second;
-        if (exchange)
-            exchange->giveUpWaiting();
-        else
-            service.queue.remove(key);
-    }
-}
-
 void Relay::tick()
 {
     const TimePoint now = bootTime();
-    for (auto& [name, service] : this->byService) {
-        this->pump(*service);
-        this->expireWaiting(*service, now);
-    }
+    this->placement.tick(now);
     if (now - this->lastHousekeeping < housekeeping)
         return;
     this->lastHousekeeping = now;
     this->connections.expire(now);
     this->keepsTokens = std::all_of(this->byService.begin(), this->byService.end(),
-        [&](const auto& item) { return item.second->targets.occupancy(now) < occupancyOfFull; });
+        [&](const auto& item) { return this->placement.occupancy(item.second->hash, now) < occupancyOfFull; });
     std::vector<std::shared_ptr<Exchange>> stalled; // leaving a target may end an exchange
     std::copy_if(this->exchanges.begin(), this->exchanges.end(), std::back_inserter(stalled),
         [&](const auto& exchange) { return exchange->isStalled(now); });
@@ -324,19 +316,18 @@
     return found == this->byService.end() ? 0 : found->second->targets.inFlightOutside(version);
 }
 
-void Relay::peerLoads(uint64_t peer, std::span<const TargetLoadReport> loads)
+void Relay::targetLeaves(uint64_t targetHash)
 {
-    const TimePoint now = bootTime();
     for (auto& [name, service] : this->byService)
-        service->targets.peerLoads(peer, loads, now);
+        service->targets.sayLeaving(targetHash);
 }
 
-std::vector<TargetLoadReport> Relay::ownLoads() const
+std::vector<uint64_t> Relay::leavingTargets() const
 {
-    std::vector<TargetLoadReport> result;
+    std::vector<uint64_t> result;
     for (const auto& [name, service] : this->byService) {
-        const auto loads = service->targets.ownLoads();
-        result.insert(result.end(), loads.begin(), loads.end());
+        const auto leaving = service->targets.leavingHashes();
+        result.insert(result.end(), leaving.begin(), leaving.end());
     }
     return result;
 }
--- a/src/edge/Relay.h
+++ b/src/edge/Relay.h
@@ -11,6 +11,7 @@
 #include "edge/EdgeMetrics.h"
 #include "edge/Freshness.h"
 #include "edge/HttpListener.h"
+#include "edge/Placement.h"
 #include "edge/SecondTryBudget.h"
 #include "edge/VersionMove.h"
 #include "edge/WorkspaceQuota.h"
@@ -53,16 +54,15 @@
 class Exchange;
 struct ExchangePlan;
 
-// A service's targets with the requests that wait for them.
-struct ServiceQueue {
-    explicit ServiceQueue(TargetPool pool)
+// The targets of a service.
+struct ServiceTargets {
+    explicit ServiceTargets(TargetPool pool, uint64_t hash)
         : targets(std::move(pool))
+        , hash(hash)
     {
     }
     TargetPool targets;
-    WaitQueue queue;
-    std::map<WaitKey, std::shared_ptr<Exchange>> waiting;
-    bool isPumping = false;
+    uint64_t hash; // of the service's name
 };
 
 class Relay {
@@ -87,8 +87,8 @@
     void peerMove(uint64_t peer, uint64_t serviceHash, const VersionMove::Report& report);
     uint64_t inFlightOutside(const std::string& service, std::string_view version) const;
 
-    void peerLoads(uint64_t peer, std::span<const TargetLoadReport> loads);
-    std::vector<TargetLoadReport> ownLoads() const;
+    void targetLeaves(uint64_t targetHash); // as a peer heard from the target itself
+    std::vector<uint64_t> leavingTargets() const;
     void tick(); // every few milliseconds: waiting requests, silent targets, idle connections
 
     // From now on a request is taken only if its answer is due before `end`, when the process ends.
@@ -98,19 +98,24 @@
     CallerLimits callerLimits() const;
     const CatalogPointer& catalog() const { return this->current; }
     size_t inFlight() const { return this->exchanges.size(); }
-    size_t waiting() const;
+    size_t waiting() const { return this->placement.waiting(); }
+    // How messages to other homes leave this node; without it, this node is the only one.
+    void onPlacementMessage(std::function<void(const std::string& node, const PlacementMessage&)> hook)
+    {
+        this->sendPlacement = std::move(hook);
+    }
     uint64_t connectionsOpened() const { return this->connections.opened(); }
-    const std::map<std::string, std::unique_ptr<ServiceQueue>>& services() const { return this->byService; }
+    const std::map<std::string, std::unique_ptr<ServiceTargets>>& services() const { return this->byService; }
 
     Freshness freshness;
     WorkspaceQuota quota;
     SecondTryBudget secondTries;
+    Placement placement;
 
 private:
     friend class Exchange;
-    ServiceQueue& service(const std::string& name);
-    void pump(ServiceQueue& service);
-    void expireWaiting(ServiceQueue& service, TimePoint now);
+    ServiceTargets& service(const std::string& name);
+    Placement::Hooks placementHooks();
     void finished(const std::shared_ptr<Exchange>& exchange);
     const std::string& chooseService(const Route& route);
     struct Refusal {
@@ -131,7 +136,10 @@
     std::function<double()> random;
     CatalogPointer current;
     ConnectionPool connections;
-    std::map<std::string, std::unique_ptr<ServiceQueue>> byService;
+    std::map<std::string, std::unique_ptr<ServiceTargets>> byService;
+    std::unordered_map<uint64_t, ServiceTargets*> byServiceHash;
+    std::function<void(const std::string& node, const PlacementMessage&)> sendPlacement;
+    bool isFlushing = false; // a flush of placement messages is on its way
     std::unordered_map<std::string, std::string> serviceOfTarget;
     std::set<std::shared_ptr<Exchange>> exchanges;
     std::unordered_map<std::string, double> eventsOfRoute; // mean events of an answer
--- a/src/edge/SharedCopy.cpp
+++ b/src/edge/SharedCopy.cpp
@@ -27,7 +27,7 @@
 
 bool SharedCopy::peerReports(const CopyReport& report, TimePoint askedAt, TimePoint now)
 {
-    if (!report.age || askedAt == TimePoint {})
+    if (!report.age || askedAt == TimePoint {} || askedAt > now)
         return false;
     const TimePoint peerProvedAt = askedAt - *report.age;
     const bool isEqual = report.digest == this->digest;
--- a/src/edge/TargetPool.cpp
+++ b/src/edge/TargetPool.cpp
@@ -6,6 +6,7 @@
 #include <bit>
 #include <cassert>
 #include <cmath>
+#include <set>
 
 namespace guavapond::edge {
 
@@ -22,8 +23,9 @@
 constexpr double failureWeight = 0.15; // of the newest answer in the share of failures
 constexpr double failuresHalved = 3;   // seconds until a share that nothing is learned about counts half: the target is tried again
 constexpr size_t cacheBound = 20000;   // chain hashes
+constexpr size_t leastGroup = 12;      // targets of a failure domain, on the mean, that are worth a home of their own
 
-void learn(double& value, double sample) { value = value == 0 ? sample : value + learnWeight * (sample - value); }
+void smooth(double& value, double sample) { value = value == 0 ? sample : value + learnWeight * (sample - value); }
 
 double learnedOr(double value, double mean) { return value > 0 ? value : mean; }
 
@@ -62,6 +64,7 @@
     target.info = info;
     target.leaving = info.draining || target.saidLeaving;
     this->refreshMeans();
+    this->refreshGroups();
     return index;
 }
 
@@ -72,6 +75,7 @@
         return;
     this->targets[found->second].leaving = true;
     this->refreshMeans();
+    this->refreshGroups();
 }
 
 void TargetPool::sayLeaving(Index target)
@@ -120,10 +124,11 @@
 
 bool TargetPool::isStalled(const Target& target, TimePoint now) const
 {
-    if (target.running == 0 || now - target.lastProgress <= this->settings.stallAfter)
+    if (now - target.lastProgress <= this->settings.stallAfter)
         return false;
+    const Load load = this->load(target, now);
     // A target that reads long prompts is silent for as long as that takes, and sound.
-    return now - target.lastProgress > this->patience(this->predictFirst(target, this->load(target, now), 0));
+    return load.running > 0 && now - target.lastProgress > this->patience(this->predictFirst(target, load, 0));
 }
 
 Duration TargetPool::silence(Index target, TimePoint now) const { return now - this->targets[target].lastProgress; }
@@ -141,6 +146,10 @@
         return false;
     if (!demand.notVersion.empty() && target.info.version == demand.notVersion)
         return false;
+    if (!demand.onlyDomain.empty() && target.info.failureDomain != demand.onlyDomain)
+        return false;
+    if (demand.mostOwn > 0 && target.running >= demand.mostOwn)
+        return false;
     if (this->isStalled(target, now))
         return false;
     // Where nothing may be repeated, time alone has to end the probation.
@@ -205,10 +214,11 @@
         ms += this->gapMs(target, load.running) * demand.outputEvents;
     else
         ms += load.running; // spreads work over idle targets that are alike
-    if (target.info.failureDomain != this->settings.failureDomain)
+    const std::string_view from = demand.fromDomain.empty() ? std::string_view(this->settings.failureDomain) : demand.fromDomain;
+    if (target.info.failureDomain != from)
         ms *= 1 + this->settings.otherDomainCost;
     ms += inMilliseconds(this->settings.failureCost) * this->expectedFailures(target, now);
-    return ms * (1 + noise * this->random());
+    return ms * (1 + std::max(noise, demand.spread) * this->random());
 }
 
 uint32_t TargetPool::cachedTokens(Index target, const Demand& demand, TimePoint now) const
@@ -251,11 +261,9 @@
     return best;
 }
 
-bool TargetPool::hasUsable(TimePoint now) const
+bool TargetPool::takesWork(Index target, TimePoint now) const
 {
-    Demand any;
-    any.repeatable = true;
-    return std::any_of(this->targets.begin(), this->targets.end(), [&](const Target& t) { return this->isUsable(t, any, now); });
+    return !this->targets[target].leaving && now >= this->targets[target].pausedUntil;
 }
 
 void TargetPool::started(Index target, const Demand& demand, TimePoint now)
@@ -274,10 +282,16 @@
     Target& t = this->targets[target];
     t.prefillTokens -= std::min(t.prefillTokens, promptTokens);
     t.lastProgress = now;
+    this->learnReading(target, backlogTokens, afterStart, now);
+}
+
+void TargetPool::learnReading(Index target, uint32_t backlogTokens, Duration afterStart, TimePoint now)
+{
+    Target& t = this->targets[target];
     if (backlogTokens < leastPromptSample)
         return;
     const double readingMs = inMilliseconds(afterStart) - this->gapMs(t, this->load(t, now).running);
-    learn(t.tokensPerMs, backlogTokens / std::max(readingMs, leastReadingPart * inMilliseconds(afterStart)));
+    smooth(t.tokensPerMs, backlogTokens / std::max(readingMs, leastReadingPart * inMilliseconds(afterStart)));
     this->refreshMeans();
 }
 
@@ -285,7 +299,7 @@
 {
     Target& t = this->targets[target];
     const Load load = this->load(t, now);
-    learn(t.gapMs, inMilliseconds(gap) / (1 + gapGrowthPerRequest * load.running));
+    smooth(t.gapMs, inMilliseconds(gap) / (1 + gapGrowthPerRequest * load.running));
     this->refreshMeans();
 }
 
@@ -303,6 +317,12 @@
     assert(t.running > 0);
     --t.running;
     t.prefillTokens -= std::min(t.prefillTokens, prefillPending);
+    this->learnOutcome(target, outcome, serviceTime, now);
+}
+
+void TargetPool::learnOutcome(Index target, TargetOutcome outcome, std::optional<Duration> serviceTime, TimePoint now)
+{
+    Target& t = this->targets[target];
     const bool failed = outcome == TargetOutcome::Failed;
     switch (outcome) {
     case TargetOutcome::Answered:
@@ -310,7 +330,7 @@
         t.probation = false;
         t.lastProgress = now;
         if (serviceTime) {
-            learn(t.serviceMs, inMilliseconds(*serviceTime));
+            smooth(t.serviceMs, inMilliseconds(*serviceTime));
             this->refreshMeans();
         }
         break;
@@ -342,6 +362,18 @@
     }
 }
 
+void TargetPool::learn(Index target, const RunSample& sample, TimePoint now)
+{
+    if (sample.backlogTokens > 0)
+        this->learnReading(target, sample.backlogTokens, sample.firstAfter, now);
+    if (!sample.parts.empty())
+        this->remember(target, sample.parts, now);
+    if (sample.eventGap)
+        this->eventGap(target, *sample.eventGap, now);
+    if (sample.outcome != TargetOutcome::Cancelled)
+        this->learnOutcome(target, sample.outcome, sample.serviceTime, now);
+}
+
 void TargetPool::remember(Index target, std::span<const PromptPart> parts, TimePoint now)
 {
     if (this->cache.size() > cacheBound)
@@ -358,21 +390,90 @@
 
 void TargetPool::peerLoads(uint64_t peer, std::span<const TargetLoadReport> loads, TimePoint now)
 {
-    for (Target& target : this->targets)
-        target.peers.erase(peer);
+    std::vector<Index>& reported = this->reportedBy[peer];
+    for (const Index index : reported)
+        this->targets[index].peers.erase(peer);
+    reported.clear();
     for (const TargetLoadReport& report : loads) {
-        const auto found = this->byHash.find(report.targetHash);
-        if (found != this->byHash.end())
-            this->targets[found->second].peers[peer] = { report.running, report.prefillTokens, now };
+        const auto index = this->find(report.targetHash);
+        if (!index)
+            continue;
+        Target& target = this->targets[*index];
+        target.peers[peer] = { report.running, report.prefillTokens, now };
+        target.lastProgress = std::max(target.lastProgress, now - report.silence);
+        reported.push_back(*index);
     }
 }
 
-std::vector<TargetLoadReport> TargetPool::ownLoads() const
+void TargetPool::addPeerRun(uint64_t peer, uint64_t targetHash, uint32_t prefillTokens, TimePoint now)
+{
+    const auto index = this->find(targetHash);
+    if (!index)
+        return;
+    Target& target = this->targets[*index];
+    if (this->load(target, now).running == 0)
+        target.lastProgress = now;
+    const auto [entry, isNew] = target.peers.try_emplace(peer);
+    if (isNew)
+        this->reportedBy[peer].push_back(*index);
+    ++entry->second.running;
+    entry->second.prefillTokens += prefillTokens;
+    entry->second.at = now;
+}
+
+std::vector<TargetLoadReport> TargetPool::ownLoads(std::string_view group, TimePoint now) const
 {
     std::vector<TargetLoadReport> result;
     for (const Target& target : this->targets) {
-        if (target.running > 0)
-            result.push_back({ target.hash, target.running, target.prefillTokens });
+        if (target.running > 0 && (group.empty() || target.info.failureDomain == group))
+            result.push_back({ target.hash, target.running, target.prefillTokens, now - target.lastProgress });
+    }
+    return result;
+}
+
+std::vector<uint64_t> TargetPool::unwanted(std::string_view group, TimePoint now) const
+{
+    std::vector<uint64_t> result;
+    for (const Target& target : this->targets) {
+        const bool isKnownToAll = target.leaving && !target.saidLeaving;
+        if ((target.leaving || now < target.pausedUntil) && !isKnownToAll && (group.empty() || target.info.failureDomain == group))
+            result.push_back(target.hash);
+    }
+    return result;
+}
+
+std::optional<TargetPool::Index> TargetPool::find(uint64_t targetHash) const
+{
+    const auto found = this->byHash.find(targetHash);
+    return found == this->byHash.end() ? std::nullopt : std::optional<Index>(found->second);
+}
+
+std::vector<std::string> TargetPool::domains() const
+{
+    std::set<std::string> result;
+    for (const Target& target : this->targets) {
+        if (!target.leaving)
+            result.insert(target.info.failureDomain);
+    }
+    return { result.begin(), result.end() };
+}
+
+void TargetPool::refreshGroups() { this->grouped = this->usableCount() >= leastGroup * this->domains().size(); }
+
+TargetPool::Room TargetPool::room(std::string_view group, TimePoint now) const
+{
+    Room result { 0, Duration::max() };
+    Demand any;
+    any.onlyDomain = group;
+    any.repeatable = true;
+    for (const Target& target : this->targets) {
+        if (!this->isUsable(target, any, now))
+            continue;
+        const Load load = this->load(target, now);
+        if (load.running >= target.info.slots)
+            continue;
+        result.freeSlots += target.info.slots - load.running;
+        result.soonest = std::min(result.soonest, this->predictFirst(target, load, 0));
     }
     return result;
 }
@@ -396,12 +497,12 @@
     return static_cast<size_t>(std::count_if(this->targets.begin(), this->targets.end(), [](const Target& t) { return !t.leaving; }));
 }
 
-double TargetPool::occupancy(TimePoint now) const
+double TargetPool::occupancy(std::string_view group, TimePoint now) const
 {
     double taken = 0;
     double slots = 0;
     for (const Target& target : this->targets) {
-        if (target.leaving || now < target.pausedUntil)
+        if (target.leaving || now < target.pausedUntil || (!group.empty() && target.info.failureDomain != group))
             continue;
         taken += this->load(target, now).running;
         slots += target.info.slots;
--- a/src/edge/TargetPool.h
+++ b/src/edge/TargetPool.h
@@ -45,6 +45,10 @@
     std::span<const PromptPart> parts; // of the prompt, in order
     std::string_view onlyVersion;      // of targets; empty: any
     std::string_view notVersion;       // of targets that are left out; empty: none
+    std::string_view onlyDomain;       // the same for failure domains
+    std::string_view fromDomain;       // of the node that sends; empty: this one
+    uint32_t mostOwn = 0;              // of this node's requests at the target; 0: no bound of its own
+    double spread = 0;                 // random part of the predicted time, for nodes that choose without a common view
 };
 
 struct PlacementSettings {
@@ -81,6 +85,18 @@
     uint64_t targetHash;
     uint32_t running;
     uint32_t prefillTokens;
+    Duration silence {}; // since the last byte of any answer
+};
+
+struct RunSample { // what a run told of its target, for a node that did not see it
+    uint64_t service = 0;
+    uint64_t target = 0;
+    TargetOutcome outcome = TargetOutcome::Cancelled; // Cancelled: none, the run goes on
+    std::optional<Duration> serviceTime;
+    uint32_t backlogTokens = 0; // read until the first event; 0: no first event is told of
+    Duration firstAfter {};
+    std::optional<Duration> eventGap;
+    std::vector<PromptPart> parts; // that the target has read
 };
 
 class TargetPool {
@@ -106,7 +122,7 @@
     };
     // Empty: no usable target has room. `tried` are left out.
     std::optional<Choice> choose(const Demand& demand, std::span<const Index> tried, TimePoint now);
-    bool hasUsable(TimePoint now) const; // some target would be chosen if it had room
+    bool takesWork(Index target, TimePoint now) const; // neither leaving nor paused
 
     void started(Index target, const Demand& demand, TimePoint now);
     void progress(Index target, TimePoint now); // any byte of an answer
@@ -116,8 +132,22 @@
     void ended(Index target, uint32_t prefillPending, TargetOutcome outcome, std::optional<Duration> serviceTime, TimePoint now);
     void remember(Index target, std::span<const PromptPart> parts, TimePoint now); // the target has read this prompt
 
-    void peerLoads(uint64_t peer, std::span<const TargetLoadReport> loads, TimePoint now); // replaces the peer's earlier report
-    std::vector<TargetLoadReport> ownLoads() const;
+    void peerLoads(uint64_t peer, std::span<const TargetLoadReport> loads, TimePoint now);      // replaces the peer's earlier report
+    void addPeerRun(uint64_t peer, uint64_t targetHash, uint32_t prefillTokens, TimePoint now); // sent since that report
+    // `group`: a failure domain; empty: all targets.
+    std::vector<TargetLoadReport> ownLoads(std::string_view group, TimePoint now) const;
+    std::vector<uint64_t> unwanted(std::string_view group, TimePoint now) const; // paused, or leaving by their own word
+    void learn(Index target, const RunSample& sample, TimePoint now);            // of another node
+
+    std::optional<Index> find(uint64_t targetHash) const;
+    uint64_t hashOf(Index target) const { return this->targets[target].hash; }
+    bool isGrouped() const { return this->grouped; } // each failure domain has enough targets to be a group of its own
+    std::vector<std::string> domains() const;        // with targets that take work
+    struct Room {
+        uint32_t freeSlots = 0;
+        Duration soonest {}; // predicted wait for a first event at the best target
+    };
+    Room room(std::string_view group, TimePoint now) const;
 
     const TargetInfo& info(Index target) const { return this->targets[target].info; }
     bool isStalled(Index target, TimePoint now) const;        // silent for longer than a sound target would be
@@ -126,7 +156,7 @@
     bool hasVersion(std::string_view version) const;          // a target of it takes work
     uint64_t inFlightOutside(std::string_view version) const; // this node's work at targets of other versions
     size_t usableCount() const;
-    double occupancy(TimePoint now) const; // part of all usable slots that is taken; above 1: overloaded
+    double occupancy(std::string_view group, TimePoint now) const; // part of the usable slots that is taken; above 1: overloaded
 
     struct View { // for metrics and logs
         const TargetInfo* info;
@@ -179,6 +209,8 @@
         double serviceMs;
     };
 
+    void learnReading(Index target, uint32_t backlogTokens, Duration afterStart, TimePoint now);
+    void learnOutcome(Index target, TargetOutcome outcome, std::optional<Duration> serviceTime, TimePoint now);
     Load load(const Target& target, TimePoint now) const;
     bool isStalled(const Target& target, TimePoint now) const;
     bool isUsable(const Target& target, const Demand& demand, TimePoint now) const;
@@ -190,6 +222,7 @@
     uint32_t cachedTokens(Index target, const Demand& demand, TimePoint now) const;
     void pause(Target& target, TimePoint now);
     void refreshMeans();
+    void refreshGroups();
 
     PlacementSettings settings;
     bool isEngine;
@@ -198,6 +231,8 @@
     std::vector<Target> targets; // never shrinks while a run may refer to an index; a slot of one that left is reused by its id only
     std::unordered_map<std::string, Index> byId;
     std::unordered_map<uint64_t, Index> byHash;
+    std::unordered_map<uint64_t, std::vector<Index>> reportedBy; // targets with work of a peer
+    bool grouped = false;
     std::unordered_map<uint64_t, std::vector<CacheEntry>> cache; // by chain hash; bounded
 };
 
--- a/tests/edge/PeerLinkTest.cpp
+++ b/tests/edge/PeerLinkTest.cpp
@@ -193,7 +193,7 @@
     uneven.set_incarnation(1);
     uneven.set_sequence(1);
     uneven.set_operators_age_us(-1);
-    uneven.add_load_targets(5);
+    uneven.add_used_workspaces(5);
     sendTo(node, uneven.SerializeAsString());
     loop.run_for(30ms);
     CHECK_TEXT(node.link.table().heardCount(bootTime()) <= heard, "columns of different lengths");
@@ -238,3 +238,28 @@
     second.isBehind = true; // the store does not answer it: now the length does not matter
     CHECK(runUntil([&] { return second.received.back().revision == 6; }));
 }
+
+// Guards against a proof from the future: a machine that lost power starts its clock anew, and its peers still echo a time that its
+// earlier process sent. The node then held a withdrawn key valid for the rest of the day (seen on pupari-comm-grown scale-2).
+TEST(PeerLink, TakesNoProofByAnEarlierProcessesClock)
+{
+    Node& node = add("n1", 7);
+    introduce();
+    const auto beaconWith = [&](uint64_t incarnation, uint64_t sequence, TimePoint echo) {
+        wire::Beacon beacon;
+        beacon.set_node("n2");
+        beacon.set_incarnation(1);
+        beacon.set_sequence(sequence);
+        beacon.set_operators_digest(4);
+        beacon.set_operators_age_us(1000);
+        beacon.set_echo_sent_at_us(echo.time_since_epoch().count());
+        beacon.set_echo_incarnation(incarnation);
+        return beacon.SerializeAsString();
+    };
+    sendTo(node, beaconWith(6, 1, bootTime() - 1s));
+    sendTo(node, beaconWith(7, 2, bootTime() + 1h));
+    loop.run_for(30ms);
+    CHECK_FALSE(node.copy.provedAt().has_value());
+    sendTo(node, beaconWith(7, 3, bootTime() - 1s));
+    CHECK(runUntil([&] { return node.copy.provedAt().has_value(); }));
+}
--- a/tests/edge/PeerTableTest.cpp
+++ b/tests/edge/PeerTableTest.cpp
@@ -59,9 +59,9 @@
 // Guards against a proof of a peer that is dated by its clock.
 TEST(PeerTable, EchoesTheLastSendTimeOfAPeer)
 {
-    CHECK(table.echoFor("node-b") == TimePoint {});
+    CHECK(table.echoFor("node-b").sentAt == TimePoint {});
     table.heard(beacon(9, 1, 0), "10.0.0.2", start + 7s);
-    CHECK(table.echoFor("node-b") == start + 1s);
+    CHECK(table.echoFor("node-b").sentAt == start + 1s);
 }
 
 // Guards against peers that are taken for silent because many nodes send fewer beacons (seen: 30 lost and 264 regained in 23 s at 118
--- /dev/null
+++ b/tests/edge/PlacementWorld.h
@@ -0,0 +1,318 @@
+// Nodes that place requests at targets, in virtual time: real decision code, messages that are lost, late or doubled from a seed, and
+// targets that run as many requests at once as they have slots and turn away what their queue does not hold.
+#pragma once
+
+#include "edge/PlacementWire.h"
+#include "edge/WorkspaceQuota.h"
+
+#include <algorithm>
+#include <random>
+#include <set>
+
+namespace guavapond::edge {
+
+struct LinkFaults {
+    double lost = 0;
+    double doubled = 0;
+    Duration delay = std::chrono::microseconds(300);
+    Duration spread = std::chrono::microseconds(400);
+};
+
+struct WorldSettings {
+    size_t domains = 2;
+    size_t nodesPerDomain = 12;
+    size_t targetsPerDomain = 16;
+    uint32_t slots = 4;
+    uint32_t queued = 4; // more are turned away
+    Duration work = std::chrono::milliseconds(100);
+    Duration objective = std::chrono::milliseconds(400);
+    LinkFaults faults;
+    uint64_t seed = 1;
+};
+
+class PlacementWorld {
+public:
+    struct Node {
+        std::string name;
+        std::string domain;
+        std::unique_ptr<TargetPool> pool;
+        std::unique_ptr<Placement> placement;
+        bool alive = true;
+        TimePoint frozenUntil {};
+        std::vector<std::pair<std::string, PlacementMessage>> heldBack; // while it is frozen
+    };
+    struct Request {
+        size_t node;
+        Rank rank;
+        TimePoint arrived;
+        std::optional<uint64_t> ask;
+        std::optional<TimePoint> refusedAt;
+        std::optional<TimePoint> endedAt;
+        bool turnedAway = false;
+        bool urgent = false;
+    };
+    struct Target {
+        std::string id;
+        std::string domain;
+        uint32_t running = 0;
+        uint32_t most = 0; // at once, with its queue
+        uint64_t arrivals = 0;
+        std::deque<size_t> queue;
+    };
+
+    explicit PlacementWorld(const WorldSettings& settings)
+        : settings(settings)
+        , generator(settings.seed)
+    {
+        for (size_t i = 0; i < settings.domains * settings.targetsPerDomain; ++i)
+            this->targets.push_back({ "t" + std::to_string(i), "d" + std::to_string(i % settings.domains), 0, 0, 0, {} });
+        for (size_t i = 0; i < settings.domains * settings.nodesPerDomain; ++i)
+            this->addNode("n" + std::to_string(i), "d" + std::to_string(i % settings.domains));
+        this->introduce();
+    }
+
+    static uint64_t service() { return nameHash("drafts"); }
+
+    void introduce()
+    {
+        for (const auto& node : this->nodes) {
+            std::vector<Placement::Node> others;
+            for (const auto& other : this->nodes) {
+                if (other != node && other->alive)
+                    others.push_back({ other->name, other->domain });
+            }
+            node->placement->setNodes(others);
+        }
+    }
+
+    // `perSecond` requests over all living nodes until `end`; those of `urgentShare` have the highest rank.
+    void run(TimePoint end, double perSecond, double urgentShare = 0.2)
+    {
+        while (this->now < end) {
+            this->now += step;
+            this->due += perSecond * toSeconds(step);
+            for (; this->due >= 1; this->due -= 1)
+                this->arrive(this->uniform() < urgentShare);
+            this->advance();
+        }
+    }
+
+    size_t homeIndex(const std::string& domain)
+    {
+        const std::string home = this->livingNode().placement->homeOf(service(), domain, this->now);
+        return static_cast<size_t>(
+            std::find_if(this->nodes.begin(), this->nodes.end(), [&](const auto& n) { return n->name == home; }) - this->nodes.begin());
+    }
+
+    struct Outcome {
+        size_t arrived = 0;
+        size_t served = 0;  // within the objective
+        size_t refused = 0; // by a home or by the node
+        size_t turnedAway = 0;
+        size_t open = 0; // neither ended nor refused
+        Duration latestRefusal {};
+        double servedShare() const { return static_cast<double>(this->served) / static_cast<double>(std::max<size_t>(this->arrived, 1)); }
+    };
+    Outcome outcome(TimePoint from, TimePoint to, std::optional<bool> urgent = std::nullopt) const
+    {
+        Outcome result;
+        for (const Request& request : this->requests) {
+            if (request.arrived < from || request.arrived >= to || (urgent && request.urgent != *urgent))
+                continue;
+            ++result.arrived;
+            result.served += request.endedAt && *request.endedAt - request.arrived <= this->settings.objective ? 1 : 0;
+            result.refused += request.refusedAt ? 1 : 0;
+            result.turnedAway += request.turnedAway ? 1 : 0;
+            result.open += !request.endedAt && !request.refusedAt && !request.turnedAway ? 1 : 0;
+            if (request.refusedAt)
+                result.latestRefusal = std::max(result.latestRefusal, *request.refusedAt - request.arrived);
+        }
+        return result;
+    }
+
+    TimePoint now { std::chrono::seconds(100) };
+    std::vector<std::unique_ptr<Node>> nodes;
+    std::vector<Target> targets;
+    std::vector<Request> requests;
+    std::function<bool(const std::string& from, const std::string& to)> cut = [](const auto&, const auto&) { return false; };
+    size_t messages = 0;
+    size_t messageBytes = 0;
+
+private:
+    static constexpr Duration step = std::chrono::microseconds(500);
+    struct Delivery {
+        std::string to;
+        std::string bytes;
+    };
+    struct Ending {
+        size_t request;
+        size_t target;
+    };
+
+    double uniform() { return std::uniform_real_distribution<double>()(this->generator); }
+    Node& livingNode()
+    {
+        return **std::find_if(this->nodes.begin(), this->nodes.end(), [](const auto& node) { return node->alive; });
+    }
+
+    void addNode(const std::string& name, const std::string& domain)
+    {
+        auto node = std::make_unique<Node>();
+        node->name = name;
+        node->domain = domain;
+        PlacementSettings placement;
+        placement.failureDomain = domain;
+        placement.firstServiceTime = this->settings.work;
+        node->pool = std::make_unique<TargetPool>(placement, false, [this] { return this->uniform(); });
+        for (const Target& target : this->targets) {
+            TargetInfo info;
+            info.id = target.id;
+            info.service = "drafts";
+            info.address = { "127.0.0.1", 1 };
+            info.failureDomain = target.domain;
+            info.slots = this->settings.slots;
+            node->pool->upsert(info, this->now);
+        }
+        Placement::Hooks hooks;
+        hooks.pool = [pool = node->pool.get()](uint64_t) { return pool; };
+        hooks.services = [] { return std::vector<uint64_t> { service() }; };
+        hooks.send = [this, name](const std::string& to, const PlacementMessage& message) { this->send(name, to, message); };
+        hooks.flushSoon = [] {}; // each step ends with a flush
+        hooks.random = [this] { return this->uniform(); };
+        node->placement = std::make_unique<Placement>(std::move(hooks));
+        node->placement->setSelf({ name, domain }, 1 + this->nodes.size());
+        this->nodes.push_back(std::move(node));
+    }
+
+    void send(const std::string& from, const std::string& to, const PlacementMessage& message)
+    {
+        const std::string bytes = encodePlacement(message);
+        ++this->messages;
+        this->messageBytes += bytes.size();
+        const LinkFaults& faults = this->settings.faults;
+        const int copies = this->cut(from, to) || this->uniform() < faults.lost ? 0 : this->uniform() < faults.doubled ? 2 : 1;
+        for (int i = 0; i < copies; ++i) {
+            const Duration way = faults.delay + std::chrono::duration_cast<Duration>(faults.spread * this->uniform());
+            this->underWay.emplace(this->now + way, Delivery { to, bytes });
+        }
+    }
+
+    void arrive(bool urgent)
+    {
+        size_t index = static_cast<size_t>(this->uniform() * static_cast<double>(this->nodes.size()));
+        while (!this->nodes[index]->alive || this->now < this->nodes[index]->frozenUntil)
+            index = (index + 1) % this->nodes.size();
+        const size_t number = this->requests.size();
+        this->requests.push_back({ index, { 0, urgent ? 0 : 1 }, this->now, {}, {}, {}, false, urgent });
+        PlaceAsk ask;
+        ask.service = service();
+        ask.rank = this->requests.back().rank;
+        ask.urgent = urgent;
+        ask.mayWait = this->settings.objective / 8;
+        Node& node = *this->nodes[index];
+        node.placement->ask(
+            ask,
+            [this, number](const PlaceAnswer& answer) {
+                Request& request = this->requests[number];
+                if (answer.verdict != PlaceVerdict::Granted) {
+                    request.refusedAt = this->now;
+                    return;
+                }
+                this->start(number, answer.target);
+            },
+            this->now);
+    }
+
+    void start(size_t number, uint64_t targetHash)
+    {
+        const auto found
+            = std::find_if(this->targets.begin(), this->targets.end(), [&](const Target& t) { return nameHash(t.id) == targetHash; });
+        const size_t target = static_cast<size_t>(found - this->targets.begin());
+        Node& node = *this->nodes[this->requests[number].node];
+        ++found->arrivals;
+        if (found->running >= this->settings.slots && found->queue.size() >= this->settings.queued) {
+            this->requests[number].turnedAway = true;
+            return;
+        }
+        node.pool->started(*node.pool->find(targetHash), {}, this->now);
+        node.placement->changed(service(), this->now);
+        found->queue.push_back(number);
+        found->most = std::max<uint32_t>(found->most, found->running + static_cast<uint32_t>(found->queue.size()));
+        this->startNext(target);
+    }
+
+    void startNext(size_t target)
+    {
+        Target& t = this->targets[target];
+        while (t.running < this->settings.slots && !t.queue.empty()) {
+            ++t.running;
+            const Duration work = std::chrono::duration_cast<Duration>(this->settings.work * (0.5 + this->uniform()));
+            this->endings.emplace(this->now + work, Ending { t.queue.front(), target });
+            t.queue.pop_front();
+        }
+    }
+
+    void end(const Ending& ending)
+    {
+        Target& target = this->targets[ending.target];
+        --target.running;
+        this->startNext(ending.target);
+        Request& request = this->requests[ending.request];
+        Node& node = *this->nodes[request.node];
+        if (!node.alive)
+            return;
+        request.endedAt = this->now;
+        const auto index = *node.pool->find(nameHash(target.id));
+        node.pool->ended(index, 0, TargetOutcome::Answered, this->settings.work, this->now);
+        node.placement->changed(service(), this->now);
+    }
+
+    void deliver(const Delivery& delivery)
+    {
+        for (const auto& node : this->nodes) {
+            if (node->name != delivery.to || !node->alive)
+                continue;
+            const auto message = decodePlacement(delivery.bytes);
+            if (this->now < node->frozenUntil)
+                node->heldBack.emplace_back(delivery.to, *message);
+            else
+                node->placement->received(*message, this->now);
+        }
+    }
+
+    void advance()
+    {
+        while (!this->endings.empty() && this->endings.begin()->first <= this->now) {
+            const Ending ending = this->endings.begin()->second;
+            this->endings.erase(this->endings.begin());
+            this->end(ending);
+        }
+        while (!this->underWay.empty() && this->underWay.begin()->first <= this->now) {
+            const Delivery delivery = this->underWay.begin()->second;
+            this->underWay.erase(this->underWay.begin());
+            this->deliver(delivery);
+        }
+        const bool isTick = this->now - this->tickedAt >= std::chrono::milliseconds(10);
+        if (isTick)
+            this->tickedAt = this->now;
+        for (const auto& node : this->nodes) {
+            if (!node->alive || this->now < node->frozenUntil)
+                continue;
+            for (const auto& [to, message] : std::exchange(node->heldBack, {}))
+                node->placement->received(message, this->now);
+            if (isTick)
+                node->placement->tick(this->now);
+            else
+                node->placement->flush(this->now);
+        }
+    }
+
+    WorldSettings settings;
+    std::mt19937_64 generator;
+    std::multimap<TimePoint, Delivery> underWay;
+    std::multimap<TimePoint, Ending> endings;
+    TimePoint tickedAt {};
+    double due = 0;
+};
+
+} // namespace guavapond::edge
