--- a/fuzz/Inputs.cpp
+++ b/fuzz/Inputs.cpp
@@ -4,6 +4,7 @@
 #include "edge/EdgeSettings.h"
 #include "edge/EventScanner.h"
 #include "edge/Explain.h"
+#include "edge/PlacementWire.h"
 #include "edge/RequestFields.h"
 #include "platform/Decode.h"
 
@@ -75,6 +76,41 @@
         require(address->port > 0 && edge::addressText(*address).size() <= bytes.size(), "an address is what was written");
 }
 
+// What was read is written and read again as the same.
+void readPlacement(std::string_view bytes)
+{
+    const auto message = edge::decodePlacement(bytes);
+    if (!message)
+        return;
+    const std::string written = edge::encodePlacement(*message);
+    const auto again = edge::decodePlacement(written);
+    require(again.has_value() && edge::encodePlacement(*again) == written, "a message survives its own writing");
+}
+
+// A message with every part, for the reader above.
+std::string_view samplePlacement()
+{
+    static const std::string text = [] {
+        edge::PlacementMessage message;
+        message.node = "n1";
+        message.incarnation = 7;
+        message.sequence = 3;
+        message.reports.push_back({ 1, "d1", 7, 5, { { 11, 2, 300, std::chrono::milliseconds(20) } } });
+        edge::PlaceAsk ask;
+        ask.service = 1;
+        ask.parts = { { 21, 60 }, { 22, 900 } };
+        ask.leftOut = { 11 };
+        ask.firstWithin = std::chrono::milliseconds(300);
+        message.asks.push_back(ask);
+        message.withdrawn.push_back({ 1, "d1", 4 });
+        message.samples.push_back({ 1, 11, edge::TargetOutcome::Answered, std::chrono::milliseconds(90), 900, {}, {}, ask.parts });
+        message.answers.push_back({ 0, 4, edge::PlaceVerdict::Granted, 1, "d1", "", 11, 6 });
+        message.sums.push_back({ 1, "d1", 12, std::chrono::milliseconds(8) });
+        return edge::encodePlacement(message);
+    }();
+    return text;
+}
+
 void readSettings(std::string_view bytes)
 {
     const auto result = edge::parseEdgeSettings(bytes);
@@ -107,6 +143,7 @@
         { readMember, R"({"node":"n1","ip":"10.0.0.1","port":7600})" },
         { readEvents, "id: 1\ndata: a\n\n: note\r\n\r\nid: 2\nweights: 3\ndata: b\n\nid: 3\ndata: c\n\nid: 4\nda" },
         { readRequestFields, "5c1e07a2:800,91bd3f06:410,e4402b7d:250,10.0.0.9:8080" },
+        { readPlacement, samplePlacement() },
         { readSettings,
             "node = \"n\"\nfailureDomain = \"z\"\n[listen]\ncallers = \"127.0.0.1:8221\"\nready = \"127.0.0.1:8224\"\n"
             "peers = \"127.0.0.1:7600\"\nmetrics = \"127.0.0.1:7601\"\n[store]\naddress = \"127.0.0.1:8225\"\n"
--- a/fuzz/Inputs.h
+++ b/fuzz/Inputs.h
@@ -10,7 +10,7 @@
 
 namespace guavapond::fuzz {
 
-constexpr size_t inputKindCount = 9;
+constexpr size_t inputKindCount = 10;
 
 void readInput(size_t kind, std::string_view bytes); // kind is below inputKindCount
 std::string_view sampleInput(size_t kind);           // good bytes of that kind, to start from
--- a/tests/edge/PlacementHomeTest.cpp
+++ b/tests/edge/PlacementHomeTest.cpp
@@ -71,6 +71,7 @@
     for (size_t i = 1; i < grants.size(); ++i)
         ++running[grants[i].target];
     std::vector<TargetLoadReport> rest;
+    rest.reserve(running.size());
     for (const auto& [target, count] : running)
         rest.push_back({ target, count, 0, 0ms });
     home.report(1, grants.back().grant, rest, start + 10ms);
