Show which targets name a request limit, and what is sent to them

Change: a target's statement is read and kept beside its other beliefs: a log line and a counter for each change, a gauge of limited targets, a counter of the requests sent to them by kind of send (first, second try, without a home), the figure and its age on the status page and in 'guavapond beliefs'. Nothing decides by it yet: placing is as before.

--- a/src/cli/NodeCommands.cpp
+++ b/src/cli/NodeCommands.cpp
@@ -262,7 +262,8 @@
         printList(service, "targets",
             { { "TARGET", "id" }, { "ADDRESS", "address" }, { "FAILURE DOMAIN", "failureDomain" }, { "VERSION", "version" },
                 { "RUNNING", "running" }, { "SLOTS", "slots" }, { "PREFILL TOKENS", "prefillTokens" }, { "TOKENS/MS", "tokensPerMs" },
-                { "EVENT GAP MS", "eventGapMs" }, { "STATE", "state" } });
+                { "EVENT GAP MS", "eventGapMs" }, { "LIMIT PER S", "requestLimit" }, { "LIMIT AGE MS", "requestLimitAgeMs" },
+                { "STATE", "state" } });
     }
     printList(page, "workspaces",
         { { "WORKSPACE", "name" }, { "RATE/S", "ratePerSecond" }, { "BURST", "burst" }, { "LEVEL", "level" }, { "IN WINDOW", "inWindow" },
--- a/src/edge/Beliefs.cpp
+++ b/src/edge/Beliefs.cpp
@@ -45,6 +45,8 @@
             targets.push_back({ { "id", info.id }, { "address", addressText(info.address) }, { "failureDomain", info.failureDomain },
                 { "version", info.version }, { "running", view.running }, { "slots", info.slots }, { "prefillTokens", view.prefillTokens },
                 { "tokensPerMs", view.tokensPerMs }, { "eventGapMs", inMilliseconds(view.gap) },
+                { "requestLimit", view.requestLimit.perSecond ? json(*view.requestLimit.perSecond) : json() },
+                { "requestLimitAgeMs", view.requestLimit.at == TimePoint {} ? json() : json(toMilliseconds(now - view.requestLimit.at)) },
                 { "state",
                     view.leaving      ? "leaving"
                         : view.paused ? "paused"
--- a/src/edge/EdgeMetrics.cpp
+++ b/src/edge/EdgeMetrics.cpp
@@ -56,6 +56,15 @@
                                   .Help("Time that a call to the store took, s")
                                   .Register(this->registry)
                                   .Add({}, secondsBuckets);
+    Family<Counter>& limitChanges = BuildCounter()
+                                        .Name("guavapond_edge_limit_changes_total")
+                                        .Help("Changes of the request limits of targets, by kind")
+                                        .Register(this->registry);
+    Family<Counter>& limitedSends = BuildCounter()
+                                        .Name("guavapond_edge_limited_sends_total")
+                                        .Help("Requests sent to targets that name a request limit, by kind of send")
+                                        .Register(this->registry);
+    std::array<Counter*, limitedSendCount> byLimitedSend {};
     std::array<Counter*, requestResultCount> byResult {};
     std::array<Histogram*, requestResultCount> secondsByResult {};
     std::array<Counter*, attemptOutcomeCount> byRunEnd {};
@@ -70,6 +79,9 @@
         }
         for (size_t i = 0; i < attemptOutcomeCount; ++i)
             this->byRunEnd.at(i) = &this->runs.Add({ { "reason", std::string(attemptOutcomeName(static_cast<AttemptOutcome>(i))) } });
+        static constexpr std::array<const char*, limitedSendCount> sendNames { "first", "second_try", "without_home" };
+        for (size_t i = 0; i < limitedSendCount; ++i)
+            this->byLimitedSend.at(i) = &this->limitedSends.Add({ { "kind", sendNames.at(i) } });
     }
 };
 
@@ -99,6 +111,13 @@
     this->state->storeSeconds.Observe(toSeconds(time));
 }
 
+void EdgeMetrics::requestLimitChanged(LimitChange change)
+{
+    this->state->limitChanges.Add({ { "change", std::string(limitChangeName(change)) } }).Increment();
+}
+
+void EdgeMetrics::sentToLimited(LimitedSend kind) { this->state->byLimitedSend.at(static_cast<size_t>(kind))->Increment(); }
+
 void EdgeMetrics::setGauge(std::string_view name, std::string_view help, double value)
 {
     prometheus::BuildGauge().Name(std::string(name)).Help(std::string(help)).Register(this->state->registry).Add({}).Set(value);
--- a/src/edge/EdgeMetrics.h
+++ b/src/edge/EdgeMetrics.h
@@ -2,10 +2,12 @@
 //
 // Index
 //   RequestResult   how a request ended
-//   EdgeMetrics     requestEnded, runFailed, queueWaitEnded, storeCall, setGauge, page
+//   LimitedSend     how a request that goes to a target with a request limit was placed
+//   EdgeMetrics     requestEnded, runFailed, queueWaitEnded, storeCall, requestLimitChanged, sentToLimited, setGauge, page
 #pragma once
 
 #include "edge/RequestLife.h"
+#include "edge/RequestLimit.h"
 
 #include <memory>
 
@@ -24,6 +26,13 @@
 constexpr size_t requestResultCount = static_cast<size_t>(RequestResult::CallerGone) + 1;
 std::string_view requestResultName(RequestResult result); // in lower_snake_case
 
+enum class LimitedSend : uint8_t {
+    First,       // first send of the request
+    SecondTry,   // after a failed send
+    WithoutHome, // placed by this node itself
+};
+constexpr size_t limitedSendCount = static_cast<size_t>(LimitedSend::WithoutHome) + 1;
+
 class EdgeMetrics {
 public:
     EdgeMetrics();
@@ -33,9 +42,11 @@
 
     // `firstEvent` is the time until the first event of a stream; empty: there was no event.
     void requestEnded(RequestResult result, Duration total, std::optional<Duration> firstEvent);
-    void runFailed(AttemptOutcome end);                                        // an attempt on a target failed
-    void queueWaitEnded(Duration time);                                        // time that a request waited for capacity at a target
-    void storeCall(std::string_view call, bool ok, Duration time);             // `call` is the value of the metric's label
+    void runFailed(AttemptOutcome end);                            // an attempt on a target failed
+    void queueWaitEnded(Duration time);                            // time that a request waited for capacity at a target
+    void storeCall(std::string_view call, bool ok, Duration time); // `call` is the value of the metric's label
+    void requestLimitChanged(LimitChange change);
+    void sentToLimited(LimitedSend kind);                                      // to a target whose request limit is set
     void setGauge(std::string_view name, std::string_view help, double value); // creates the gauge on first use
     std::string page() const;                                                  // all metrics in the Prometheus text format
 
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -116,6 +116,10 @@
         "guavapond_edge_peers_heard", "Other nodes that are heard", static_cast<double>(this->peerLink.table().heardCount(now)));
     gauges.setGauge("guavapond_edge_catalog_version", "Version of the configuration in force",
         this->requests.catalog() ? static_cast<double>(this->requests.catalog()->version) : 0);
+    size_t limited = 0;
+    for (const auto& item : this->requests.services())
+        limited += item.second->targets.limitedCount();
+    gauges.setGauge("guavapond_edge_limited_targets", "Targets whose request limit this node knows", static_cast<double>(limited));
     const Placement::Counts& placements = this->requests.placement.counts();
     gauges.setGauge("guavapond_edge_places_asked", "Places asked for since the start", static_cast<double>(placements.requested));
     gauges.setGauge("guavapond_edge_places_granted", "Places granted since the start", static_cast<double>(placements.granted));
--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -142,8 +142,13 @@
     this->relay.metrics.queueWaitEnded(now - *this->waitingSince);
     if (answer.verdict == PlacementVerdict::Granted) {
         const auto target = this->targets().find(answer.target);
-        if (target && this->targets().takesWork(*target, now))
+        if (target && this->targets().takesWork(*target, now)) {
+            if (this->targets().requestLimit(*target).isSet())
+                this->relay.metrics.sentToLimited(answer.grant == 0 ? LimitedSend::WithoutHome
+                        : this->life.sends() > 0                    ? LimitedSend::SecondTry
+                                                                    : LimitedSend::First);
             return this->send({ *target, answer.firstEvent, answer.backlogTokens }, now);
+        }
         // This node knows that the target is unusable, and the node that granted the place does not know it yet.
         if (target)
             this->tried.push_back(*target);
@@ -245,12 +250,37 @@
         log(LogLevel::Info, "target announced its shutdown", { { "target", this->lastTarget }, { "status", head.result_int() } });
         this->targets().onLeaveAnnounced(this->attempt->target);
     }
+    this->noteRequestLimit(head);
     if (head.result_int() != serviceUnavailable)
         return;
     if (const auto seconds = parseNumber<double>(head[http::field::retry_after]); seconds && *seconds > 0)
         this->targets().pauseFor(this->attempt->target, fromSeconds(std::min(*seconds, maxRetryAfterSeconds)), now);
 }
 
+// A limit in an answer of another target, which has taken over the address, is not that of this target.
+void Exchange::noteRequestLimit(const http::response_header<>& head)
+{
+    if (head.result_int() == misdirectedRequest)
+        return;
+    std::vector<std::string_view> values;
+    const auto [first, end] = head.equal_range(this->relay.settings.headers.requestLimit);
+    for (auto field = first; field != end; ++field)
+        values.push_back(field->value());
+    if (const auto perSecond = parseRequestLimit(values))
+        this->onLimitChange(this->targets().requestLimit(this->attempt->target).onNamed(*perSecond, bootTime()), head.result_int());
+}
+
+void Exchange::onLimitChange(LimitChange change, unsigned status)
+{
+    if (change == LimitChange::None)
+        return;
+    const LimitStatement& statement = this->targets().requestLimit(this->attempt->target).statement();
+    log(LogLevel::Info, "request limit of a target",
+        { { "target", this->lastTarget }, { "change", limitChangeName(change) }, { "perSecond", statement.perSecond.value_or(-1) },
+            { "from", "target" }, { "status", status } });
+    this->relay.metrics.requestLimitChanged(change);
+}
+
 HeadVerdict Exchange::onHead(const http::response_header<>& head)
 {
     this->noteTargetState(head);
@@ -262,6 +292,9 @@
     this->attempt->verdict = this->classifyHead(head);
     if (this->attempt->verdict == AttemptOutcome::Invalid)
         return HeadVerdict::Reject;
+    if (!this->attempt->verdict && head.count(this->relay.settings.headers.requestLimit) == 0)
+        this->onLimitChange(
+            this->targets().requestLimit(this->attempt->target).onNotNamed(this->attempt->sentAt, bootTime()), head.result_int());
     if (!this->attempt->verdict && this->life.state() == RequestState::Answering && head.result_int() >= 300)
         this->attempt->verdict = AttemptOutcome::Failed; // the caller has a part of a stream, which only a stream can continue
     const bool isEvents = !this->attempt->verdict && this->plan.route->kind == RouteKind::Streaming && isEventStream(head);
--- a/src/edge/Exchange.h
+++ b/src/edge/Exchange.h
@@ -75,6 +75,8 @@
     std::string requestHead(const TargetInfo& target, TimePoint now) const;
     bool maySend(TimePoint now) const;
     void noteTargetState(const http::response_header<>& head);
+    void noteRequestLimit(const http::response_header<>& head);
+    void onLimitChange(LimitChange change, unsigned status);
     HeadVerdict onHead(const http::response_header<>& head);
     std::optional<AttemptOutcome> classifyHead(const http::response_header<>& head) const;
     void onBody(std::string_view bytes);
--- a/src/edge/Relay.h
+++ b/src/edge/Relay.h
@@ -34,6 +34,7 @@
     std::string lengthHint = "Guavapond-Length-Hint";   // output tokens that the caller expects
     std::string lastEventId = "Last-Event-Id";          // a stream resumes after this event
     std::string leaving = "Guavapond-Leaving";          // set to 1 in any answer of a target that shuts down
+    std::string requestLimit = "Guavapond-Limit";       // in answers of a target: requests per second that it takes from all nodes together
     std::vector<std::string> reserved;                  // fields that only the node may set: dropped from callers' requests
 };
 
--- a/src/edge/TargetPool.cpp
+++ b/src/edge/TargetPool.cpp
@@ -60,6 +60,7 @@
         target.pausedUntil = {};
         target.probation = false;
         target.leaveAnnounced = false;
+        target.requestLimit = {};
     }
     target.info = info;
     target.leaving = info.draining || target.leaveAnnounced;
@@ -108,6 +109,12 @@
     t.pausedUntil = std::max(t.pausedUntil, now + std::clamp(requested, Duration::zero(), this->settings.maxRequestedPause));
 }
 
+size_t TargetPool::limitedCount() const
+{
+    return static_cast<size_t>(
+        std::count_if(this->targets.begin(), this->targets.end(), [](const Target& t) { return !t.leaving && t.requestLimit.isSet(); }));
+}
+
 TargetPool::Load TargetPool::load(const Target& target, TimePoint now) const
 {
     Load sum { target.running, target.prefillTokens };
@@ -517,7 +524,7 @@
         const Load load = this->load(target, now);
         const double gapMs = target.gapMs;
         result.push_back({ &target.info, load.running, load.prefillTokens, target.tokensPerMs, fromSeconds(gapMs / 1000),
-            now < target.pausedUntil, target.leaving });
+            now < target.pausedUntil, target.leaving, target.requestLimit.statement() });
     }
     return result;
 }
--- a/src/edge/TargetPool.h
+++ b/src/edge/TargetPool.h
@@ -17,6 +17,7 @@
 
 #include "edge/Address.h"
 #include "edge/Catalog.h"
+#include "edge/RequestLimit.h"
 
 #include <functional>
 #include <map>
@@ -119,6 +120,8 @@
     std::vector<uint64_t> leavingHashes() const; // of targets whose leave was announced
     bool isLeaving(Index target) const { return this->targets[target].leaving; }
     void pauseFor(Index target, Duration requested, TimePoint now); // the target asked for no requests for this long
+    RequestLimit& requestLimit(Index target) { return this->targets[target].requestLimit; }
+    size_t limitedCount() const; // targets whose request limit is set
 
     struct Choice {
         Index target;
@@ -173,6 +176,7 @@
         Duration gap;
         bool paused;
         bool leaving;
+        LimitStatement requestLimit;
     };
     std::vector<View> view(TimePoint now) const;
 
@@ -200,6 +204,7 @@
         TimePoint pausedUntil {};
         bool probation = false; // was paused and has not answered since
         TimePoint lastProgress {};
+        RequestLimit requestLimit;
     };
     struct CacheEntry {
         Index target;
--- a/standins/edge/PlatformRunner.cpp
+++ b/standins/edge/PlatformRunner.cpp
@@ -11,6 +11,7 @@
 constexpr const char* sealField = "Guavapond-Response-Seal";
 constexpr const char* notRunField = "Guavapond-Not-Executed";
 constexpr const char* leavingField = "Server-Leaving";
+constexpr const char* limitField = "Server-Limit";
 constexpr const char* targetField = "Guavapond-Target-Instance";
 constexpr const char* instanceField = "Guavapond-Instance-Id";
 
@@ -56,6 +57,8 @@
     message.set(sealField, "seal-of-" + this->settings.id);
     if (this->isLeaving)
         message.set(leavingField, "1");
+    for (const std::string& limit : this->requestLimits)
+        message.insert(limitField, limit);
     return message;
 }
 
@@ -77,6 +80,8 @@
     if (now == RunnerFault::Declines) {
         auto answer = edge::makeResponse({ 503, "", "", {} });
         answer.set(notRunField, "1");
+        for (const std::string& limit : this->requestLimits)
+            answer.insert(limitField, limit);
         if (!this->retryAfter.empty())
             answer.set(http::field::retry_after, this->retryAfter);
         return caller->sendResponse(std::move(answer));
--- a/standins/edge/PlatformRunner.h
+++ b/standins/edge/PlatformRunner.h
@@ -52,6 +52,7 @@
     RunnerFault fault = RunnerFault::None;
     std::shared_ptr<size_t> faultsLeft = std::make_shared<size_t>(SIZE_MAX); // requests that meet the fault; may be shared by runners
     bool isLeaving = false;                                                  // says so in all its answers
+    std::vector<std::string> requestLimits;                                  // in all its answers, one field each; empty: none
     std::string retryAfter;                                                  // of its refusals, seconds; empty: none
     std::vector<Run> runs;                                                   // that began, in order
     size_t asked = 0;                                                        // requests that arrived
