Add failing tests for targets that name a request limit

Change: RequestLimitFleetTest plays the real placement code of 4 and of 60 nodes in virtual time, RequestLimitProgramTest three guavapond-edge processes; RequestLimitJudge counts arrivals as operators do. The process of EdgeProgramTest moved to EdgeProcess.h, which both use; its tests and checks are unchanged.

--- a/standins/edge/PlatformRunner.cpp
+++ b/standins/edge/PlatformRunner.cpp
@@ -54,6 +54,7 @@
     http::response<http::string_body> message;
     message.result(status);
     message.set(idField, this->runs[run].attempt);
+    this->onAnswer(this->runs[run].attempt);
     message.set(sealField, "seal-of-" + this->settings.id);
     if (this->isLeaving)
         message.set(leavingField, "1");
@@ -66,6 +67,7 @@
 {
     ++this->asked;
     const std::string attempt(request.message[idField]);
+    this->onArrival(attempt);
     RunnerFault now = RunnerFault::None;
     if (this->fault != RunnerFault::None && *this->faultsLeft > 0) {
         now = this->fault;
@@ -80,6 +82,7 @@
     if (now == RunnerFault::Declines) {
         auto answer = edge::makeResponse({ 503, "", "", {} });
         answer.set(notRunField, "1");
+        this->onAnswer(attempt);
         for (const std::string& limit : this->requestLimits)
             answer.insert(limitField, limit);
         if (!this->retryAfter.empty())
--- a/standins/edge/PlatformRunner.h
+++ b/standins/edge/PlatformRunner.h
@@ -55,7 +55,9 @@
     std::vector<std::string> requestLimits;                                  // in all its answers, one field each; empty: none
     std::string retryAfter;                                                  // of its refusals, seconds; empty: none
     std::vector<Run> runs;                                                   // that began, in order
-    size_t asked = 0;                                                        // requests that arrived
+    std::function<void(const std::string& attempt)> onArrival = [](const auto&) {}; // a request arrived
+    std::function<void(const std::string& attempt)> onAnswer = [](const auto&) {};  // the head of an answer is sent
+    size_t asked = 0;                                                               // requests that arrived
 
 private:
     void onRequest(const edge::CallerPointer& caller, edge::CallerRequest request);
--- a/tests/edge/EdgeProgramTest.cpp
+++ b/tests/edge/EdgeProgramTest.cpp
@@ -1,51 +1,22 @@
 // System tests that run guavapond-edge as a process: startup, startup errors, request handling, signals and log output.
-#include "ChildProcess.h"
+#include "EdgeProcess.h"
 
 #include "Caller.h"
-#include "PortReservation.h"
 #include "StoreTexts.h"
 #include "edge/PlatformRunner.h"
 #include "edge/PlatformStore.h"
 
 #include <CppUTest/TestHarness.h>
-#include <csignal>
 #include <filesystem>
-#include <fstream>
 #include <set>
 
 using namespace guavapond;
+using test::hasLogMessage;
+using test::logLines;
+using test::loopbackAddress;
 using namespace std::chrono_literals;
 using nlohmann::json;
 
-namespace {
-
-std::string loopbackAddress(uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
-
-std::vector<json> logLines(const test::Process& process)
-{
-    std::istringstream text(process.output());
-    std::vector<json> lines;
-    for (std::string line; std::getline(text, line);)
-        lines.push_back(json::parse(line, nullptr, false));
-    return lines;
-}
-
-bool hasLogMessage(const test::Process& process, const std::string& message)
-{
-    const auto lines = logLines(process);
-    return std::any_of(
-        lines.begin(), lines.end(), [&](const json& line) { return line.is_object() && line.value("message", "") == message; });
-}
-
-struct Ports {
-    PortReservation callers;
-    PortReservation ready;
-    PortReservation peers;
-    PortReservation metrics;
-};
-
-} // namespace
-
 TEST_GROUP(EdgeProgram)
 {
     edge::net::io_context loop;
@@ -53,7 +24,7 @@
     standins::PlatformRunner runner { this->loop, { .id = "r1", .address = { "127.0.0.1", 0 }, .events = 40, .eventGap = 20ms } };
     std::vector<edge::ConnectionPointer> callers;
     std::string directory;
-    Ports ports; // reserved for the whole test, so that a restarted node can use the same addresses
+    std::optional<test::EdgeProcess> edgeProcess;
 
     void setup() override
     {
@@ -61,25 +32,14 @@
         this->directory = ::mkdtemp(name.data());
         this->store.start();
         this->runner.start();
+        this->edgeProcess.emplace("node", this->directory, this->store.port());
         this->store.model.put("op/config", test::configText(1, "r"));
         this->store.model.put("servers/r1", test::targetText("ready", 1, loopbackAddress(this->runner.address().port)));
     }
     void teardown() override { std::filesystem::remove_all(this->directory); }
 
-    void writeSettings(const std::string& additional = "") const
-    {
-        std::ofstream(this->directory + "/node.toml")
-            << "node = \"n1\"\nfailureDomain = \"z\"\n[listen]\ncallers = \"" << loopbackAddress(this->ports.callers.port())
-            << "\"\nready = \"" << loopbackAddress(this->ports.ready.port()) << "\"\npeers = \""
-            << loopbackAddress(this->ports.peers.port()) << "\"\nmetrics = \"" << loopbackAddress(this->ports.metrics.port())
-            << "\"\n[store]\naddress = \"" << loopbackAddress(this->store.port()) << "\"\n"
-            << additional;
-    }
-    std::unique_ptr<test::Process> start() const
-    {
-        return std::make_unique<test::Process>(
-            this->directory, "node", GUAVAPOND_EDGE, std::vector<std::string> { "--settings", this->directory + "/node.toml" });
-    }
+    void writeSettings(const std::string& additional = "") const { this->edgeProcess->writeSettings(additional); }
+    std::unique_ptr<test::Process> start() const { return this->edgeProcess->start(); }
     bool runUntil(const std::function<bool()>& condition, Duration timeout = test::patience)
     {
         const TimePoint deadline = edge::bootTime() + timeout;
@@ -96,12 +56,12 @@
     }
     bool isReady()
     {
-        const auto response = this->get(this->ports.ready.port(), "/-/readyz");
+        const auto response = this->get(this->edgeProcess->ready.port(), "/-/readyz");
         return this->runUntil([&] { return response->ended; }) && response->status == 200;
     }
     std::shared_ptr<edge::CallerAnswer> sendRequest(const std::string& attempt)
     {
-        return edge::callNode(this->loop, { "127.0.0.1", this->ports.callers.port() }, "POST /x/stream",
+        return edge::callNode(this->loop, { "127.0.0.1", this->edgeProcess->callers.port() }, "POST /x/stream",
             "Host: a.example\r\nGuavapond-Attempt-Id: " + attempt
                 + "\r\nGuavapond-Key: k\r\nGuavapond-Token-Count: 10,5\r\nContent-Length: 4\r\n",
             "text", this->callers);
@@ -125,7 +85,7 @@
 // Guards against running without one of the configured listeners because its address is already in use.
 TEST(EdgeProgram, ExitsIfAnAddressIsInUse)
 {
-    const edge::tcp::acceptor occupied(loop, { edge::net::ip::address_v4::loopback(), ports.callers.port() });
+    const edge::tcp::acceptor occupied(loop, { edge::net::ip::address_v4::loopback(), edgeProcess->callers.port() });
     writeSettings();
     const auto node = start();
     const auto exitCode = node->waitForExit();
@@ -145,8 +105,8 @@
     CHECK(runUntil([&] { return first->ended; }));
     LONGS_EQUAL(200, first->status);
     CHECK(first->complete && first->body.find("id: 40") != std::string::npos);
-    const auto metrics = get(ports.metrics.port(), "/metrics");
-    const auto beliefs = get(ports.metrics.port(), "/beliefs");
+    const auto metrics = get(edgeProcess->metrics.port(), "/metrics");
+    const auto beliefs = get(edgeProcess->metrics.port(), "/beliefs");
     CHECK(runUntil([&] { return metrics->ended && beliefs->ended; }));
     CHECK(metrics->body.find("guavapond_edge_requests_total{result=\"answered\"} 1") != std::string::npos);
     CHECK(json::parse(beliefs->body)["configurationVersion"] == 1);
--- a/tests/edge/PlacementWorld.h
+++ b/tests/edge/PlacementWorld.h
@@ -5,9 +5,10 @@
 // Index
 //   LinkFaults       loss, duplication and delay of messages
 //   WorldSettings    size of the deployment and behaviour of targets
-//   PlacementWorld   service, updateNodeLists, run, homeIndex, outcome
+//   PlacementWorld   service, updateNodeLists, run, homeIndex, outcome, nameLimit
 #pragma once
 
+#include "RequestLimitJudge.h"
 #include "edge/PlacementWire.h"
 #include "edge/WorkspaceQuota.h"
 
@@ -54,6 +55,7 @@
         std::optional<uint64_t> requestId;
         std::optional<TimePoint> refusedAt; // by a home or by the node
         std::optional<TimePoint> endedAt;
+        TimePoint sentAt {};   // to a target
         bool rejected = false; // by a target
         bool urgent = false;
     };
@@ -63,6 +65,7 @@
         uint32_t running = 0;
         uint32_t peakLoad = 0; // most requests at once, with its queue
         uint64_t arrivals = 0;
+        std::optional<double> requestLimit; // named in all answers
         std::deque<size_t> queue;
     };
 
@@ -71,7 +74,7 @@
         , generator(settings.seed)
     {
         for (size_t i = 0; i < settings.domains * settings.targetsPerDomain; ++i)
-            this->targets.push_back({ "t" + std::to_string(i), "d" + std::to_string(i % settings.domains), 0, 0, 0, {} });
+            this->targets.push_back({ "t" + std::to_string(i), "d" + std::to_string(i % settings.domains), 0, 0, 0, {}, {} });
         for (size_t i = 0; i < settings.domains * settings.nodesPerDomain; ++i)
             this->addNode("n" + std::to_string(i), "d" + std::to_string(i % settings.domains));
         this->updateNodeLists();
@@ -137,7 +140,15 @@
         return result;
     }
 
+    // From now on the target names this limit in its answers; empty: none.
+    void nameLimit(size_t target, std::optional<double> perSecond)
+    {
+        this->targets[target].requestLimit = perSecond;
+        this->limits.onNamed(this->targets[target].id, perSecond, this->now);
+    }
+
     TimePoint now { std::chrono::seconds(100) };
+    RequestLimitJudge limits { std::chrono::seconds(3) };
     std::vector<std::unique_ptr<Node>> nodes;
     std::vector<Target> targets;
     std::vector<Request> requests;
@@ -213,7 +224,7 @@
         while (!this->nodes[index]->alive || this->now < this->nodes[index]->frozenUntil)
             index = (index + 1) % this->nodes.size();
         const size_t number = this->requests.size();
-        this->requests.push_back({ index, { 0, urgent ? 0 : 1 }, this->now, {}, {}, {}, false, urgent });
+        this->requests.push_back({ index, { 0, urgent ? 0 : 1 }, this->now, {}, {}, {}, {}, false, urgent });
         PlacementRequest wanted;
         wanted.service = service();
         wanted.rank = this->requests.back().rank;
@@ -240,6 +251,8 @@
         const size_t target = static_cast<size_t>(found - this->targets.begin());
         Node& node = *this->nodes[this->requests[number].node];
         ++found->arrivals;
+        this->limits.onArrival(node.name, found->id, this->now);
+        this->requests[number].sentAt = this->now;
         if (found->running >= this->settings.slots && found->queue.size() >= this->settings.queueLimit) {
             this->requests[number].rejected = true;
             return;
@@ -273,10 +286,20 @@
             return;
         request.endedAt = this->now;
         const auto index = *node.pool->find(nameHash(target.id));
+        this->noteAnswer(node, index, target, request.sentAt);
         node.pool->ended(index, 0, TargetOutcome::Answered, this->settings.meanServiceTime, this->now);
         node.placement->onLoadChanged(service(), this->now);
     }
 
+    void noteAnswer(Node& node, TargetPool::Index index, const Target& target, TimePoint sentAt)
+    {
+        this->limits.onAnswer(node.name, target.id, this->now);
+        if (target.requestLimit)
+            node.pool->requestLimit(index).onNamed(*target.requestLimit, this->now);
+        else
+            node.pool->requestLimit(index).onNotNamed(sentAt, this->now);
+    }
+
     void deliver(const Delivery& delivery)
     {
         for (const auto& node : this->nodes) {
