Keep the request limits that targets name, over all nodes together

Seen by operators and callers: a target in need that named a limit of 6.8 requests a second got 82 in 4 s (allowed 46), as before; what it could not take in time was answered late.

The class of the fault: what a target tells one node binds all nodes together, and placing had no place for such a rule.

Change: a place at a limited target is taken from the limit where places are granted. The shares of the four nodes that rank highest for the group (1.0, 0.3, 0.1, 0.05 of the limit, with 2, 1, 1 and 1 saved tokens) add up to 5.8 times the limit and 5 requests in 4 s, below the 6 and 5 that operators allow, so the limit holds whichever of them grant at the same time; rank follows from all known nodes, also silent ones, and needs no agreement. Nodes report statements to the home; homes repeat them each second to the others that have a share. A node that a target told uses only places that were counted, unless the home knows that the limit has ended. What can't be placed goes to other targets; where all targets are limited the request is refused at once, with a Retry-After that spreads callers over what the limits allow. A node that started less than 2 s ago is a home only where there is no other, and it grants nothing within limits.

Ruled out: a share of the limit for each node (one request each in 4 s is too many from 33 nodes on); leases of the role of the home (limits would rest on an agreement).

--- a/fuzz/Inputs.cpp
+++ b/fuzz/Inputs.cpp
@@ -107,8 +107,21 @@
         message.requests.push_back(ask);
         message.withdrawals.push_back({ 1, "d1", 4 });
         message.samples.push_back({ 1, 11, edge::TargetOutcome::Answered, std::chrono::milliseconds(90), 900, {}, {}, ask.parts });
-        message.answers.push_back({ 0, 4, edge::PlacementVerdict::Granted, 1, "d1", "", 11, 6 });
+        edge::PlacementAnswer answer;
+        answer.id = 4;
+        answer.verdict = edge::PlacementVerdict::Granted;
+        answer.service = 1;
+        answer.group = "d1";
+        answer.target = 11;
+        answer.grant = 6;
+        answer.countedByLimit = answer.passedLimit = true;
+        answer.limitEndedFor = std::chrono::milliseconds(3);
+        answer.retryAfter = std::chrono::milliseconds(400);
+        message.answers.push_back(answer);
         message.capacities.push_back({ 1, "d1", 12, std::chrono::milliseconds(8) });
+        message.limits.push_back(
+            { 1, 11, 1700, edge::LimitReport::Kind::NotNamed, 0, std::chrono::milliseconds(2), std::chrono::milliseconds(90) });
+        message.limits.push_back({ 1, 12, 1700, edge::LimitReport::Kind::Named, 2.5, std::chrono::milliseconds(2), {} });
         return edge::encodePlacement(message);
     }();
     return text;
--- a/src/edge/EdgeMetrics.cpp
+++ b/src/edge/EdgeMetrics.cpp
@@ -64,6 +64,12 @@
                                         .Name("guavapond_edge_limited_sends_total")
                                         .Help("Requests sent to targets that name a request limit, by kind of send")
                                         .Register(this->registry);
+    Family<Counter>& keptByLimits = BuildCounter()
+                                        .Name("guavapond_edge_limit_kept_total")
+                                        .Help("Requests that request limits kept from targets, by what became of them")
+                                        .Register(this->registry);
+    Counter& placedElsewhere = this->keptByLimits.Add({ { "outcome", "elsewhere" } });
+    Counter& notPlaced = this->keptByLimits.Add({ { "outcome", "no_place" } });
     std::array<Counter*, limitedSendCount> byLimitedSend {};
     std::array<Counter*, requestResultCount> byResult {};
     std::array<Histogram*, requestResultCount> secondsByResult {};
@@ -118,6 +124,11 @@
 
 void EdgeMetrics::sentToLimited(LimitedSend kind) { this->state->byLimitedSend.at(static_cast<size_t>(kind))->Increment(); }
 
+void EdgeMetrics::keptByLimit(bool placedElsewhere)
+{
+    (placedElsewhere ? this->state->placedElsewhere : this->state->notPlaced).Increment();
+}
+
 void EdgeMetrics::setGauge(std::string_view name, std::string_view help, double value)
 {
     prometheus::BuildGauge().Name(std::string(name)).Help(std::string(help)).Register(this->state->registry).Add({}).Set(value);
--- a/src/edge/EdgeMetrics.h
+++ b/src/edge/EdgeMetrics.h
@@ -3,7 +3,7 @@
 // Index
 //   RequestResult   how a request ended
 //   LimitedSend     how a request that goes to a target with a request limit was placed
-//   EdgeMetrics     requestEnded, runFailed, queueWaitEnded, storeCall, requestLimitChanged, sentToLimited, setGauge, page
+//   EdgeMetrics     requestEnded, runFailed, queueWaitEnded, storeCall, requestLimitChanged, sentToLimited, keptByLimit, setGauge, page
 #pragma once
 
 #include "edge/RequestLife.h"
@@ -46,7 +46,8 @@
     void queueWaitEnded(Duration time);                            // time that a request waited for capacity at a target
     void storeCall(std::string_view call, bool ok, Duration time); // `call` is the value of the metric's label
     void requestLimitChanged(LimitChange change);
-    void sentToLimited(LimitedSend kind);                                      // to a target whose request limit is set
+    void sentToLimited(LimitedSend kind);   // a place that was taken from a request limit was used
+    void keptByLimit(bool placedElsewhere); // a request was kept from a target by its request limit; false: it found no place
     void setGauge(std::string_view name, std::string_view help, double value); // creates the gauge on first use
     std::string page() const;                                                  // all metrics in the Prometheus text format
 
--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -140,14 +140,19 @@
         return;
     const TimePoint now = bootTime();
     this->relay.metrics.queueWaitEnded(now - *this->waitingSince);
+    this->passedLimit = answer.passedLimit;
+    this->retryAfter = answer.retryAfter;
+    if (answer.passedLimit)
+        this->relay.metrics.keptByLimit(answer.verdict == PlacementVerdict::Granted);
     if (answer.verdict == PlacementVerdict::Granted) {
         const auto target = this->targets().find(answer.target);
-        if (target && this->targets().takesWork(*target, now)) {
-            if (this->targets().requestLimit(*target).isSet())
+        if (target && this->targets().takesWork(*target, now)
+            && (answer.countedByLimit || this->relay.placement.acceptsUncounted(*target, answer, now))) {
+            if (answer.countedByLimit)
                 this->relay.metrics.sentToLimited(answer.grant == 0 ? LimitedSend::WithoutHome
                         : this->life.sends() > 0                    ? LimitedSend::SecondTry
                                                                     : LimitedSend::First);
-            return this->send({ *target, answer.firstEvent, answer.backlogTokens }, now);
+            return this->send({ *target, answer.firstEvent, answer.backlogTokens }, answer.countedByLimit, now);
         }
         // This node knows that the target is unusable, and the node that granted the place does not know it yet.
         if (target)
@@ -157,7 +162,7 @@
     }
     if (std::exchange(this->plan.tryNewVersion, false))
         return this->requestPlace();
-    this->takeStep(this->life.onNoTarget(), "no room at any target");
+    this->takeStep(this->life.onNoTarget(), this->passedLimit ? "request limits of the targets" : "no room at any target");
 }
 
 bool Exchange::maySend(TimePoint now) const { return !this->plan.workspace || this->relay.freshness.holds(now); }
@@ -192,7 +197,7 @@
     return text.str();
 }
 
-void Exchange::send(const TargetPool::Choice& choice, TimePoint now)
+void Exchange::send(const TargetPool::Choice& choice, bool countedByLimit, TimePoint now)
 {
     const TargetInfo& target = this->targets().info(choice.target);
     this->predictedFirstEvent = choice.firstEvent;
@@ -204,6 +209,7 @@
     this->attempt.emplace();
     this->attempt->target = choice.target;
     this->attempt->sentAt = now;
+    this->attempt->countedByLimit = countedByLimit;
     this->attempt->backlogTokens = choice.backlogTokens;
     this->attempt->predictedFirstEvent = choice.firstEvent;
     this->attempt->eventsBefore = this->scanner.events();
@@ -267,11 +273,13 @@
     for (auto field = first; field != end; ++field)
         values.push_back(field->value());
     if (const auto perSecond = parseRequestLimit(values))
-        this->onLimitChange(this->targets().requestLimit(this->attempt->target).onNamed(*perSecond, bootTime()), head.result_int());
+        this->onLimitAnswer(perSecond, head.result_int());
 }
 
-void Exchange::onLimitChange(LimitChange change, unsigned status)
+void Exchange::onLimitAnswer(std::optional<double> perSecond, unsigned status)
 {
+    const LimitChange change = this->relay.placement.onLimitAnswer(
+        this->service.hash, this->attempt->target, { perSecond, this->attempt->sentAt, this->attempt->countedByLimit }, bootTime());
     if (change == LimitChange::None)
         return;
     const LimitStatement& statement = this->targets().requestLimit(this->attempt->target).statement();
@@ -293,8 +301,7 @@
     if (this->attempt->verdict == AttemptOutcome::Invalid)
         return HeadVerdict::Reject;
     if (!this->attempt->verdict && head.count(this->relay.settings.headers.requestLimit) == 0)
-        this->onLimitChange(
-            this->targets().requestLimit(this->attempt->target).onNotNamed(this->attempt->sentAt, bootTime()), head.result_int());
+        this->onLimitAnswer(std::nullopt, head.result_int());
     if (!this->attempt->verdict && this->life.state() == RequestState::Answering && head.result_int() >= 300)
         this->attempt->verdict = AttemptOutcome::Failed; // the caller has a part of a stream, which only a stream can continue
     const bool isEvents = !this->attempt->verdict && this->plan.route->kind == RouteKind::Streaming && isEventStream(head);
@@ -532,7 +539,8 @@
         return this->forwardFailure();
     case NextStep::AnswerNotRun:
         return this->answerLocally(serviceUnavailable, RequestResult::Refused, reason,
-            this->relay.retryDelay(this->relay.placement.occupancy(this->service.hash, bootTime())));
+            std::max(this->retryAfter.value_or(Duration::zero()),
+                this->relay.retryDelay(this->relay.placement.occupancy(this->service.hash, bootTime()))));
     case NextStep::AnswerUnknown:
         return this->answerLocally(badGateway, RequestResult::Unknown, reason, std::nullopt);
     case NextStep::AbortAnswer:
@@ -635,8 +643,8 @@
             { "ms", toMilliseconds(total) }, { "firstEventMs", this->timeToFirstEvent ? toMilliseconds(*this->timeToFirstEvent) : -1 },
             { "predictedFirstMs", this->predictedFirstEvent ? toMilliseconds(*this->predictedFirstEvent) : -1 },
             { "waitedMs", this->waitingSince ? toMilliseconds(now - *this->waitingSince) : 0 },
-            { "occupancy", this->relay.placement.occupancy(this->service.hash, now) }, { "catalogVersion", this->plan.catalog->version },
-            { "proofAgeMs", proofAge ? toMilliseconds(*proofAge) : -1 } });
+            { "occupancy", this->relay.placement.occupancy(this->service.hash, now) }, { "passedLimit", this->passedLimit },
+            { "catalogVersion", this->plan.catalog->version }, { "proofAgeMs", proofAge ? toMilliseconds(*proofAge) : -1 } });
     this->relay.finished(this->shared_from_this());
 }
 
--- a/src/edge/Exchange.h
+++ b/src/edge/Exchange.h
@@ -42,6 +42,7 @@
     std::optional<AttemptOutcome> verdict; // outcome that the head already decides, while the body is still read
     bool headSeen = false;                 // the head of an answer to this request has arrived
     bool reusedConnection = false;         // the connection has served a request before
+    bool countedByLimit = false;           // its place was taken from the target's request limit
     http::response_header<> head;
     std::string body; // of a buffered answer
 };
@@ -71,12 +72,12 @@
     void reportSample(const Attempt& finished, RunSample sample); // to the node that grants the places at the target
     void countForMove(const Attempt& ended, TargetOutcome outcome, TimePoint now);
     void withdrawAsk();
-    void send(const TargetPool::Choice& choice, TimePoint now);
+    void send(const TargetPool::Choice& choice, bool countedByLimit, TimePoint now);
     std::string requestHead(const TargetInfo& target, TimePoint now) const;
     bool maySend(TimePoint now) const;
     void noteTargetState(const http::response_header<>& head);
     void noteRequestLimit(const http::response_header<>& head);
-    void onLimitChange(LimitChange change, unsigned status);
+    void onLimitAnswer(std::optional<double> perSecond, unsigned status);
     HeadVerdict onHead(const http::response_header<>& head);
     std::optional<AttemptOutcome> classifyHead(const http::response_header<>& head) const;
     void onBody(std::string_view bytes);
@@ -113,6 +114,8 @@
     bool isPlacing = false;                      // a placement request is pending
     std::optional<uint64_t> askId;               // its id; empty: none is pending, or it was answered at once
     uint32_t refusedPlaces = 0;                  // places granted at targets that this node considers unusable
+    bool passedLimit = false;                    // a target was passed over for its request limit, in the last placement
+    std::optional<Duration> retryAfter;          // from the last placement; empty: not known
     std::optional<TimePoint> waitingSince;       // start of the last placement request
     std::optional<Duration> predictedFirstEvent; // of the last attempt; empty: not sent yet
     std::optional<Duration> timeToFirstEvent;    // from the arrival of the request; empty: no event yet
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -77,6 +77,12 @@
     this->receive();
 }
 
+void PeerLink::setStopping()
+{
+    this->stopping = true;
+    this->relay.placement.setStopping();
+}
+
 void PeerLink::setMembers(std::span<const Member> members) { this->peers.setMembers(members, bootTime()); }
 
 void PeerLink::receive()
@@ -102,6 +108,7 @@
     Beacon beacon;
     beacon.failureDomain = message.failure_domain();
     beacon.stopping = message.stopping();
+    beacon.starting = message.starting();
     beacon.node = message.node();
     beacon.incarnation = message.incarnation();
     beacon.sequence = message.sequence();
@@ -215,6 +222,9 @@
 void PeerLink::tick()
 {
     const TimePoint now = bootTime();
+    if (!this->startedAt)
+        this->startedAt = now;
+    this->relay.placement.setStarting(now - *this->startedAt < this->settings.startTime);
     this->peers.setBeaconInterval(std::max(this->interval(), this->settings.idleInterval));
     for (const std::string& node : this->peers.takeNewlySilent(now)) {
         log(LogLevel::Warn, "peer lost", { { "peer", node }, { "heard", this->peers.heardCount(now) } });
@@ -226,7 +236,7 @@
         this->sendBeacons(now);
     if (now - this->placementNodesSetAt >= this->settings.placementNodesInterval) {
         this->placementNodesSetAt = now;
-        this->relay.placement.setNodes(this->peers.availableNodes(now));
+        this->relay.placement.setNodes(this->peers.placementNodes(now));
     }
 }
 
@@ -300,6 +310,7 @@
     message.set_node(this->settings.node);
     message.set_failure_domain(this->settings.failureDomain);
     message.set_stopping(this->stopping);
+    message.set_starting(now - this->startedAt.value_or(now) < this->settings.startTime);
     message.set_incarnation(this->incarnation);
     message.set_sequence(++this->sequence);
     message.set_sent_at_us(microseconds(now));
--- a/src/edge/PeerLink.h
+++ b/src/edge/PeerLink.h
@@ -50,6 +50,8 @@
     Duration newerFetchInterval = std::chrono::milliseconds(80);      // between item fetches while the peer's copy is newer
     size_t maxItemsBytes = 24 * 1024; // of an answer to a node that can read the store; larger ones would fill a small VM's link
     Duration placementNodesInterval = std::chrono::milliseconds(50); // between updates of the nodes that Placement can choose as homes
+    // After its start a node has heard the beacons of all peers, also at the longest interval, and they have heard its own.
+    Duration startTime = std::chrono::seconds(2);
     PeerSettings peers;
 };
 
@@ -70,7 +72,7 @@
     void start(); // throws boost::system::system_error if the address can't be used
     void setMembers(std::span<const Member> members);
     void tick();                                      // sends a beacon when one is due, and detects silent peers
-    void setStopping() { this->stopping = true; }     // peers stop choosing this node as a home
+    void setStopping();                               // peers stop choosing this node as a home
     void forceBeacon() { this->beaconForced = true; } // the next beacon is sent even if its content has not changed
     ReadOrder readOrder(TimePoint now) const;
     const PeerTable& table() const { return this->peers; }
@@ -106,6 +108,7 @@
     bool beaconForced = false;
     bool stopping = false;
     TimePoint placementNodesSetAt {};
+    std::optional<TimePoint> startedAt; // empty: before the first tick
 };
 
 } // namespace guavapond::edge
--- a/src/edge/PeerTable.cpp
+++ b/src/edge/PeerTable.cpp
@@ -61,6 +61,7 @@
     peer.member = { beacon.node, ip, beacon.port };
     peer.failureDomain = beacon.failureDomain;
     peer.stopping = beacon.stopping;
+    peer.starting = beacon.starting;
     return result;
 }
 
@@ -90,12 +91,12 @@
     return found == this->peers.end() ? std::nullopt : std::optional<Member>(found->second.member);
 }
 
-std::vector<Placement::Node> PeerTable::availableNodes(TimePoint now) const
+std::vector<Placement::Node> PeerTable::placementNodes(TimePoint now) const
 {
     std::vector<Placement::Node> result;
     for (const auto& [node, peer] : this->peers) {
-        if (this->isHeard(peer, now) && !peer.stopping)
-            result.push_back({ node, peer.failureDomain });
+        if (!peer.stopping)
+            result.push_back({ node, peer.failureDomain, this->isHeard(peer, now), peer.starting });
     }
     return result;
 }
--- a/src/edge/PeerTable.h
+++ b/src/edge/PeerTable.h
@@ -35,6 +35,7 @@
     uint16_t port = 0;        // where the sender serves its store items
     std::string failureDomain;
     bool stopping = false; // the sender is shutting down and takes over no more work
+    bool starting = false; // the sender has just started
     std::vector<WorkspaceQuota::Use> uses;
 };
 
@@ -60,7 +61,7 @@
 
     std::vector<Member> members() const; // without this node
     std::optional<Member> member(const std::string& node) const;
-    std::vector<Placement::Node> availableNodes(TimePoint now) const; // heard and not shutting down; without this node
+    std::vector<Placement::Node> placementNodes(TimePoint now) const; // all that are not shutting down; without this node
     struct Echo {                                                     // identifies the last beacon of a node
         TimePoint sentAt {};                                          // by that node's clock; the epoch: no beacon yet
         uint64_t incarnation = 0;
@@ -83,6 +84,7 @@
         bool silent = true;
         std::string failureDomain;
         bool stopping = false;
+        bool starting = false;
         std::map<uint64_t, uint64_t> uses; // workspace hash, tokens dispatched since the peer started
     };
     bool isHeard(const Peer& peer, TimePoint now) const { return !peer.silent && now - peer.heardAt <= this->silentAfter; }
--- a/src/edge/Placement.h
+++ b/src/edge/Placement.h
@@ -11,7 +11,9 @@
 //   Withdrawal          takes back a placement request
 //   PlacementMessage    one datagram between two nodes
 //   PlacementBounds     intervals, timeouts and limits of the protocol
-//   Placement           setSelf, setNodes, request, withdraw, onLoadChanged, shareSample, handleMessage, tick, flush, homeOf,
+//   LimitAnswer         what an answer says of the target's request limit
+//   Placement           setSelf, setNodes, request, withdraw, onLoadChanged, shareSample, onLimitAnswer, handleMessage, tick, flush,
+//   homeOf,
 //                       occupancy, waiting, counts, view
 #pragma once
 
@@ -43,10 +45,11 @@
     std::vector<RunSample> samples;
     std::vector<PlacementAnswer> answers;
     std::vector<GroupCapacity> capacities;
+    std::vector<LimitReport> limits;
     bool empty() const
     {
         return this->reports.empty() && this->requests.empty() && this->withdrawals.empty() && this->samples.empty()
-            && this->answers.empty() && this->capacities.empty();
+            && this->answers.empty() && this->capacities.empty() && this->limits.empty();
     }
 };
 
@@ -58,15 +61,25 @@
     Duration reportInterval = std::chrono::milliseconds(150);  // of load reports, while this node has work at a group
     Duration capacityInterval = std::chrono::milliseconds(25); // between announcements of a capacity that changed
     Duration capacityRepeatInterval = std::chrono::milliseconds(250); // between announcements of an unchanged capacity
-    uint32_t maxHomesTried = 2;                                       // tried in turn before this node places a request itself
+    Duration limitReportInterval = std::chrono::milliseconds(200);    // between reports to a home of the same request limit
+    Duration limitRepeatInterval = std::chrono::seconds(1); // between reports of all request limits to the other nodes that have a share
+    uint32_t maxHomesTried = 2;                             // tried in turn before this node places a request itself
     double localSpread = 1.0; // random part of predicted times when nodes place requests themselves (Demand::scoreJitter)
 };
 
+struct LimitAnswer {
+    std::optional<double> perSecond; // empty: a sound answer that names no limit
+    TimePoint sentAt {};             // of the request
+    bool counted = false;            // the place of the request was taken from a request limit
+};
+
 class Placement {
 public:
     struct Node {
         std::string name;
-        std::string failureDomain;
+        std::string failureDomain; // empty: not known yet
+        bool isReachable = true;   // false: it is not heard, and is no home
+        bool isStarting = false;   // it has not heard its peers for long enough to grant places within request limits
         bool operator==(const Node&) const = default;
     };
     using Callback = std::function<void(const PlacementAnswer&)>; // Granted or Full
@@ -80,13 +93,21 @@
     Placement(Hooks hooks, const PlacementBounds& bounds = {});
 
     void setSelf(const Node& self, uint64_t incarnation);
-    void setNodes(std::vector<Node> others); // reachable nodes that are not shutting down, without this one
+    void setNodes(std::vector<Node> others);                        // all known nodes that are not shutting down, without this one
+    void setStarting(bool value) { this->self.isStarting = value; } // see Node::isStarting, of this node
+    void setStopping() { this->stopping = true; }                   // this node grants no more places within request limits
 
     // Returns the id of the request. Sets its node, id, group and failure domain; may invoke `callback` before it returns.
     uint64_t request(PlacementRequest request, Callback callback, TimePoint now);
     void withdraw(uint64_t id);                               // `callback` will not be invoked
     void onLoadChanged(uint64_t service, TimePoint now);      // call when this node's load at the service's targets has changed
     void shareSample(const RunSample& sample, TimePoint now); // sends it to the home of the target's group
+    // This node got an answer of a target that names a request limit or none. The target's home is told, and whoever grants places at it
+    // next. Returns what changed for this node.
+    LimitChange onLimitAnswer(uint64_t service, TargetPool::Index target, const LimitAnswer& answer, TimePoint now);
+    // Whether this node may use a place that the home did not take from the target's request limit. It may not if the target named one
+    // to this node: the home is told instead.
+    bool acceptsUncounted(TargetPool::Index target, const PlacementAnswer& answer, TimePoint now);
     void handleMessage(const PlacementMessage& message, TimePoint now);
     void tick(TimePoint now); // every few milliseconds
     void flush(TimePoint now);
@@ -158,6 +179,12 @@
     void createHomes(TimePoint now); // of groups that this node is the home of, before the first request arrives
     void sendCapacities(TimePoint now);
     bool isUnresponsive(const std::string& node, TimePoint now) const;
+    size_t limitRank(uint64_t service, const std::string& group) const;
+    void updateLimitShares(TimePoint now);
+    void reportLimit(uint64_t service, TargetPool& pool, TargetPool::Index target, LimitReport report, TimePoint now);
+    void repeatLimits(TimePoint now);
+    std::vector<std::string> nodesWithLimitShare(const GroupKey& key) const; // reachable ones, without this node
+    void handleLimitReport(const LimitReport& report, const std::string& from, TimePoint now);
 
     Hooks hooks;
     PlacementBounds bounds;
@@ -176,6 +203,10 @@
     std::map<std::string, std::pair<uint64_t, uint64_t>> lastReceived; // incarnation and newest sequence, by node
     Counts total;
     TimePoint homesCheckedAt {};
+    bool stopping = false;
+    std::map<uint64_t, TimePoint> limitReportedAt; // to the home, by hash of the target's id
+    TimePoint limitsRepeatedAt {};
+    TimePoint limitSharesUpdatedAt {};
 };
 
 } // namespace guavapond::edge
--- a/src/edge/PlacementHome.cpp
+++ b/src/edge/PlacementHome.cpp
@@ -7,6 +7,12 @@
 
 namespace guavapond::edge {
 
+namespace {
+
+constexpr Duration maxReturnDelay = std::chrono::seconds(10); // longer than most callers wait
+
+} // namespace
+
 std::string_view placementVerdictName(PlacementVerdict verdict)
 {
     static constexpr std::array<std::string_view, placementVerdictCount> names { "granted", "queued", "elsewhere", "full" };
@@ -129,6 +135,11 @@
     answer.grant = ++this->lastGrant;
     answer.firstEvent = choice.firstEvent;
     answer.backlogTokens = choice.backlogTokens;
+    answer.countedByLimit = this->pool.takeFromLimit(choice.target, now);
+    answer.passedLimit = choice.passedLimit;
+    const LimitStatement& limit = this->pool.requestLimit(choice.target).statement();
+    if (!answer.countedByLimit && limit.at != TimePoint {})
+        answer.limitEndedFor = now - limit.at;
     this->requesters[request.node].unconfirmed.push_back({ answer.grant, answer.target, request.promptTokens, now });
     this->pool.addPeerRun(this->loadKey(request.node), answer.target, request.promptTokens, now);
     return answer;
@@ -169,6 +180,8 @@
         answer.otherGroup = other->capacity.group;
         return answer;
     }
+    if (auto refusal = this->limitsInForce ? this->refuseByLimit(waiting, now) : std::nullopt)
+        return refusal;
     if (now >= waiting.giveUpAt)
         return answer;
     if (waiting.queuedSent)
@@ -178,12 +191,33 @@
     return answer;
 }
 
+std::optional<PlacementAnswer> PlacementHome::refuseByLimit(const Waiting& waiting, TimePoint now)
+{
+    const auto room = this->pool.limitedRoom(demandOf(waiting.request), this->excludedIndices(waiting.request), now);
+    if (!room || !room->isAll)
+        return std::nullopt;
+    const bool hasShare = room->perSecond > 0;
+    const Duration wait = hasShare ? room->next + fromSeconds(this->aheadAtLimits++ / room->perSecond) : Duration::max();
+    if (hasShare && now + wait <= waiting.giveUpAt)
+        return std::nullopt;
+    PlacementAnswer answer = this->makeAnswer(waiting.request);
+    answer.passedLimit = true;
+    if (!hasShare)
+        return answer;
+    // Callers return one after the other, as fast as the limits allow.
+    this->nextReturn = std::min(std::max(this->nextReturn, now + room->next) + fromSeconds(1 / room->perSecond), now + maxReturnDelay);
+    answer.retryAfter = this->nextReturn - now;
+    return answer;
+}
+
 std::vector<PlacementAnswer> PlacementHome::processQueue(TimePoint now)
 {
     std::vector<PlacementAnswer> result;
     if (this->queue.empty())
         return result;
     this->fullForUrgent = this->fullForOthers = false;
+    this->limitsInForce = this->pool.limitedCount() > 0;
+    this->aheadAtLimits = 0;
     for (const WaitKey& key : this->queue.first(this->settings.requestsPerRound)) {
         const auto answer = this->decide(this->waitingByKey.at(key), now);
         if (!answer)
--- a/src/edge/PlacementHome.h
+++ b/src/edge/PlacementHome.h
@@ -60,13 +60,17 @@
     uint64_t id = 0;   // of the request
     PlacementVerdict verdict = PlacementVerdict::Full;
     uint64_t service = 0;
-    std::string group;          // of the home that answers
-    std::string otherGroup;     // with Redirected: the group to ask next
-    uint64_t target = 0;        // with Granted: hash of the target's id
-    uint64_t grant = 0;         // with Granted: number of the grant, increasing within a home; 0: none
-    Duration firstEvent {};     // with Granted: predicted time to the first event
-    uint32_t backlogTokens = 0; // with Granted: prompt tokens the target reads before the first event, with those of the request
-    double occupancy = 1;       // share of the group's slots in use
+    std::string group;                     // of the home that answers
+    std::string otherGroup;                // with Redirected: the group to ask next
+    uint64_t target = 0;                   // with Granted: hash of the target's id
+    uint64_t grant = 0;                    // with Granted: number of the grant, increasing within a home; 0: none
+    Duration firstEvent {};                // with Granted: predicted time to the first event
+    uint32_t backlogTokens = 0;            // with Granted: prompt tokens the target reads before the first event, with those of the request
+    double occupancy = 1;                  // share of the group's slots in use
+    bool countedByLimit = false;           // with Granted: the place was taken from the target's request limit
+    bool passedLimit = false;              // a target was passed over for its request limit
+    std::optional<Duration> limitEndedFor; // with Granted: how long the home knows that the target's request limit has ended
+    std::optional<Duration> retryAfter;    // with Full: when the request limits of the targets have room
 };
 
 struct GroupCapacity {
@@ -128,6 +132,8 @@
     std::vector<TargetPool::Index> excludedIndices(const PlacementRequest& request) const;
     std::optional<PlacementAnswer> decide(Waiting& waiting, TimePoint now); // empty: keeps waiting
     PlacementAnswer grant(const PlacementRequest& request, const TargetPool::Choice& choice, TimePoint now);
+    // The answer to a request that waits in vain, because request limits leave no room in time; empty: it may wait.
+    std::optional<PlacementAnswer> refuseByLimit(const Waiting& waiting, TimePoint now);
     RemoteCapacity* findRedirect(const Waiting& waiting, TimePoint now); // null: no other group fits
     void removeWaiting(const WaitKey& key);
     void updatePoolLoads(uint64_t node, const Requester& requester, TimePoint now); // reported loads and unconfirmed grants
@@ -143,6 +149,9 @@
     uint64_t lastGrant = 0;
     bool fullForUrgent = false; // no target accepts such requests, in the current call of processQueue
     bool fullForOthers = false; // the same for requests that are not urgent
+    bool limitsInForce = false; // any target of the service names a request limit, in the current call of processQueue
+    uint32_t aheadAtLimits = 0; // requests of this call that wait for room within request limits
+    TimePoint nextReturn {};    // when the next caller that is refused for request limits may return
 };
 
 } // namespace guavapond::edge
--- a/src/edge/PlacementWire.cpp
+++ b/src/edge/PlacementWire.cpp
@@ -3,6 +3,7 @@
 
 #include "edge/WorkspaceQuota.h"
 
+#include <cmath>
 #include <placement.pb.h>
 
 namespace guavapond::edge {
@@ -149,6 +150,10 @@
     wire.set_first_event_us(answer.firstEvent.count());
     wire.set_backlog_tokens(answer.backlogTokens);
     wire.set_occupancy_percent(static_cast<uint32_t>(answer.occupancy * percent));
+    wire.set_counted_by_limit(answer.countedByLimit);
+    wire.set_passed_limit(answer.passedLimit);
+    wire.set_limit_ended_us(answer.limitEndedFor ? answer.limitEndedFor->count() + 1 : 0);
+    wire.set_retry_after_us(answer.retryAfter ? answer.retryAfter->count() : 0);
 }
 
 PlacementAnswer decode(const wire::Answer& wire)
@@ -164,9 +169,37 @@
     answer.firstEvent = duration(wire.first_event_us());
     answer.backlogTokens = wire.backlog_tokens();
     answer.occupancy = wire.occupancy_percent() / percent;
+    answer.countedByLimit = wire.counted_by_limit();
+    answer.passedLimit = wire.passed_limit();
+    if (wire.limit_ended_us() > 0)
+        answer.limitEndedFor = duration(wire.limit_ended_us() - 1);
+    if (wire.retry_after_us() > 0)
+        answer.retryAfter = duration(wire.retry_after_us());
     return answer;
 }
 
+void encode(const LimitReport& report, wire::Limit& wire)
+{
+    wire.set_service(report.service);
+    wire.set_target(report.target);
+    wire.set_started_unix_ms(report.startedUnixMs);
+    wire.set_kind(static_cast<uint32_t>(report.kind));
+    wire.set_per_second(report.perSecond);
+    wire.set_age_us(report.age.count());
+    wire.set_sent_age_us(report.sentAge.count());
+}
+
+LimitReport decode(const wire::Limit& wire)
+{
+    return { wire.service(), wire.target(), wire.started_unix_ms(), static_cast<LimitReport::Kind>(wire.kind()), wire.per_second(),
+        duration(wire.age_us()), duration(wire.sent_age_us()) };
+}
+
+bool isValid(const wire::Limit& wire)
+{
+    return wire.kind() <= static_cast<uint32_t>(LimitReport::Kind::Ended) && std::isfinite(wire.per_second()) && wire.per_second() >= 0;
+}
+
 } // namespace
 
 std::string encodePlacement(const PlacementMessage& message)
@@ -196,6 +229,8 @@
         entry->set_free_slots(capacity.freeSlots);
         entry->set_soonest_us(std::min(capacity.shortestWait.count(), maxDurationUs));
     }
+    for (const LimitReport& report : message.limits)
+        encode(report, *wire.add_limits());
     return wire.SerializeAsString();
 }
 
@@ -230,6 +265,11 @@
     }
     for (const auto& capacity : wire.sums())
         message.capacities.push_back({ capacity.service(), capacity.group(), capacity.free_slots(), duration(capacity.soonest_us()) });
+    for (const auto& limit : wire.limits()) {
+        if (!isValid(limit))
+            return std::nullopt;
+        message.limits.push_back(decode(limit));
+    }
     return message;
 }
 
--- a/src/edge/RequestLimit.h
+++ b/src/edge/RequestLimit.h
@@ -1,11 +1,19 @@
 // The request limit of a target: the requests per second that it takes from all nodes together. A target names it in its answers, and
 // it holds for as long as the answers name it.
 //
+// Every request is sent to a place that a node has granted, so a limit is kept where places are granted. Up to four nodes may grant
+// places at a target at the same time: its home, and others that act as home because nodes can't reach it. Each has a fixed share of
+// every limit, by its rank among all known nodes of the target's group. The shares and the tokens that each may save add up to less than
+// operators tolerate in any 4 s (1.5 times the limit and 5 requests), so the limit holds without an agreement between the nodes,
+// whichever of them are dead, cut off or late. Other nodes grant no place at such a target.
+//
 // Index
 //   parseRequestLimit   the header field's values
 //   LimitStatement      what a target said last
+//   LimitReport         a statement, as nodes tell each other
 //   LimitChange         what a statement changed
-//   RequestLimit        onNamed, onNotNamed, statement
+//   limitShareOfRank    part of each limit that a node may grant
+//   RequestLimit        onNamed, onNotNamed, onReport; take
 #pragma once
 
 #include "core/Types.h"
@@ -25,6 +33,21 @@
     TimePoint at {};                 // arrival of the answer, by this node's clock; the epoch: no answer yet
 };
 
+struct LimitReport {
+    enum class Kind : uint8_t {
+        Named,    // an answer named the limit
+        NotNamed, // an answer named none
+        Ended,    // the sender counts the limit as ended
+    };
+    uint64_t service = 0;      // hash of its name
+    uint64_t target = 0;       // hash of its id
+    int64_t startedUnixMs = 0; // of the target's process; a report on another process of the target is void
+    Kind kind = Kind::Named;
+    double perSecond = 0; // with Named
+    Duration age {};      // since the answer arrived
+    Duration sentAge {};  // with NotNamed: since the request was sent
+};
+
 enum class LimitChange : uint8_t {
     None,
     Set,
@@ -33,19 +56,38 @@
 };
 std::string_view limitChangeName(LimitChange change); // lower_snake_case
 
+double limitShareOfRank(size_t rank); // rank 0 is the home of the target while all nodes reach it
+
 class RequestLimit {
 public:
     LimitChange onNamed(double perSecond, TimePoint now);
     // A sound answer that names no limit, to a request that was sent at `sentAt`. Answers to requests that were sent before the last
     // answer that named one say nothing: the target may have composed them earlier.
     LimitChange onNotNamed(TimePoint sentAt, TimePoint now);
+    LimitChange onReport(const LimitReport& report, TimePoint now); // of another node
+    LimitChange onEnded(TimePoint at);                              // another node knows since `at` that the limit has ended
+
     const LimitStatement& statement() const { return this->last; }
     bool isSet() const { return this->last.perSecond.has_value(); }
+    bool isFirstHand() const { return this->isSet() && this->firstHand; } // an answer to this node named the limit
+
+    // Below, `share` is the part of the limit that this node may grant. A target without a limit has room for any number of requests.
+    bool hasRoom(double share, TimePoint now) const;
+    void take(double share, TimePoint now); // one request was granted a place; only while isSet()
+    double tokens(double share, TimePoint now) const;
+    double grantsPerSecond(double share) const;
+    Duration untilRoom(double share, TimePoint now) const; // Duration::max(): this node has no share
 
 private:
+    LimitChange set(double perSecond, TimePoint at, TimePoint now);
+    LimitChange end(TimePoint at);
+
     LimitStatement last;
+    bool firstHand = false;      // valid while the limit is set
     uint32_t answersWithout = 0; // consecutive ones, since the limit was named
     TimePoint changeReportedAt {};
+    double saved = 0;      // tokens at filledAt; a request takes one
+    TimePoint filledAt {}; // valid while the limit is set
 };
 
 } // namespace guavapond::edge
--- a/src/edge/TargetPool.cpp
+++ b/src/edge/TargetPool.cpp
@@ -20,10 +20,11 @@
 constexpr uint32_t judgedAnswers = 12;       // last answers of a target that decide on a pause
 constexpr uint32_t failuresToPause = 4;      // error answers among them that pause the target
 constexpr uint32_t judgedAnswersMask = (1U << judgedAnswers) - 1;
-constexpr double newestAnswerWeight = 0.15;      // in failedShare
-constexpr double failedShareHalfLifeSeconds = 3; // without an answer; lets the target be tried again
-constexpr size_t maxCacheEntries = 20000;        // prefix hashes
-constexpr size_t minTargetsPerGroup = 12;        // mean per failure domain at which targets are grouped by domain
+constexpr double newestAnswerWeight = 0.15;                         // in failedShare
+constexpr double failedShareHalfLifeSeconds = 3;                    // without an answer; lets the target be tried again
+constexpr size_t maxCacheEntries = 20000;                           // prefix hashes
+constexpr Duration endedLimitReportTime = std::chrono::seconds(10); // how long nodes tell each other that a limit has ended
+constexpr size_t minTargetsPerGroup = 12;                           // mean per failure domain at which targets are grouped by domain
 
 void updateAverage(double& value, double sample) { value = value == 0 ? sample : value + sampleWeight * (sample - value); }
 
@@ -115,6 +116,65 @@
         std::count_if(this->targets.begin(), this->targets.end(), [](const Target& t) { return !t.leaving && t.requestLimit.isSet(); }));
 }
 
+double TargetPool::limitShare(const Target& target) const
+{
+    if (this->limitShares.empty())
+        return 1;
+    auto found = this->limitShares.find(target.info.failureDomain);
+    if (found == this->limitShares.end())
+        found = this->limitShares.find("");
+    return found == this->limitShares.end() ? 0 : found->second;
+}
+
+bool TargetPool::hasLimitRoom(const Target& target, TimePoint now) const
+{
+    return !target.requestLimit.isSet() || target.requestLimit.hasRoom(this->limitShare(target), now);
+}
+
+bool TargetPool::takeFromLimit(Index target, TimePoint now)
+{
+    Target& t = this->targets[target];
+    if (!t.requestLimit.isSet())
+        return false;
+    t.requestLimit.take(this->limitShare(t), now);
+    return true;
+}
+
+std::vector<LimitReport> TargetPool::limitReports(std::string_view group, TimePoint now) const
+{
+    std::vector<LimitReport> result;
+    for (const Target& target : this->targets) {
+        const LimitStatement& statement = target.requestLimit.statement();
+        const bool isEnded = !statement.perSecond;
+        if (statement.at == TimePoint {} || target.leaving || (isEnded && now - statement.at > endedLimitReportTime)
+            || (!group.empty() && target.info.failureDomain != group))
+            continue;
+        result.push_back({ 0, target.hash, target.info.startedUnixMs, isEnded ? LimitReport::Kind::Ended : LimitReport::Kind::Named,
+            statement.perSecond.value_or(0), now - statement.at, {} });
+    }
+    return result;
+}
+
+std::optional<LimitedRoom> TargetPool::limitedRoom(const Demand& demand, std::span<const Index> tried, TimePoint now) const
+{
+    LimitedRoom room { 0, Duration::max(), true };
+    bool isAny = false;
+    for (Index i = 0; i < this->targets.size(); ++i) {
+        const Target& target = this->targets[i];
+        if (!this->isUsable(target, demand, now) || std::find(tried.begin(), tried.end(), i) != tried.end())
+            continue;
+        if (!target.requestLimit.isSet()) {
+            room.isAll = false;
+            continue;
+        }
+        isAny = true;
+        const double share = this->limitShare(target);
+        room.perSecond += target.requestLimit.grantsPerSecond(share);
+        room.next = std::min(room.next, target.requestLimit.untilRoom(share, now));
+    }
+    return isAny ? std::optional<LimitedRoom>(room) : std::nullopt;
+}
+
 TargetPool::Load TargetPool::load(const Target& target, TimePoint now) const
 {
     Load sum { target.running, target.prefillTokens };
@@ -245,18 +305,28 @@
     return tokens;
 }
 
+bool TargetPool::hasCapacity(const Target& target, const Load& load, const Demand& demand) const
+{
+    const Duration maxQueueWait = demand.urgent ? this->settings.queueForUrgent : this->settings.queueForOthers;
+    return load.running < target.info.slots * this->settings.mostPerSlot && this->slotWait(target, load) <= maxQueueWait;
+}
+
 std::optional<TargetPool::Choice> TargetPool::choose(const Demand& demand, std::span<const Index> tried, TimePoint now)
 {
     std::optional<Choice> best;
     double bestScore = 0;
-    const Duration maxQueueWait = demand.urgent ? this->settings.queueForUrgent : this->settings.queueForOthers;
+    bool passedLimit = false;
     for (Index i = 0; i < this->targets.size(); ++i) {
         const Target& target = this->targets[i];
         if (!this->isUsable(target, demand, now) || std::find(tried.begin(), tried.end(), i) != tried.end())
             continue;
         const Load load = this->load(target, now);
-        if (load.running >= target.info.slots * this->settings.mostPerSlot || this->slotWait(target, load) > maxQueueWait)
+        if (!this->hasCapacity(target, load, demand))
+            continue;
+        if (!this->hasLimitRoom(target, now)) {
+            passedLimit = true;
             continue;
+        }
         const uint32_t cached = std::min(this->cachedTokens(i, demand, now), demand.promptTokens);
         const uint32_t tokens = demand.promptTokens - cached;
         const double score = this->score(target, load, tokens, demand, now);
@@ -265,6 +335,8 @@
             bestScore = score;
         }
     }
+    if (best)
+        best->passedLimit = passedLimit;
     return best;
 }
 
@@ -477,9 +549,12 @@
         if (!this->isUsable(target, demand, now))
             continue;
         const Load load = this->load(target, now);
-        if (load.running >= target.info.slots)
+        if (load.running >= target.info.slots || !this->hasLimitRoom(target, now))
             continue;
-        result.freeSlots += target.info.slots - load.running;
+        uint32_t free = target.info.slots - load.running;
+        if (target.requestLimit.isSet())
+            free = std::min(free, static_cast<uint32_t>(target.requestLimit.tokens(this->limitShare(target), now)));
+        result.freeSlots += free;
         result.soonest = std::min(result.soonest, this->predictFirst(target, load, 0));
     }
     return result;
@@ -511,8 +586,10 @@
     for (const Target& target : this->targets) {
         if (target.leaving || now < target.pausedUntil || (!group.empty() && target.info.failureDomain != group))
             continue;
-        inFlight += this->load(target, now).running;
-        slots += target.info.slots;
+        const Load load = this->load(target, now);
+        inFlight += load.running;
+        // A target without room within its request limit is full with what it runs.
+        slots += this->hasLimitRoom(target, now) ? target.info.slots : std::min(load.running, target.info.slots);
     }
     return slots > 0 ? inFlight / slots : 1;
 }
--- a/src/edge/TargetPool.h
+++ b/src/edge/TargetPool.h
@@ -9,7 +9,9 @@
 //   TargetOutcome      how a request at a target ended
 //   TargetLoadReport   a node's load at one target, as reported to its peers
 //   RunSample          measurements of one request, from the node that ran it
-//   TargetPool         upsert and markLeaving; choose; started, progress, firstEvent, eventGap, ended; load reports of peers
+//   LimitedRoom        targets that only their request limits keep from taking a request
+//   TargetPool         upsert and markLeaving; choose; started, progress, firstEvent, eventGap, ended; load reports of peers;
+//                      request limits
 //
 //   if (auto choice = pool.choose(demand, tried, now))
 //       pool.started(choice->target, demand, now);
@@ -86,6 +88,12 @@
     Cancelled,   // by this node or the caller
 };
 
+struct LimitedRoom {
+    double perSecond = 0; // requests that this node may grant at them together
+    Duration next {};     // until the first of them has room
+    bool isAll = false;   // no other target could take the request, now or later
+};
+
 struct TargetLoadReport {
     uint64_t targetHash;
     uint32_t running;
@@ -120,13 +128,20 @@
     std::vector<uint64_t> leavingHashes() const; // of targets whose leave was announced
     bool isLeaving(Index target) const { return this->targets[target].leaving; }
     void pauseFor(Index target, Duration requested, TimePoint now); // the target asked for no requests for this long
+
     RequestLimit& requestLimit(Index target) { return this->targets[target].requestLimit; }
     size_t limitedCount() const; // targets whose request limit is set
+    // Parts of the request limits that this node may grant, by group; the group "" holds all targets. Without any, each part is 1.
+    void setLimitShares(std::map<std::string, double> shares) { this->limitShares = std::move(shares); }
+    bool takeFromLimit(Index target, TimePoint now); // a place was granted; false: the target has no limit
+    std::vector<LimitReport> limitReports(std::string_view group, TimePoint now) const; // of targets that name a limit or did so lately
+    std::optional<LimitedRoom> limitedRoom(const Demand& demand, std::span<const Index> tried, TimePoint now) const;
 
     struct Choice {
         Index target;
-        Duration firstEvent;    // predicted time to the first event, or to the answer of a service that is no engine
-        uint32_t backlogTokens; // prompt tokens that the target processes until then, including this request's
+        Duration firstEvent;      // predicted time to the first event, or to the answer of a service that is no engine
+        uint32_t backlogTokens;   // prompt tokens that the target processes until then, including this request's
+        bool passedLimit = false; // a target was passed over for its request limit
     };
     // Empty: no usable target has capacity. Targets in `tried` are excluded.
     std::optional<Choice> choose(const Demand& demand, std::span<const Index> tried, TimePoint now);
@@ -226,6 +241,9 @@
     Load load(const Target& target, TimePoint now) const;
     bool isStalled(const Target& target, TimePoint now) const;
     bool isUsable(const Target& target, const Demand& demand, TimePoint now) const;
+    bool hasCapacity(const Target& target, const Load& load, const Demand& demand) const;
+    double limitShare(const Target& target) const;
+    bool hasLimitRoom(const Target& target, TimePoint now) const;
     Duration predictFirst(const Target& target, const Load& load, uint32_t tokens) const;
     Duration slotWait(const Target& target, const Load& load) const; // predicted wait for a free slot
     double gapMs(const Target& target, uint32_t running) const;
@@ -245,6 +263,7 @@
     std::unordered_map<uint64_t, Index> byHash;
     std::unordered_map<uint64_t, std::vector<Index>> reportedBy; // by node: targets with load of that node
     bool grouped = false;
+    std::map<std::string, double> limitShares;                   // by group
     std::unordered_map<uint64_t, std::vector<CacheEntry>> cache; // by prefix hash; bounded
 };
 
--- a/tests/edge/PlacementWorld.h
+++ b/tests/edge/PlacementWorld.h
@@ -56,6 +56,7 @@
         std::optional<TimePoint> refusedAt; // by a home or by the node
         std::optional<TimePoint> endedAt;
         TimePoint sentAt {};   // to a target
+        bool counted = false;  // its place was taken from a request limit
         bool rejected = false; // by a target
         bool urgent = false;
     };
@@ -224,7 +225,7 @@
         while (!this->nodes[index]->alive || this->now < this->nodes[index]->frozenUntil)
             index = (index + 1) % this->nodes.size();
         const size_t number = this->requests.size();
-        this->requests.push_back({ index, { 0, urgent ? 0 : 1 }, this->now, {}, {}, {}, {}, false, urgent });
+        this->requests.push_back({ index, { 0, urgent ? 0 : 1 }, this->now, {}, {}, {}, {}, false, false, urgent });
         PlacementRequest wanted;
         wanted.service = service();
         wanted.rank = this->requests.back().rank;
@@ -239,11 +240,25 @@
                     request.refusedAt = this->now;
                     return;
                 }
-                this->startRequest(number, answer.target);
+                this->onGranted(number, answer);
             },
             this->now);
     }
 
+    // As the node does: a place that the home did not take from a known request limit is not used.
+    void onGranted(size_t number, const PlacementAnswer& answer)
+    {
+        Request& request = this->requests[number];
+        Node& node = *this->nodes[request.node];
+        const auto index = *node.pool->find(answer.target);
+        if (!answer.countedByLimit && !node.placement->acceptsUncounted(index, answer, this->now)) {
+            request.refusedAt = this->now;
+            return;
+        }
+        request.counted = answer.countedByLimit;
+        this->startRequest(number, answer.target);
+    }
+
     void startRequest(size_t number, uint64_t targetHash)
     {
         const auto found
@@ -286,18 +301,15 @@
             return;
         request.endedAt = this->now;
         const auto index = *node.pool->find(nameHash(target.id));
-        this->noteAnswer(node, index, target, request.sentAt);
+        this->noteAnswer(node, index, target, request);
         node.pool->ended(index, 0, TargetOutcome::Answered, this->settings.meanServiceTime, this->now);
         node.placement->onLoadChanged(service(), this->now);
     }
 
-    void noteAnswer(Node& node, TargetPool::Index index, const Target& target, TimePoint sentAt)
+    void noteAnswer(Node& node, TargetPool::Index index, const Target& target, const Request& request)
     {
         this->limits.onAnswer(node.name, target.id, this->now);
-        if (target.requestLimit)
-            node.pool->requestLimit(index).onNamed(*target.requestLimit, this->now);
-        else
-            node.pool->requestLimit(index).onNotNamed(sentAt, this->now);
+        node.placement->onLimitAnswer(service(), index, { target.requestLimit, request.sentAt, request.counted }, this->now);
     }
 
     void deliver(const Delivery& delivery)
