--- a/tests/edge/PlacementWorld.h
+++ b/tests/edge/PlacementWorld.h
@@ -5,7 +5,7 @@
 // Index
 //   LinkFaults       loss, duplication and delay of messages
 //   WorldSettings    size of the deployment and behaviour of targets
-//   PlacementWorld   service, updateNodeLists, run, homeIndex, outcome, nameLimit
+//   PlacementWorld   service, updateNodeLists, trackMembership, run, homeIndex, outcome, nameLimit, kill, restart
 #pragma once
 
 #include "RequestLimitJudge.h"
@@ -47,6 +47,8 @@
         bool alive = true;
         TimePoint frozenUntil {};                                          // runs nothing and receives nothing until then
         std::vector<std::pair<std::string, PlacementMessage>> undelivered; // receiver and message; arrived while the node was frozen
+        TimePoint startedAt {};
+        std::map<std::string, TimePoint> heardAt; // by other node; with trackMembership()
     };
     struct Request {
         size_t node; // index
@@ -59,6 +61,7 @@
         bool counted = false;  // its place was taken from a request limit
         bool rejected = false; // by a target
         bool urgent = false;
+        bool isLost = false; // its node ended
     };
     struct Target {
         std::string id;
@@ -95,6 +98,33 @@
         }
     }
 
+    // From now on each node learns from beacons which others it reaches, as PeerTable does, in place of updateNodeLists.
+    void trackMembership()
+    {
+        this->tracksMembership = true;
+        for (const auto& node : this->nodes) {
+            node->startedAt = this->now - startTime;
+            for (const auto& other : this->nodes)
+                node->heardAt[other->name] = this->now;
+        }
+    }
+
+    void kill(size_t index) { this->nodes[index]->alive = false; }
+    // The node starts again without any knowledge; its requests before are lost.
+    void restart(size_t index)
+    {
+        Node& node = *this->nodes[index];
+        node.pool = this->makePool(node.domain);
+        node.placement = this->makePlacement(node, ++this->lastIncarnation);
+        node.alive = true;
+        node.startedAt = this->now;
+        node.heardAt.clear();
+        node.undelivered.clear();
+        this->limits.forget(node.name);
+        for (Request& request : this->requests)
+            request.isLost = request.isLost || (request.node == index && !request.endedAt && !request.refusedAt);
+    }
+
     // Advances to `end`, with `perSecond` requests a second spread over all living nodes; a share `urgentShare` of them is urgent.
     void run(TimePoint end, double perSecond, double urgentShare = 0.2)
     {
@@ -134,7 +164,7 @@
             result.served += request.endedAt && *request.endedAt - request.arrived <= this->settings.objective ? 1 : 0;
             result.refused += request.refusedAt ? 1 : 0;
             result.rejected += request.rejected ? 1 : 0;
-            result.open += !request.endedAt && !request.refusedAt && !request.rejected ? 1 : 0;
+            result.open += !request.endedAt && !request.refusedAt && !request.rejected && !request.isLost ? 1 : 0;
             if (request.refusedAt)
                 result.latestRefusal = std::max(result.latestRefusal, *request.refusedAt - request.arrived);
         }
@@ -160,6 +190,10 @@
 
 private:
     static constexpr Duration step = std::chrono::microseconds(500);
+    static constexpr Duration beaconInterval = std::chrono::milliseconds(150);
+    static constexpr Duration startTime = std::chrono::seconds(2);          // as PeerLinkSettings::startTime
+    static constexpr Duration silentAfter = std::chrono::milliseconds(700); // as PeerSettings::silentAfter
+    static constexpr Duration forgetAfter = std::chrono::seconds(12);       // as PeerSettings::forgetAfter
     struct Delivery {
         std::string to;
         std::string bytes;
@@ -180,10 +214,17 @@
         auto node = std::make_unique<Node>();
         node->name = name;
         node->domain = domain;
+        node->pool = this->makePool(domain);
+        node->placement = this->makePlacement(*node, ++this->lastIncarnation);
+        this->nodes.push_back(std::move(node));
+    }
+
+    std::unique_ptr<TargetPool> makePool(const std::string& domain)
+    {
         PlacementSettings placement;
         placement.failureDomain = domain;
         placement.initialServiceTime = this->settings.meanServiceTime;
-        node->pool = std::make_unique<TargetPool>(placement, false, [this] { return this->uniform(); });
+        auto pool = std::make_unique<TargetPool>(placement, false, [this] { return this->uniform(); });
         for (const Target& target : this->targets) {
             TargetInfo info;
             info.id = target.id;
@@ -191,17 +232,44 @@
             info.address = { "127.0.0.1", 1 };
             info.failureDomain = target.domain;
             info.slots = this->settings.slots;
-            node->pool->upsert(info, this->now);
+            pool->upsert(info, this->now);
         }
+        return pool;
+    }
+
+    std::unique_ptr<Placement> makePlacement(Node& node, uint64_t incarnation)
+    {
         Placement::Hooks hooks;
-        hooks.pool = [pool = node->pool.get()](uint64_t) { return pool; };
+        hooks.pool = [pool = node.pool.get()](uint64_t) { return pool; };
         hooks.services = [] { return std::vector<uint64_t> { service() }; };
-        hooks.send = [this, name](const std::string& to, const PlacementMessage& message) { this->send(name, to, message); };
+        hooks.send = [this, name = node.name](const std::string& to, const PlacementMessage& message) { this->send(name, to, message); };
         hooks.scheduleFlush = [] {}; // advance() flushes at the end of each step
         hooks.random = [this] { return this->uniform(); };
-        node->placement = std::make_unique<Placement>(std::move(hooks));
-        node->placement->setSelf({ name, domain }, 1 + this->nodes.size());
-        this->nodes.push_back(std::move(node));
+        auto placement = std::make_unique<Placement>(std::move(hooks));
+        placement->setSelf({ node.name, node.domain }, incarnation);
+        return placement;
+    }
+
+    void hearBeacons()
+    {
+        for (const auto& node : this->nodes) {
+            if (!node->alive || this->now < node->frozenUntil)
+                continue;
+            std::vector<Placement::Node> others;
+            for (const auto& other : this->nodes) {
+                if (other == node)
+                    continue;
+                TimePoint& heardAt = node->heardAt[other->name];
+                if (other->alive && this->now >= other->frozenUntil && !this->isCut(other->name, node->name))
+                    heardAt = this->now;
+                const bool isStarting = this->now - other->startedAt < startTime;
+                // The store lists a node for as long as it lives.
+                if (other->alive || this->now - heardAt <= forgetAfter)
+                    others.push_back({ other->name, other->domain, this->now - heardAt <= silentAfter, isStarting });
+            }
+            node->placement->setStarting(this->now - node->startedAt < startTime);
+            node->placement->setNodes(others);
+        }
     }
 
     void send(const std::string& from, const std::string& to, const PlacementMessage& message)
@@ -225,7 +293,7 @@
         while (!this->nodes[index]->alive || this->now < this->nodes[index]->frozenUntil)
             index = (index + 1) % this->nodes.size();
         const size_t number = this->requests.size();
-        this->requests.push_back({ index, { 0, urgent ? 0 : 1 }, this->now, {}, {}, {}, {}, false, false, urgent });
+        this->requests.push_back({ index, { 0, urgent ? 0 : 1 }, this->now, {}, {}, {}, {}, false, false, urgent, false });
         PlacementRequest wanted;
         wanted.service = service();
         wanted.rank = this->requests.back().rank;
@@ -297,7 +365,7 @@
         this->startNext(completion.target);
         Request& request = this->requests[completion.request];
         Node& node = *this->nodes[request.node];
-        if (!node.alive)
+        if (!node.alive || request.isLost)
             return;
         request.endedAt = this->now;
         const auto index = *node.pool->find(nameHash(target.id));
@@ -340,6 +408,10 @@
         const bool isTick = this->now - this->tickedAt >= std::chrono::milliseconds(10);
         if (isTick)
             this->tickedAt = this->now;
+        if (this->tracksMembership && this->now - this->beaconsAt >= beaconInterval) {
+            this->beaconsAt = this->now;
+            this->hearBeacons();
+        }
         for (const auto& node : this->nodes) {
             if (!node->alive || this->now < node->frozenUntil)
                 continue;
@@ -357,6 +429,9 @@
     std::multimap<TimePoint, Delivery> inFlight;
     std::multimap<TimePoint, Completion> completions;
     TimePoint tickedAt {};
+    TimePoint beaconsAt {};
+    bool tracksMembership = false;
+    uint64_t lastIncarnation = 0;
     double arrivalCredit = 0; // requests that are due but not yet started
 };
 
