--- a/src/edge/PlacementHome.cpp
+++ b/src/edge/PlacementHome.cpp
@@ -205,7 +205,8 @@
     if (!hasShare)
         return answer;
     // Callers return one after the other, as fast as the limits allow.
-    this->nextReturn = std::min(std::max(this->nextReturn, now + room->next) + fromSeconds(1 / room->perSecond), now + maxReturnDelay);
+    this->nextReturn = std::max(this->nextReturn + fromSeconds(1 / room->perSecond), now + room->next);
+    this->nextReturn = std::min(this->nextReturn, now + maxReturnDelay);
     answer.retryAfter = this->nextReturn - now;
     return answer;
 }
