Tell peers which process of a target is leaving

Cause: beacons name leaving targets by the hash of their id. A target may start again under its id. A node that has read the new entry is told by a peer that has not that the target is leaving; it believes so until the next restart, and tells the peer the same once that has read the entry. The target gets no request from any node any more.

Change: beacons carry the start of the process that leaves, and a report on another process is ignored. A beacon of an earlier version lacks it and is taken as before.

Measured: PeerLinkTest ALeaveOfAnEarlierProcessOfATargetIsNotPassedOnForever failed before (at the first check after the restart) and passes; 8 tests of PeerLinkTest and 14 of TargetPoolTest pass. TargetPoolTest AnnouncedLeaveOverridesStoreEntry checks the hash as before, and the start of the process too.

--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -128,8 +128,12 @@
         log(LogLevel::Info, "peer regained", { { "peer", beacon.node }, { "nodes", this->peers.nodeCount() } });
     for (const auto& [workspace, tokens] : result.uses)
         this->relay.quota.peerUsed(workspace, tokens, now);
-    for (const uint64_t target : message.leaving_targets())
-        this->relay.onTargetLeaving(target);
+    for (int i = 0; i < message.leaving_targets_size(); ++i) {
+        LeavingTarget leaving { message.leaving_targets(i), std::nullopt };
+        if (i < message.leaving_started_size())
+            leaving.startedUnixMs = message.leaving_started(i);
+        this->relay.onTargetLeaving(leaving);
+    }
     for (const auto& move : message.moves()) {
         VersionMove::Report report { move.order_revision(), move.arrivals(), {}, move.old_in_flight(), move.called_bad(), move.switched(),
             move.order_age_us() > 0 ? std::optional<Duration>(move.order_age_us()) : std::nullopt };
@@ -293,8 +297,10 @@
 void PeerLink::sendBeacons(TimePoint now)
 {
     wire::Beacon message;
-    for (const uint64_t target : this->relay.leavingTargets())
-        message.add_leaving_targets(target);
+    for (const LeavingTarget& leaving : this->relay.leavingTargets()) {
+        message.add_leaving_targets(leaving.targetHash);
+        message.add_leaving_started(*leaving.startedUnixMs);
+    }
     for (const WorkspaceQuota::Use& use : this->relay.quota.uses()) {
         message.add_used_workspaces(use.workspaceHash);
         message.add_used_tokens(use.tokens);
--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -317,17 +317,17 @@
     return found == this->byService.end() ? 0 : found->second->targets.inFlightOutside(version);
 }
 
-void Relay::onTargetLeaving(uint64_t targetHash)
+void Relay::onTargetLeaving(const LeavingTarget& leaving)
 {
     for (auto& [name, service] : this->byService)
-        service->targets.onLeaveAnnounced(targetHash);
+        service->targets.onLeaveAnnounced(leaving);
 }
 
-std::vector<uint64_t> Relay::leavingTargets() const
+std::vector<LeavingTarget> Relay::leavingTargets() const
 {
-    std::vector<uint64_t> result;
+    std::vector<LeavingTarget> result;
     for (const auto& [name, service] : this->byService) {
-        const auto leaving = service->targets.leavingHashes();
+        const auto leaving = service->targets.leavingTargets();
         result.insert(result.end(), leaving.begin(), leaving.end());
     }
     return result;
--- a/src/edge/Relay.h
+++ b/src/edge/Relay.h
@@ -92,8 +92,8 @@
     void onPeerMoveReport(uint64_t peer, uint64_t serviceHash, const VersionMove::Report& report);
     uint64_t inFlightOutside(const std::string& service, std::string_view version) const; // requests at targets of other versions
 
-    void onTargetLeaving(uint64_t targetHash);    // a peer reports that the target announced its shutdown
-    std::vector<uint64_t> leavingTargets() const; // hashes of ids
+    void onTargetLeaving(const LeavingTarget& leaving); // a peer reports that the target announced its shutdown
+    std::vector<LeavingTarget> leavingTargets() const;
     void tick(); // call every few milliseconds: serves the queue, cancels stalled attempts, closes idle connections
 
     // From now on only requests whose deadline is not after `end`, the planned end of the process, are admitted.
--- a/src/edge/TargetPool.cpp
+++ b/src/edge/TargetPool.cpp
@@ -87,19 +87,22 @@
     this->refreshMeans();
 }
 
-void TargetPool::onLeaveAnnounced(uint64_t targetHash)
+void TargetPool::onLeaveAnnounced(const LeavingTarget& leaving)
 {
-    const auto found = this->byHash.find(targetHash);
-    if (found != this->byHash.end())
+    const auto found = this->byHash.find(leaving.targetHash);
+    if (found == this->byHash.end())
+        return;
+    const int64_t startedUnixMs = this->targets[found->second].info.startedUnixMs;
+    if (leaving.startedUnixMs.value_or(startedUnixMs) == startedUnixMs)
         this->onLeaveAnnounced(found->second);
 }
 
-std::vector<uint64_t> TargetPool::leavingHashes() const
+std::vector<LeavingTarget> TargetPool::leavingTargets() const
 {
-    std::vector<uint64_t> result;
+    std::vector<LeavingTarget> result;
     for (const Target& target : this->targets) {
         if (target.leaveAnnounced)
-            result.push_back(target.hash);
+            result.push_back({ target.hash, target.info.startedUnixMs });
     }
     return result;
 }
--- a/src/edge/TargetPool.h
+++ b/src/edge/TargetPool.h
@@ -9,6 +9,7 @@
 //   TargetOutcome      how a request at a target ended
 //   TargetLoadReport   a node's load at one target, as reported to its peers
 //   RunSample          measurements of one request, from the node that ran it
+//   LeavingTarget      a target that announced that it is leaving, as nodes tell each other
 //   LimitedRoom        targets that only their request limits keep from taking a request
 //   TargetPool         upsert and markLeaving; choose; started, progress, firstEvent, eventGap, ended; load reports of peers;
 //                      request limits
@@ -94,6 +95,12 @@
     bool isAll = false;   // no other target could take the request, now or later
 };
 
+struct LeavingTarget {
+    uint64_t targetHash = 0;
+    std::optional<int64_t> startedUnixMs; // of the process that leaves; empty: told by a node of an earlier version
+    bool operator==(const LeavingTarget&) const = default;
+};
+
 struct TargetLoadReport {
     uint64_t targetHash;
     uint32_t running;
@@ -124,8 +131,8 @@
     void markLeaving(std::string_view id); // draining or removed: gets no new requests; running ones continue
     // The target itself or a peer announced that the target is leaving. Overrides the store's entry until the target restarts.
     void onLeaveAnnounced(Index target);
-    void onLeaveAnnounced(uint64_t targetHash);
-    std::vector<uint64_t> leavingHashes() const; // of targets whose leave was announced
+    void onLeaveAnnounced(const LeavingTarget& leaving); // ignored if it is about another process of the target
+    std::vector<LeavingTarget> leavingTargets() const;   // targets whose leave was announced
     bool isLeaving(Index target) const { return this->targets[target].leaving; }
     void pauseFor(Index target, Duration requested, TimePoint now); // the target asked for no requests for this long
 
--- a/tests/edge/PeerLinkTest.cpp
+++ b/tests/edge/PeerLinkTest.cpp
@@ -264,3 +264,31 @@
     sendTo(node, beaconWith(7, 3, bootTime() - 1s));
     CHECK(runUntil([&] { return node.copy.provedAt().has_value(); }));
 }
+
+// Guards against a target that is never used again after it restarted under its id: each node that had not yet read its new entry told the
+// others that it is leaving, and was told so by them in turn.
+TEST(PeerLink, ALeaveOfAnEarlierProcessOfATargetIsNotPassedOnForever)
+{
+    Node& first = add("n1");
+    Node& second = add("n2");
+    setMembersOfAllNodes();
+    TargetInfo info;
+    info.id = "t0";
+    info.service = "drafts";
+    info.startedUnixMs = 1;
+    const auto isLeaving = [](const Node& node) { return node.relay.services().at("drafts")->targets.isLeaving(0); };
+    for (Node* node : { &first, &second })
+        node->relay.upsertTarget(info);
+    first.relay.onTargetLeaving(LeavingTarget { nameHash("t0"), 1 });
+    CHECK(runUntil([&] { return isLeaving(second); }));
+    info.startedUnixMs = 2;
+    first.relay.upsertTarget(info);
+    CHECK_FALSE(isLeaving(first));
+    const TimePoint beaconOfSecond = bootTime() + 400ms; // longer than idleInterval
+    runUntil([&] { return bootTime() > beaconOfSecond; });
+    CHECK_TEXT(!isLeaving(first), "the second node's beacons are about the process before");
+    second.relay.upsertTarget(info);
+    runUntil([&] { return bootTime() > beaconOfSecond + 400ms; });
+    CHECK_FALSE(isLeaving(first));
+    CHECK_FALSE(isLeaving(second));
+}
--- a/tests/edge/TargetPoolTest.cpp
+++ b/tests/edge/TargetPoolTest.cpp
@@ -246,7 +246,7 @@
     pool.onLeaveAnnounced(TargetPool::Index { 0 });
     pool.upsert(makeTarget("t0", 4), start + 1s);
     LONGS_EQUAL(1, pool.choose(makeDemand(1), {}, start + 1s)->target);
-    CHECK(pool.leavingHashes() == std::vector<uint64_t> { nameHash("t0") });
+    CHECK((pool.leavingTargets() == std::vector<LeavingTarget> { { nameHash("t0"), 0 } }));
     TargetInfo restartedTarget = makeTarget("t0", 4);
     restartedTarget.startedUnixMs = 7;
     pool.upsert(restartedTarget, start + 2s);
