Judge the streams of a new version while they run

Cause: a request was judged when it ended, by the time to its first event alone. Of this version a part of the streams begin in time and then crawl; they end after the verdict, or are cancelled at the caller's deadline, and cancelled requests were not counted. The class of the fault: a verdict over ended requests sees the quick ones first.

Change: the time between events is compared as well, and a request that still runs counts as bad once it is several times slower than the old version's mean on its route, for the first event or between events. What was sent to a target that still warms up is not judged by its times. Exposure, deadline and the way nodes share counts are as before.

Ruled out: a comparison of means over all requests (a part of slow answers hides in the variance of prompt lengths).

--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -82,10 +82,10 @@
 
 void Exchange::restrictVersion(PlacementRequest& ask) const
 {
-    const auto found = this->relay.movesByService.find(this->plan.service);
-    if (found == this->relay.movesByService.end())
+    const VersionMove* running = this->runningMove();
+    if (!running)
         return;
-    const VersionMove& move = found->second.plan;
+    const VersionMove& move = *running;
     const std::string& version = move.order().version;
     const bool isKnown = this->service.targets.hasVersion(version);
     if (move.state() == MoveState::Switching || move.state() == MoveState::Completed) {
@@ -98,15 +98,42 @@
         ask.notVersion = version;
 }
 
-void Exchange::countForMove(const Attempt& ended, TargetOutcome outcome, TimePoint now)
+VersionMove* Exchange::runningMove() const
 {
     const auto found = this->relay.movesByService.find(this->plan.service);
-    if (found == this->relay.movesByService.end() || outcome == TargetOutcome::Cancelled || outcome == TargetOutcome::Declined)
+    return found == this->relay.movesByService.end() ? nullptr : &found->second.plan;
+}
+
+void Exchange::countForMove(const Attempt& ended, TargetOutcome outcome, TimePoint now)
+{
+    VersionMove* move = this->runningMove();
+    if (!move || ended.countedForMove || outcome == TargetOutcome::Cancelled || outcome == TargetOutcome::Declined)
+        return;
+    const bool isNew = this->service.targets.info(ended.target).version == move->order().version;
+    VersionMove::Times times;
+    if (ended.warmTarget) {
+        times.first = ended.firstEventAt.value_or(now) - ended.sentAt;
+        const uint64_t events = this->scanner.events() - ended.eventsBefore;
+        if (ended.firstEventAt && events >= minEventsForMeanGap)
+            times.gap = (ended.lastEventAt - *ended.firstEventAt) / static_cast<int64_t>(events - 1);
+    }
+    move->count(isNew, this->plan.route->name, outcome != TargetOutcome::Answered, times);
+}
+
+void Exchange::judgePace(TimePoint now)
+{
+    VersionMove* move = this->runningMove();
+    if (!move || !this->attempt || this->attempt->countedForMove || !this->attempt->warmTarget || this->form == AnswerForm::PassThrough)
+        return;
+    VersionMove::Progress progress { this->attempt->firstEventAt.value_or(now) - this->attempt->sentAt, std::nullopt, 0 };
+    if (this->attempt->firstEventAt) {
+        progress.sinceFirst = now - *this->attempt->firstEventAt;
+        progress.gaps = std::max<uint64_t>(this->scanner.events() - this->attempt->eventsBefore, 1) - 1;
+    }
+    if (!move->isSlow(this->plan.route->name, progress))
         return;
-    VersionMove& move = found->second.plan;
-    const bool isNew = this->service.targets.info(ended.target).version == move.order().version;
-    const Duration responseTime = ended.firstEventAt.value_or(now) - ended.sentAt;
-    move.count(isNew, this->plan.route->name, outcome != TargetOutcome::Answered, responseTime);
+    this->attempt->countedForMove = true;
+    move->countRunning(this->service.targets.info(this->attempt->target).version == move->order().version, this->plan.route->name);
 }
 
 void Exchange::requestPlace()
@@ -210,6 +237,7 @@
     this->attempt->target = choice.target;
     this->attempt->sentAt = now;
     this->attempt->countedByLimit = countedByLimit;
+    this->attempt->warmTarget = this->targets().isWarm(choice.target, now);
     this->attempt->backlogTokens = choice.backlogTokens;
     this->attempt->predictedFirstEvent = choice.firstEvent;
     this->attempt->eventsBefore = this->scanner.events();
--- a/src/edge/Exchange.h
+++ b/src/edge/Exchange.h
@@ -5,7 +5,7 @@
 //   ExchangePlan    results of admission
 //   Attempt         one send of the request to a target
 //   AnswerForm      how the body of the answer is relayed
-//   Exchange        begin, abandon, isStalled, leaveStalledTarget
+//   Exchange        begin, abandon, isStalled, leaveStalledTarget, judgePace
 #pragma once
 
 #include "edge/EventScanner.h"
@@ -42,6 +42,8 @@
     std::optional<AttemptOutcome> verdict; // outcome that the head already decides, while the body is still read
     bool headSeen = false;                 // the head of an answer to this request has arrived
     bool reusedConnection = false;         // the connection has served a request before
+    bool warmTarget = true;                // the target did not warm up when the request was sent
+    bool countedForMove = false;           // as a slow one, while it ran
     bool countedByLimit = false;           // its place was taken from the target's request limit
     http::response_header<> head;
     std::string body; // of a buffered answer
@@ -62,6 +64,7 @@
     void abandon();                      // for the shutdown of the relay: closes the connections without an answer to the caller
     bool isStalled(TimePoint now) const; // its target has been silent for too long, and the request may be retried
     void leaveStalledTarget();           // cancels the attempt and retries, if that is allowed
+    void judgePace(TimePoint now);       // counts the attempt for a move of its service to a new version, if it is slow already
 
 private:
     TargetPool& targets() { return this->service.targets; }
@@ -70,6 +73,7 @@
     PlacementRequest placeAsk(TimePoint now) const;
     void restrictVersion(PlacementRequest& ask) const;            // to the versions that a move in progress allows
     void reportSample(const Attempt& finished, RunSample sample); // to the node that grants the places at the target
+    VersionMove* runningMove() const;                             // of the service to a new version; null: none
     void countForMove(const Attempt& ended, TargetOutcome outcome, TimePoint now);
     void withdrawAsk();
     void send(const TargetPool::Choice& choice, bool countedByLimit, TimePoint now);
--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -284,6 +284,10 @@
     this->connections.expire(now);
     this->reservesTokens = std::all_of(this->byService.begin(), this->byService.end(),
         [&](const auto& item) { return this->placement.occupancy(item.second->hash, now) < fullServiceOccupancy; });
+    if (!this->movesByService.empty()) {
+        for (const auto& exchange : this->exchanges)
+            exchange->judgePace(now);
+    }
     std::vector<std::shared_ptr<Exchange>> stalled; // a copy, since leaveStalledTarget() may end an exchange and remove it from the set
     std::copy_if(this->exchanges.begin(), this->exchanges.end(), std::back_inserter(stalled),
         [&](const auto& exchange) { return exchange->isStalled(now); });
--- a/src/edge/TargetPool.cpp
+++ b/src/edge/TargetPool.cpp
@@ -63,6 +63,8 @@
         target.leaveAnnounced = false;
         target.requestLimit = {};
     }
+    if (target.info.revision != info.revision || target.warmAt == TimePoint {})
+        target.warmAt = now + info.warmUpLeft;
     target.info = info;
     target.leaving = info.draining || target.leaveAnnounced;
     this->refreshMeans();
--- a/src/edge/TargetPool.h
+++ b/src/edge/TargetPool.h
@@ -36,6 +36,7 @@
     std::string version;
     uint32_t slots = 1;
     bool draining = false;
+    Duration warmUpLeft {};    // how much longer it is slow after its start, when the entry was written
     int64_t startedUnixMs = 0; // changes when the target restarts under the same id; 0: unknown
     uint64_t revision = 0;     // of the target's entry in the store
 };
@@ -153,6 +154,7 @@
     // Empty: no usable target has capacity. Targets in `tried` are excluded.
     std::optional<Choice> choose(const Demand& demand, std::span<const Index> tried, TimePoint now);
     bool takesWork(Index target, TimePoint now) const; // neither leaving nor paused
+    bool isWarm(Index target, TimePoint now) const { return now >= this->targets[target].warmAt; }
 
     void started(Index target, const Demand& demand, TimePoint now);
     void progress(Index target, TimePoint now); // a byte of any answer arrived
@@ -226,6 +228,7 @@
         TimePoint pausedUntil {};
         bool probation = false; // was paused and has not answered since
         TimePoint lastProgress {};
+        TimePoint warmAt {}; // until then the target is slow after its start
         RequestLimit requestLimit;
     };
     struct CacheEntry {
--- a/src/edge/VersionMove.cpp
+++ b/src/edge/VersionMove.cpp
@@ -42,25 +42,60 @@
     return false;
 }
 
-void VersionMove::count(bool isNew, std::string_view route, bool failed, std::optional<Duration> time)
+void VersionMove::MeanTime::add(Duration sample)
+{
+    this->ms = this->count == 0 ? inMilliseconds(sample) : this->ms + sampleWeight * (inMilliseconds(sample) - this->ms);
+    ++this->count;
+}
+
+bool VersionMove::isSlow(const MeanTime& mean, Duration time) const
+{
+    return mean.count >= minOldSamples && inMilliseconds(time) > this->settings.slowFactor * mean.ms;
+}
+
+bool VersionMove::isSlow(std::string_view route, const Progress& progress) const
+{
+    const auto found = this->times.find(route);
+    if (found == this->times.end())
+        return false;
+    const RouteTimes& old = found->second;
+    if (this->isSlow(old.first, progress.untilFirst))
+        return true;
+    if (!progress.sinceFirst || !this->isSlow(old.gap, *progress.sinceFirst / static_cast<int64_t>(this->settings.gapsToJudge)))
+        return false;
+    return this->isSlow(old.gap, *progress.sinceFirst / static_cast<int64_t>(progress.gaps + 1));
+}
+
+VersionCounts& VersionMove::countsOf(bool isNew, std::string_view route)
+{
+    RouteCounts& counts = this->routes[nameHash(route)];
+    return isNew ? counts.newVersion : counts.oldVersion;
+}
+
+void VersionMove::count(bool isNew, std::string_view route, bool failed, const Times& sample)
 {
-    bool bad = failed;
     auto found = this->times.find(route);
     if (found == this->times.end())
-        found = this->times.emplace(std::string(route), RouteTime {}).first;
-    RouteTime& oldTime = found->second;
-    if (time && !failed) {
-        const double ms = toSeconds(*time) * 1000;
-        if (!isNew) {
-            oldTime.meanMs = oldTime.count == 0 ? ms : oldTime.meanMs + sampleWeight * (ms - oldTime.meanMs);
-            ++oldTime.count;
-        }
-        bad = oldTime.count >= minOldSamples && ms > this->settings.slowFactor * oldTime.meanMs;
+        found = this->times.emplace(std::string(route), RouteTimes {}).first;
+    RouteTimes& old = found->second;
+    if (!isNew && !failed) {
+        if (sample.first)
+            old.first.add(*sample.first);
+        if (sample.gap)
+            old.gap.add(*sample.gap);
     }
-    RouteCounts& routeCounts = this->routes[nameHash(route)];
-    VersionCounts& counts = isNew ? routeCounts.newVersion : routeCounts.oldVersion;
+    const bool isSlowAnswer
+        = (sample.first && this->isSlow(old.first, *sample.first)) || (sample.gap && this->isSlow(old.gap, *sample.gap));
+    VersionCounts& counts = this->countsOf(isNew, route);
+    ++counts.requests;
+    counts.bad += failed || isSlowAnswer ? 1 : 0;
+}
+
+void VersionMove::countRunning(bool isNew, std::string_view route)
+{
+    VersionCounts& counts = this->countsOf(isNew, route);
     ++counts.requests;
-    counts.bad += bad ? 1 : 0;
+    ++counts.bad;
 }
 
 std::map<uint64_t, RouteCounts> VersionMove::totals() const
--- a/src/edge/VersionMove.h
+++ b/src/edge/VersionMove.h
@@ -8,7 +8,7 @@
 //   RouteCounts     outcomes of both versions on one route
 //   MoveState       progress of the move; moveStateName
 //   MoveSettings    limits and thresholds
-//   VersionMove     sendToNew, onRequest, count; report, onPeerReport; advance, isDrained
+//   VersionMove     sendToNew, onRequest, count, countRunning, isSlow; report, onPeerReport; advance, isDrained
 #pragma once
 
 #include "core/Types.h"
@@ -27,7 +27,7 @@
 
 struct VersionCounts {
     uint64_t requests = 0;
-    uint64_t bad = 0; // failed, or slower than the old version on the same route by MoveSettings::slowFactor
+    uint64_t bad = 0; // failed, or slower than the old version on the same route by MoveSettings::slowFactor; some still run
     VersionCounts& operator+=(const VersionCounts& other)
     {
         this->requests += other.requests;
@@ -63,7 +63,9 @@
     double badExcess = 0.05;              // excess share of bad outcomes that makes a version bad, beyond twice that of the old version
     uint64_t minBadRequests = 5;          // bad outcomes before a version is judged bad
     uint64_t minBadRequestsIfMostBad = 3; // replaces minBadRequests where more than half of the outcomes are bad
-    double slowFactor = 2.5;              // an answer is bad if it takes longer than this multiple of the old version's mean on its route
+    double slowFactor = 2.5;  // an answer is bad if its first event, or the time between events, takes this multiple of the old version's
+                              // mean on its route
+    uint64_t gapsToJudge = 4; // a stream that still runs is judged by the time that this many slow gaps would have taken
     Duration maxSwitchTime = std::chrono::milliseconds(2500);   // longest time before the deadline at which all requests move
     Duration completionMargin = std::chrono::milliseconds(250); // time before the deadline at which the move completes or reverts
 };
@@ -76,8 +78,20 @@
 
     bool sendToNew(double random) const; // true: the request goes to the new version; `random` is uniform in [0, 1)
     void onRequest() { ++this->arrivals; }
-    // Counts an answer. `time`: duration of the request; empty: not measured.
-    void count(bool isNew, std::string_view route, bool failed, std::optional<Duration> time);
+    struct Times {                     // of a request at a target; each is empty if it is not known
+        std::optional<Duration> first; // until the first event, or until the answer of a service that is no engine
+        std::optional<Duration> gap;   // mean time between events
+    };
+    void count(bool isNew, std::string_view route, bool failed, const Times& times); // of a request that has ended
+    // Counts a request that still runs and is slow already; it must not be counted again when it ends. Slow answers end last, so a
+    // verdict on ended ones alone would see the quick ones first.
+    void countRunning(bool isNew, std::string_view route);
+    struct Progress {                       // of a request that still runs
+        Duration untilFirst {};             // until its first event, or until now
+        std::optional<Duration> sinceFirst; // since the first event; empty: there was none
+        uint64_t gaps = 0;                  // between its events so far
+    };
+    bool isSlow(std::string_view route, const Progress& progress) const;
 
     struct Report { // a node's counts and state of the move, sent to its peers
         uint64_t revision = 0;
@@ -101,10 +115,17 @@
     bool isDrained(uint64_t oldInFlight, size_t otherNodes) const; // no node has requests at targets of other versions or will send any
 
 private:
-    struct RouteTime {
-        double meanMs = 0;  // exponentially weighted mean duration of the old version's answers on the route
-        uint64_t count = 0; // of these answers
+    struct MeanTime {       // of the old version's answers on a route
+        double ms = 0;      // exponentially weighted mean
+        uint64_t count = 0; // of samples
+        void add(Duration sample);
+    };
+    struct RouteTimes {
+        MeanTime first;
+        MeanTime gap;
     };
+    bool isSlow(const MeanTime& mean, Duration time) const;
+    VersionCounts& countsOf(bool isNew, std::string_view route);
     std::map<uint64_t, RouteCounts> totals() const; // over all nodes, by hash of the route's name
     uint64_t canaryRequests() const;                // requests at the new version that ended, at all nodes
     uint64_t totalArrivals() const;
@@ -119,10 +140,10 @@
     bool isOrderTimeKnown;
     MoveState current = MoveState::Trying;
     uint64_t arrivals = 0;
-    std::map<uint64_t, RouteCounts> routes;              // outcomes of this node, by hash of the route's name
-    bool judgedBad = false;                              // by any node; never reset
-    std::map<std::string, RouteTime, std::less<>> times; // by route
-    std::map<uint64_t, Report> peers;                    // last report, by node
+    std::map<uint64_t, RouteCounts> routes;               // outcomes of this node, by hash of the route's name
+    bool judgedBad = false;                               // by any node; never reset
+    std::map<std::string, RouteTimes, std::less<>> times; // by route
+    std::map<uint64_t, Report> peers;                     // last report, by node
 };
 
 } // namespace guavapond::edge
--- a/tests/edge/EdgeWorld.h
+++ b/tests/edge/EdgeWorld.h
@@ -84,20 +84,26 @@
     {
         standins::RunnerSettings runnerSettings;
         runnerSettings.id = id;
+        return this->addRunner(runnerSettings, slots, "");
+    }
+
+    standins::PlatformRunner& addRunner(standins::RunnerSettings runnerSettings, uint32_t slots, const std::string& version)
+    {
         runnerSettings.address = { "127.0.0.1", 0 };
         auto& runner = *this->runners.emplace_back(std::make_unique<standins::PlatformRunner>(this->loop, runnerSettings));
         runner.start();
-        this->addTarget(id, runner.address(), slots);
+        this->addTarget(runnerSettings.id, runner.address(), slots, version);
         return runner;
     }
 
-    void addTarget(const std::string& id, const Address& address, uint32_t slots = 4)
+    void addTarget(const std::string& id, const Address& address, uint32_t slots = 4, const std::string& version = "")
     {
         TargetInfo info;
         info.id = id;
         info.service = "drafts";
         info.address = address;
         info.slots = slots;
+        info.version = version;
         this->relay.upsertTarget(info);
     }
 
--- a/tests/edge/RelayTest.cpp
+++ b/tests/edge/RelayTest.cpp
@@ -427,3 +427,24 @@
     CHECK(world.runUntilEnded(later));
     LONGS_EQUAL(200, later->status);
 }
+
+// Guards against a version that is several times slower and is taken for good: its first events come in time, and its slow streams end
+// only after the verdict.
+TEST(Relay, StreamsOfANewVersionThatAreSlowCountAsBadWhileTheyRun)
+{
+    world.addRunner({ .id = "old", .address = {}, .events = 10, .eventGap = 5ms }, 40, "v1");
+    for (int i = 0; i < 20; ++i)
+        CHECK(world.runUntilEnded(world.send("/stream/a", "warm-up-" + std::to_string(i))));
+    MoveSettings bounds;
+    bounds.canaryShare = 0.3;
+    world.relay.orderMove({ "drafts", "v2", 60s, 9 }, bounds, bootTime());
+    world.addRunner({ .id = "new", .address = {}, .events = 100, .eventGap = 100ms }, 40, "v2"); // 10 s a stream
+    const auto& move = world.relay.moves().at("drafts").plan;
+    const auto isReverted = [&] { return move.counts().newVersion.bad >= 5; };
+    for (int i = 0; i < 60 && !isReverted(); ++i) {
+        world.send("/stream/a", "request-" + std::to_string(i));
+        world.runFor(50ms);
+    }
+    CHECK(isReverted());
+    CHECK_TEXT(move.counts().oldVersion.bad == 0, "the old version is not slow");
+}
--- a/tests/edge/VersionMoveTest.cpp
+++ b/tests/edge/VersionMoveTest.cpp
@@ -37,7 +37,7 @@
 {
     for (int i = 0; i < 200; ++i) {
         move.onRequest();
-        move.count(true, "letters", false, 100ms);
+        move.count(true, "letters", false, { 100ms, {} });
     }
     TimePoint now = start;
     while (move.advance(3, otherNodes, now) == MoveState::Trying && now < start + span)
@@ -74,14 +74,14 @@
             const int route = uniform(generator) < 0.1 ? 1 : 0;
             const std::string name = route == 0 ? "letters" : "questions";
             if (!move.sendToNew(uniform(generator))) {
-                move.count(false, name, uniform(generator) < 0.02, 100ms);
+                move.count(false, name, uniform(generator) < 0.02, { 100ms, {} });
                 continue;
             }
             ++result.toNew;
             if (fiftiethBadAt && now > *fiftiethBadAt + 5s)
                 ++result.toNewAfterBad;
             const auto [failed, time] = answer(now - start, route);
-            move.count(true, name, failed, time);
+            move.count(true, name, failed, { time, {} });
             if ((failed || time > 300ms) && ++badAnswers == 50)
                 fiftiethBadAt = now;
         }
