Compare first events of a new version with what its target's load predicts, and count requests that still run

Cause: right after the switch all requests reach the new version at once. A request in a target's queue was late against the old version's mean, for a reason that the version does not answer for; and slow requests counted while they ran, quick ones only when they ended.

Change: a first event is slow only if it is also several times later than predicted from the target's load, and the share of bad requests is taken of all that were sent to the new version, those that still run included.

--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -107,12 +107,15 @@
 void Exchange::countForMove(const Attempt& ended, TargetOutcome outcome, TimePoint now)
 {
     VersionMove* move = this->runningMove();
-    if (!move || ended.countedForMove || outcome == TargetOutcome::Cancelled || outcome == TargetOutcome::Declined)
+    if (!move || ended.countedForMove)
         return;
     const bool isNew = this->service.targets.info(ended.target).version == move->order().version;
+    if (outcome == TargetOutcome::Cancelled || outcome == TargetOutcome::Declined)
+        return move->onNotCounted(isNew, this->plan.route->name);
     VersionMove::Times times;
     if (ended.warmTarget) {
         times.first = ended.firstEventAt.value_or(now) - ended.sentAt;
+        times.expectedFirst = ended.predictedFirstEvent;
         const uint64_t events = this->scanner.events() - ended.eventsBefore;
         if (ended.firstEventAt && events >= minEventsForMeanGap)
             times.gap = (ended.lastEventAt - *ended.firstEventAt) / static_cast<int64_t>(events - 1);
@@ -125,7 +128,9 @@
     VersionMove* move = this->runningMove();
     if (!move || !this->attempt || this->attempt->countedForMove || !this->attempt->warmTarget || this->form == AnswerForm::PassThrough)
         return;
-    VersionMove::Progress progress { this->attempt->firstEventAt.value_or(now) - this->attempt->sentAt, std::nullopt, 0 };
+    VersionMove::Progress progress;
+    progress.untilFirst = this->attempt->firstEventAt.value_or(now) - this->attempt->sentAt;
+    progress.expectedFirst = this->attempt->predictedFirstEvent;
     if (this->attempt->firstEventAt) {
         progress.sinceFirst = now - *this->attempt->firstEventAt;
         progress.gaps = std::max<uint64_t>(this->scanner.events() - this->attempt->eventsBefore, 1) - 1;
@@ -244,6 +249,8 @@
     this->attempt->prefillPending = this->plan.demand.promptTokens;
     this->attempt->connection = this->relay.connections.acquire(target.address, maxIdle, now);
     this->attempt->reusedConnection = this->attempt->connection->hasServed();
+    if (VersionMove* move = this->runningMove())
+        move->onSent(target.version == move->order().version, this->plan.route->name);
     const auto self = this->shared_from_this();
     ResponseHooks events;
     events.beforeSend = [self] { return !self->isFinished && self->maySend(bootTime()) && bootTime() < self->life.deadline(); };
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -138,7 +138,8 @@
         VersionMove::Report report { move.order_revision(), move.arrivals(), {}, move.old_in_flight(), move.called_bad(), move.switched(),
             move.order_age_us() > 0 ? std::optional<Duration>(move.order_age_us()) : std::nullopt };
         for (const auto& route : move.routes())
-            report.routes[route.route()] = { { route.new_requests(), route.new_bad() }, { route.old_requests(), route.old_bad() } };
+            report.routes[route.route()]
+                = { { route.new_requests(), route.new_bad(), route.new_running() }, { route.old_requests(), route.old_bad(), 0 } };
         this->relay.onPeerMoveReport(nameHash(beacon.node), move.service(), report);
     }
     this->compareCopies(beacon, now);
@@ -284,6 +285,7 @@
             outcomes->set_route(route);
             outcomes->set_new_requests(counts.newVersion.requests);
             outcomes->set_new_bad(counts.newVersion.bad);
+            outcomes->set_new_running(counts.newVersion.running);
             outcomes->set_old_requests(counts.oldVersion.requests);
             outcomes->set_old_bad(counts.oldVersion.bad);
         }
--- a/src/edge/VersionMove.cpp
+++ b/src/edge/VersionMove.cpp
@@ -53,13 +53,19 @@
     return mean.count >= minOldSamples && inMilliseconds(time) > this->settings.slowFactor * mean.ms;
 }
 
+// A target that works through a queue is late for a reason that its version does not answer for.
+bool VersionMove::isSlowFirst(const MeanTime& mean, Duration time, Duration expected) const
+{
+    return this->isSlow(mean, time) && inMilliseconds(time) > this->settings.slowFactor * inMilliseconds(expected);
+}
+
 bool VersionMove::isSlow(std::string_view route, const Progress& progress) const
 {
     const auto found = this->times.find(route);
     if (found == this->times.end())
         return false;
     const RouteTimes& old = found->second;
-    if (this->isSlow(old.first, progress.untilFirst))
+    if (this->isSlowFirst(old.first, progress.untilFirst, progress.expectedFirst))
         return true;
     if (!progress.sinceFirst || !this->isSlow(old.gap, *progress.sinceFirst / static_cast<int64_t>(this->settings.gapsToJudge)))
         return false;
@@ -84,8 +90,9 @@
         if (sample.gap)
             old.gap.add(*sample.gap);
     }
-    const bool isSlowAnswer
-        = (sample.first && this->isSlow(old.first, *sample.first)) || (sample.gap && this->isSlow(old.gap, *sample.gap));
+    const bool isSlowAnswer = (sample.first && this->isSlowFirst(old.first, *sample.first, sample.expectedFirst))
+        || (sample.gap && this->isSlow(old.gap, *sample.gap));
+    this->onNotCounted(isNew, route);
     VersionCounts& counts = this->countsOf(isNew, route);
     ++counts.requests;
     counts.bad += failed || isSlowAnswer ? 1 : 0;
@@ -93,11 +100,20 @@
 
 void VersionMove::countRunning(bool isNew, std::string_view route)
 {
+    this->onNotCounted(isNew, route);
     VersionCounts& counts = this->countsOf(isNew, route);
     ++counts.requests;
     ++counts.bad;
 }
 
+void VersionMove::onSent(bool isNew, std::string_view route) { ++this->countsOf(isNew, route).running; }
+
+void VersionMove::onNotCounted(bool isNew, std::string_view route)
+{
+    uint64_t& running = this->countsOf(isNew, route).running;
+    running -= running > 0 ? 1 : 0; // the request may be older than the order
+}
+
 std::map<uint64_t, RouteCounts> VersionMove::totals() const
 {
     std::map<uint64_t, RouteCounts> sum = this->routes;
@@ -135,7 +151,9 @@
         return false;
     const double oldBadShare = oldCounts.requests > 0 ? static_cast<double>(oldCounts.bad) / static_cast<double>(oldCounts.requests) : 0;
     // The old version's share counts twice, since a small number of outcomes varies widely.
-    return static_cast<double>(newCounts.bad) > (2 * oldBadShare + this->settings.badExcess) * static_cast<double>(newCounts.requests);
+    // Slow requests count while they run, so the others that run count as well: right after the switch most have not ended yet.
+    const auto judged = static_cast<double>(newCounts.requests + newCounts.running);
+    return static_cast<double>(newCounts.bad) > (2 * oldBadShare + this->settings.badExcess) * judged;
 }
 
 bool VersionMove::isBad() const
--- a/src/edge/VersionMove.h
+++ b/src/edge/VersionMove.h
@@ -8,7 +8,7 @@
 //   RouteCounts     outcomes of both versions on one route
 //   MoveState       progress of the move; moveStateName
 //   MoveSettings    limits and thresholds
-//   VersionMove     sendToNew, onRequest, count, countRunning, isSlow; report, onPeerReport; advance, isDrained
+//   VersionMove     sendToNew, onRequest, onSent, onNotCounted, count, countRunning, isSlow; report, onPeerReport; advance, isDrained
 #pragma once
 
 #include "core/Types.h"
@@ -27,11 +27,13 @@
 
 struct VersionCounts {
     uint64_t requests = 0;
-    uint64_t bad = 0; // failed, or slower than the old version on the same route by MoveSettings::slowFactor; some still run
+    uint64_t bad = 0;     // failed, or slower than the old version on the same route by MoveSettings::slowFactor; some still run
+    uint64_t running = 0; // requests that still run and are not counted in `requests`
     VersionCounts& operator+=(const VersionCounts& other)
     {
         this->requests += other.requests;
         this->bad += other.bad;
+        this->running += other.running;
         return *this;
     }
 };
@@ -78,9 +80,12 @@
 
     bool sendToNew(double random) const; // true: the request goes to the new version; `random` is uniform in [0, 1)
     void onRequest() { ++this->arrivals; }
-    struct Times {                     // of a request at a target; each is empty if it is not known
-        std::optional<Duration> first; // until the first event, or until the answer of a service that is no engine
-        std::optional<Duration> gap;   // mean time between events
+    void onSent(bool isNew, std::string_view route);       // to a target
+    void onNotCounted(bool isNew, std::string_view route); // the request has ended, and says nothing of the version
+    struct Times {                                         // of a request at a target; each is empty if it is not known
+        std::optional<Duration> first;                     // until the first event, or until the answer of a service that is no engine
+        std::optional<Duration> gap;                       // mean time between events
+        Duration expectedFirst {};                         // `first` as predicted from the load of the target
     };
     void count(bool isNew, std::string_view route, bool failed, const Times& times); // of a request that has ended
     // Counts a request that still runs and is slow already; it must not be counted again when it ends. Slow answers end last, so a
@@ -88,6 +93,7 @@
     void countRunning(bool isNew, std::string_view route);
     struct Progress {                       // of a request that still runs
         Duration untilFirst {};             // until its first event, or until now
+        Duration expectedFirst {};          // as predicted from the load of the target
         std::optional<Duration> sinceFirst; // since the first event; empty: there was none
         uint64_t gaps = 0;                  // between its events so far
     };
@@ -125,6 +131,7 @@
         MeanTime gap;
     };
     bool isSlow(const MeanTime& mean, Duration time) const;
+    bool isSlowFirst(const MeanTime& mean, Duration time, Duration expected) const;
     VersionCounts& countsOf(bool isNew, std::string_view route);
     std::map<uint64_t, RouteCounts> totals() const; // over all nodes, by hash of the route's name
     uint64_t canaryRequests() const;                // requests at the new version that ended, at all nodes
--- a/tests/edge/RequestLimitProgramTest.cpp
+++ b/tests/edge/RequestLimitProgramTest.cpp
@@ -43,3 +43,111 @@
     CHECK(
         fleet.runUntil([&] { return std::all_of(fleet.calls.begin(), fleet.calls.end(), [](const auto& c) { return c->answer.ended; }); }));
 }
+
+namespace {
+
+// One caller for each node sends at random times while nodes are killed, frozen and stopped, the store falls silent and targets change
+// their limits. Returns what broke; empty: nothing.
+std::string soak(uint64_t seed, Duration span)
+{
+    std::mt19937_64 generator(seed);
+    const auto pick = [&](uint64_t bound) { return generator() % bound; };
+    EdgeFleet fleet(2 + pick(3));
+    for (int i = 0; i < 4; ++i)
+        fleet.addTarget();
+    fleet.startNodes();
+    if (!fleet.runUntil([&] { return fleet.allReady(); }))
+        return "a node did not get ready";
+    fleet.nameLimit(0, 1 + static_cast<double>(pick(60)) / 10);
+    struct Recovery {
+        TimePoint at;
+        std::function<void()> action;
+    };
+    std::vector<Recovery> recoveries;
+    const auto disturb = [&](TimePoint now) {
+        const size_t node = pick(fleet.nodes.size());
+        const TimePoint later = now + 300ms + 10ms * pick(150);
+        switch (pick(6)) {
+        case 0:
+            fleet.kill(node);
+            recoveries.push_back({ later, [&fleet, node] { fleet.restart(node); } });
+            break;
+        case 1:
+            fleet.freeze(node);
+            recoveries.push_back({ later, [&fleet, node] { fleet.resume(node); } });
+            break;
+        case 2:
+            fleet.stop(node);
+            recoveries.push_back({ now + 5s, [&fleet, node] { fleet.restart(node); } });
+            break;
+        case 3:
+            fleet.store.mode = standins::StoreMode::Busy;
+            recoveries.push_back({ later, [&fleet] { fleet.store.mode = standins::StoreMode::Up; } });
+            break;
+        default:
+            fleet.nameLimit(pick(2), 0.5 + static_cast<double>(pick(80)) / 10);
+            break;
+        }
+    };
+    const TimePoint end = edge::bootTime() + span;
+    TimePoint nextFault = edge::bootTime() + 4s;
+    while (edge::bootTime() < end) {
+        const TimePoint now = edge::bootTime();
+        if (now >= nextFault && now < end - 4s) {
+            disturb(now);
+            nextFault = now + 200ms + 10ms * pick(150);
+        }
+        for (size_t i = 0; i < recoveries.size();) {
+            if (now < recoveries[i].at) {
+                ++i;
+                continue;
+            }
+            recoveries[i].action();
+            recoveries.erase(recoveries.begin() + static_cast<ptrdiff_t>(i));
+        }
+        fleet.call(pick(fleet.nodes.size()));
+        fleet.runFor(1ms * (1 + pick(15)));
+    }
+    for (const Recovery& recovery : recoveries)
+        recovery.action();
+    fleet.store.mode = standins::StoreMode::Up;
+    const auto isEnded = [](const auto& call) { return call->answer.ended; };
+    if (!fleet.runUntil([&] { return std::all_of(fleet.calls.begin(), fleet.calls.end(), isEnded); }, 15s))
+        return "a call has no end";
+    if (const auto worst = fleet.limits.worst(); worst.ratio > 1)
+        return worst.text();
+    for (const auto& call : fleet.calls) {
+        const auto& answer = call->answer;
+        if (answer.status == 503 && fleet.runsOf(call->attempt) > 0)
+            return call->attempt + " was refused as not run and ran";
+        if (answer.status == 200 && answer.complete && answer.body.find("id: 3") == std::string::npos)
+            return call->attempt + " got a part of its answer as the whole";
+    }
+    if (!fleet.runUntil([&] { return fleet.allReady(); }, 15s))
+        return "a node did not get ready again";
+    const TimePoint calm = edge::bootTime();
+    size_t answered = 0;
+    for (int i = 0; i < 50; ++i) {
+        const auto call = fleet.call(pick(fleet.nodes.size()));
+        fleet.runUntil([&] { return call->answer.ended; }, 10s);
+        answered += call->answer.status == 200 ? 1 : 0;
+    }
+    return answered >= 40 ? ""
+                          : std::to_string(answered) + " of 50 calls were served after the faults, within "
+            + std::to_string(toMilliseconds(edge::bootTime() - calm)) + " ms";
+}
+
+} // namespace
+
+// Guards against faults that come in series and overlap. By hand: GUAVAPOND_SOAK_SEEDS="FIRST LAST".
+TEST(RequestLimitProgram, LimitsHoldThroughKillsFreezesStopsAndAStoreThatRefuses)
+{
+    uint64_t first = 1;
+    uint64_t last = 2;
+    if (const char* seeds = std::getenv("GUAVAPOND_SOAK_SEEDS"))
+        std::istringstream(seeds) >> first >> last;
+    for (uint64_t seed = first; seed <= last; ++seed) {
+        const std::string fault = soak(seed, 14s);
+        CHECK_TEXT(fault.empty(), ("seed " + std::to_string(seed) + ": " + fault).c_str());
+    }
+}
