Split request limits and version moves from placement and exchange, and show a node's share of each limit

No decision changes. The status page and 'guavapond beliefs' show which part of a limit the node may grant.

--- a/src/edge/Beliefs.cpp
+++ b/src/edge/Beliefs.cpp
@@ -46,6 +46,7 @@
                 { "version", info.version }, { "running", view.running }, { "slots", info.slots }, { "prefillTokens", view.prefillTokens },
                 { "tokensPerMs", view.tokensPerMs }, { "eventGapMs", inMilliseconds(view.gap) },
                 { "requestLimit", view.requestLimit.perSecond ? json(*view.requestLimit.perSecond) : json() },
+                { "requestLimitShare", view.requestLimit.perSecond ? json(view.limitShare) : json() },
                 { "requestLimitAgeMs", view.requestLimit.at == TimePoint {} ? json() : json(toMilliseconds(now - view.requestLimit.at)) },
                 { "state",
                     view.leaving      ? "leaving"
--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr size_t maxUnsentBytes = 256 * 1024; // reading from the target pauses while more is unsent to the caller
-constexpr uint64_t minEventsForMeanGap = 4;   // the mean gap of shorter answers is too noisy to be reported
 constexpr double eventsMeanWeight = 0.05;     // of a new answer in the moving mean of events per answer
 constexpr uint32_t maxRefusedPlaces = 3;      // granted at targets that this node considers unusable; then the request is refused
 
@@ -80,67 +79,6 @@
     return ask;
 }
 
-void Exchange::restrictVersion(PlacementRequest& ask) const
-{
-    const VersionMove* running = this->runningMove();
-    if (!running)
-        return;
-    const VersionMove& move = *running;
-    const std::string& version = move.order().version;
-    const bool isKnown = this->service.targets.hasVersion(version);
-    if (move.state() == MoveState::Switching || move.state() == MoveState::Completed) {
-        if (isKnown) // otherwise only the old version can answer
-            ask.onlyVersion = version;
-    } else if (move.state() == MoveState::Trying && this->plan.tryNewVersion && isKnown) {
-        ask.onlyVersion = version;
-        ask.maxWait = Duration::zero(); // does not wait for the new version: if it has no room, the old one answers
-    } else
-        ask.notVersion = version;
-}
-
-VersionMove* Exchange::runningMove() const
-{
-    const auto found = this->relay.movesByService.find(this->plan.service);
-    return found == this->relay.movesByService.end() ? nullptr : &found->second.plan;
-}
-
-void Exchange::countForMove(const Attempt& ended, TargetOutcome outcome, TimePoint now)
-{
-    VersionMove* move = this->runningMove();
-    if (!move || ended.countedForMove)
-        return;
-    const bool isNew = this->service.targets.info(ended.target).version == move->order().version;
-    if (outcome == TargetOutcome::Cancelled || outcome == TargetOutcome::Declined)
-        return move->onNotCounted(isNew, this->plan.route->name);
-    VersionMove::Times times;
-    if (ended.warmTarget) {
-        times.first = ended.firstEventAt.value_or(now) - ended.sentAt;
-        times.expectedFirst = ended.predictedFirstEvent;
-        const uint64_t events = this->scanner.events() - ended.eventsBefore;
-        if (ended.firstEventAt && events >= minEventsForMeanGap)
-            times.gap = (ended.lastEventAt - *ended.firstEventAt) / static_cast<int64_t>(events - 1);
-    }
-    move->count(isNew, this->plan.route->name, outcome != TargetOutcome::Answered, times);
-}
-
-void Exchange::judgePace(TimePoint now)
-{
-    VersionMove* move = this->runningMove();
-    if (!move || !this->attempt || this->attempt->countedForMove || !this->attempt->warmTarget || this->form == AnswerForm::PassThrough)
-        return;
-    VersionMove::Progress progress;
-    progress.untilFirst = this->attempt->firstEventAt.value_or(now) - this->attempt->sentAt;
-    progress.expectedFirst = this->attempt->predictedFirstEvent;
-    if (this->attempt->firstEventAt) {
-        progress.sinceFirst = now - *this->attempt->firstEventAt;
-        progress.gaps = std::max<uint64_t>(this->scanner.events() - this->attempt->eventsBefore, 1) - 1;
-    }
-    if (!move->isSlow(this->plan.route->name, progress))
-        return;
-    this->attempt->countedForMove = true;
-    move->countRunning(this->service.targets.info(this->attempt->target).version == move->order().version, this->plan.route->name);
-}
-
 void Exchange::requestPlace()
 {
     const TimePoint now = bootTime();
--- a/src/edge/Exchange.h
+++ b/src/edge/Exchange.h
@@ -49,6 +49,8 @@
     std::string body; // of a buffered answer
 };
 
+constexpr uint64_t minEventsForMeanGap = 4; // the mean gap of shorter answers is too noisy to be used
+
 // How the body of a target's answer is relayed to the caller.
 enum class AnswerForm : uint8_t {
     Buffered,    // sent when it is complete; until then the request may be retried
--- a/src/edge/TargetPool.cpp
+++ b/src/edge/TargetPool.cpp
@@ -606,7 +606,7 @@
         const Load load = this->load(target, now);
         const double gapMs = target.gapMs;
         result.push_back({ &target.info, load.running, load.prefillTokens, target.tokensPerMs, fromSeconds(gapMs / 1000),
-            now < target.pausedUntil, target.leaving, target.requestLimit.statement() });
+            now < target.pausedUntil, target.leaving, target.requestLimit.statement(), this->limitShare(target) });
     }
     return result;
 }
--- a/src/edge/TargetPool.h
+++ b/src/edge/TargetPool.h
@@ -201,6 +201,7 @@
         bool paused;
         bool leaving;
         LimitStatement requestLimit;
+        double limitShare; // part of the limit that this node may grant
     };
     std::vector<View> view(TimePoint now) const;
 
--- a/tests/edge/RequestLimitTest.cpp
+++ b/tests/edge/RequestLimitTest.cpp
@@ -77,6 +77,7 @@
     LONGS_EQUAL(1, targets.limitedCount());
     const PeerTable peers("n1", {});
     CHECK(nodeStatusPage("n1", world.relay, peers, bootTime()).find("\"requestLimit\":40.5") != std::string::npos);
+    CHECK(nodeStatusPage("n1", world.relay, peers, bootTime()).find("\"requestLimitShare\":1.0") != std::string::npos);
     CHECK(world.metrics.page().find("guavapond_edge_limit_changes_total{change=\"set\"} 1") != std::string::npos);
     runner.requestLimits = { "soon" };
     CHECK(world.runUntilEnded(world.send("/plain/a", "a2")));
