--- a/tests/edge/RequestLimitFleetTest.cpp
+++ b/tests/edge/RequestLimitFleetTest.cpp
@@ -258,3 +258,31 @@
         CHECK_TEXT(worst.ratio <= 1, ("seed " + std::to_string(seed) + ": " + worst.text()).c_str());
     }
 }
+
+// Guards against limits that cost callers more than they must: what limited targets can't take goes to the others, up to what all of them
+// allow. Measured with limits of 0, 15 and 100 of 100 targets, at half of the capacity.
+TEST(RequestLimitFleet, ServesWhatTheLimitsOfNoneSomeOrAllTargetsAllow)
+{
+    const WorldSettings settings = worldSettings(5, 4, 20, 4);
+    constexpr double limit = 6;
+    const double perTarget = 4 / toSeconds(settings.meanServiceTime);
+    const double asked = 0.5 * perTarget * 100;
+    for (const size_t limitedTargets : { 0, 15, 100 }) {
+        PlacementWorld world(settings);
+        world.trackMembership();
+        for (size_t i = 0; i < limitedTargets; ++i)
+            world.nameLimit(i, limit);
+        world.run(world.now + 4s, asked);
+        const TimePoint from = world.now;
+        world.run(from + 5s, asked);
+        const auto outcome = world.outcome(from, world.now - 500ms);
+        const double unlimited = static_cast<double>(100 - limitedTargets) * perTarget;
+        const double allowed = std::min(asked, unlimited + static_cast<double>(limitedTargets) * limit);
+        const double share = static_cast<double>(outcome.served) / (allowed * 4.5);
+        printf("limits of %zu targets: %.0f of %.0f requests/s served, %zu of %zu rejected by targets\n", limitedTargets,
+            static_cast<double>(outcome.served) / 4.5, allowed, outcome.rejected, outcome.arrived);
+        CHECK(share >= 0.95);
+        CHECK(outcome.rejected * 100 < 3 * outcome.arrived);
+        checkLimitsHold(world);
+    }
+}
