--- a/src/edge/RequestLimit.cpp
+++ b/src/edge/RequestLimit.cpp
@@ -11,7 +11,7 @@
 
 constexpr size_t maxNumberLength = 32; // characters; a longer text is no sensible figure
 constexpr uint32_t answersToEnd = 2;   // consecutive answers without a limit that end it
-// Shares by rank. They add up to 1.45; with the tokens that can be saved (maxSavedTokens, for all ranks together 5) at most 5.8 times the
+// Shares by rank. They add up to 1.45; with the tokens that they may save (2, 1, 1 and 1) at most 5.8 times the
 // limit and 5 requests arrive in 4 s, where 6 times the limit and 5 requests are tolerated.
 constexpr std::array<double, 4> shares { 1.0, 0.3, 0.1, 0.05 };
 constexpr double savedTokens = 1;       // that a node may save
