Ignore a placement answer that names another service than the request

Seen: nothing so far; found while reading the change. A damaged datagram with a grant for another service would have been used: the node looks the target up among those of the request's service, and its request limit among those of the answer's, where the index may not exist or the service be unknown (an assertion would stop the process).

Change: an answer counts only if it names the service of the request that it answers.

Measured: RequestLimitTest AnAnswerForAnotherServiceIsNotUsed failed before and passes; PlacementTest and PlacementHomeTest pass.

--- a/src/edge/Placement.cpp
+++ b/src/edge/Placement.cpp
@@ -195,7 +195,7 @@
     state.occupancy = answer.occupancy;
     state.occupancyAt = now;
     const auto found = this->pending.find(answer.id);
-    if (found == this->pending.end() || found->second.home != from) {
+    if (found == this->pending.end() || found->second.home != from || found->second.request.service != answer.service) {
         state.reportDue = true; // so that the home stops counting a grant that is not used
         return;
     }
--- a/tests/edge/RequestLimitTest.cpp
+++ b/tests/edge/RequestLimitTest.cpp
@@ -282,6 +282,37 @@
     LONGS_EQUAL(isHome ? 0 : 1, node.limitsSent(LimitReport::Kind::NotNamed));
 }
 
+// Guards against a damaged answer that names another service than the request: its target would be looked up among the wrong targets.
+TEST(RequestLimit, AnAnswerForAnotherServiceIsNotUsed)
+{
+    LoneNode node;
+    std::vector<Placement::Node> others;
+    for (int i = 1; i <= 9; ++i)
+        others.push_back({ "n" + std::to_string(i), "" });
+    node.placement->setNodes(others);
+    PlacementAnswer answer;
+    answer.verdict = PlacementVerdict::Granted;
+    answer.target = nameHash("t0");
+    size_t answers = 0;
+    PlacementRequest request;
+    request.service = service;
+    request.maxWait = 5ms;
+    answer.id = node.placement->request(
+        request, [&](const PlacementAnswer&) { ++answers; }, node.now);
+    PlacementMessage message;
+    message.node = node.placement->homeOf(service, "", node.now);
+    CHECK_TEXT(message.node != "n0", "another node is the home");
+    message.incarnation = 5;
+    message.sequence = 1;
+    answer.service = service + 1;
+    message.answers = { answer };
+    node.placement->handleMessage(message, node.now);
+    LONGS_EQUAL(0, answers);
+    message.answers[0].service = service;
+    node.placement->handleMessage(message, node.now);
+    LONGS_EQUAL(1, answers);
+}
+
 // Guards against a report on an earlier process of a target that limits its present one.
 TEST(RequestLimit, ReportsOnAnEarlierProcessOfATargetAreVoid)
 {
