Log the shared prompt parts of failed sends, and count lost streams by whether an event had come

"run failed" gets hadEvent and sharedParts, and guavapond_edge_lost_streams_total counts streams whose target ended. No decision changes.

--- a/src/edge/EdgeMetrics.cpp
+++ b/src/edge/EdgeMetrics.cpp
@@ -35,6 +35,12 @@
         = BuildCounter().Name("guavapond_edge_requests_total").Help("Requests that ended, by result").Register(this->registry);
     Family<Counter>& runs
         = BuildCounter().Name("guavapond_edge_failed_runs_total").Help("Sends to targets that failed, by reason").Register(this->registry);
+    Family<Counter>& lostStreams = BuildCounter()
+                                       .Name("guavapond_edge_lost_streams_total")
+                                       .Help("Streams whose target ended or fell silent, by whether an event had come")
+                                       .Register(this->registry);
+    Counter& lostWithEvents = this->lostStreams.Add({ { "events", "some" } });
+    Counter& lostWithoutEvent = this->lostStreams.Add({ { "events", "none" } });
     Family<Counter>& storeCalls
         = BuildCounter().Name("guavapond_edge_store_calls_total").Help("Calls to the store, by call and result").Register(this->registry);
     Family<Histogram>& seconds = BuildHistogram()
@@ -109,6 +115,8 @@
 
 void EdgeMetrics::runFailed(AttemptOutcome end) { this->state->byRunEnd.at(static_cast<size_t>(end))->Increment(); }
 
+void EdgeMetrics::streamLost(bool hadEvents) { (hadEvents ? this->state->lostWithEvents : this->state->lostWithoutEvent).Increment(); }
+
 void EdgeMetrics::queueWaitEnded(Duration time) { this->state->wait.Observe(toSeconds(time)); }
 
 void EdgeMetrics::storeCall(std::string_view call, bool ok, Duration time)
--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -457,6 +457,7 @@
     const TimePoint now = bootTime();
     const Attempt finished = std::move(*this->attempt);
     this->attempt.reset();
+    this->lastHadEvent = finished.firstEventAt.has_value();
     this->countForMove(finished, outcome, now);
     this->plan.tryNewVersion = false; // a retry goes to the old version
     this->targets().ended(finished.target, finished.prefillPending, outcome, now - finished.sentAt, now);
@@ -496,11 +497,22 @@
     const TimePoint now = bootTime();
     const NextStep step = this->life.attemptEnded(
         outcome, [&] { return this->relay.secondTries.take(this->plan.service, now); }, now);
+    if (this->plan.route->kind == RouteKind::Streaming && (outcome == AttemptOutcome::Broken || outcome == AttemptOutcome::Silent))
+        this->relay.metrics.streamLost(this->lastHadEvent);
+    this->logFailedAttempt(outcome, step, now);
+    this->takeStep(step, attemptOutcomeName(outcome));
+}
+
+void Exchange::logFailedAttempt(AttemptOutcome outcome, NextStep step, TimePoint now) const
+{
+    // The parts that other requests hold too show what requests that fail alike have in common.
+    std::string sharedParts;
+    for (const std::string_view part : sharedPartIds(this->request.message[this->relay.settings.headers.promptParts]))
+        sharedParts += (sharedParts.empty() ? "" : ",") + std::string(part);
     log(LogLevel::Info, "run failed",
         { { "request", this->request.message[this->relay.settings.headers.requestId] }, { "target", this->lastTarget },
-            { "end", attemptOutcomeName(outcome) }, { "sends", this->life.sends() },
-            { "leftMs", toMilliseconds(this->life.remaining(now)) }, { "next", nextStepName(step) } });
-    this->takeStep(step, attemptOutcomeName(outcome));
+            { "end", attemptOutcomeName(outcome) }, { "hadEvent", this->lastHadEvent }, { "sharedParts", sharedParts },
+            { "sends", this->life.sends() }, { "leftMs", toMilliseconds(this->life.remaining(now)) }, { "next", nextStepName(step) } });
 }
 
 void Exchange::takeStep(NextStep step, std::string_view reason)
--- a/src/edge/Exchange.h
+++ b/src/edge/Exchange.h
@@ -95,6 +95,7 @@
     void endAttempt(TargetOutcome outcome);
     void cancelAttempt(TargetOutcome outcome); // closes the connection of the attempt, if there is one
     void onAttemptEnded(AttemptOutcome outcome);
+    void logFailedAttempt(AttemptOutcome outcome, NextStep step, TimePoint now) const;
     void takeStep(NextStep step, std::string_view reason);
     void forwardFailure();
     http::response<http::string_body> bufferedAnswer();
@@ -126,6 +127,7 @@
     std::optional<Duration> predictedFirstEvent; // of the last attempt; empty: not sent yet
     std::optional<Duration> timeToFirstEvent;    // from the arrival of the request; empty: no event yet
     std::string lastTarget;                      // id of the target of the last attempt; empty: not sent yet
+    bool lastHadEvent = false;                   // the last attempt delivered an event
     AnswerForm form = AnswerForm::Buffered;
     bool isFinished = false;
     std::optional<http::response<http::string_body>> failure; // failure answer of the last target that sent one
--- a/src/edge/RequestFields.cpp
+++ b/src/edge/RequestFields.cpp
@@ -15,6 +15,26 @@
     return text;
 }
 
+struct PartEntry {
+    std::string_view id;
+    uint32_t tokens = 0;
+};
+
+// Removes the first entry from `list`. Empty: the list ends here, or the entry is malformed.
+std::optional<PartEntry> takeEntry(std::string_view& list)
+{
+    const size_t comma = std::min(list.find(','), list.size());
+    const std::string_view entry = trimLeadingSpaces(list.substr(0, comma));
+    list.remove_prefix(std::min(comma + 1, list.size()));
+    const size_t colon = entry.find(':');
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    const auto tokens = parseNumber<uint32_t>(entry.substr(colon + 1));
+    if (!tokens)
+        return std::nullopt;
+    return PartEntry { entry.substr(0, colon), *tokens };
+}
+
 } // namespace
 
 std::optional<TokenCount> parseTokenCount(std::string_view field)
@@ -33,20 +53,21 @@
 {
     std::vector<PromptPart> parts;
     uint64_t chain = chainSeed;
-    while (!field.empty()) {
-        const size_t comma = std::min(field.find(','), field.size());
-        const std::string_view entry = trimLeadingSpaces(field.substr(0, comma));
-        field.remove_prefix(std::min(comma + 1, field.size()));
-        const size_t colon = entry.find(':');
-        if (colon == std::string_view::npos)
-            break;
-        const auto tokens = parseNumber<uint32_t>(entry.substr(colon + 1));
-        if (!tokens)
-            break;
-        chain = nameHash(std::to_string(chain) + std::string(entry.substr(0, colon)));
-        parts.push_back({ chain, *tokens });
+    while (const auto entry = takeEntry(field)) {
+        chain = nameHash(std::to_string(chain) + std::string(entry->id));
+        parts.push_back({ chain, entry->tokens });
     }
     return parts;
 }
 
+std::vector<std::string_view> sharedPartIds(std::string_view field)
+{
+    std::vector<std::string_view> ids;
+    while (const auto entry = takeEntry(field))
+        ids.push_back(entry->id);
+    if (!ids.empty())
+        ids.pop_back();
+    return ids;
+}
+
 } // namespace guavapond::edge
--- a/src/edge/RequestFields.h
+++ b/src/edge/RequestFields.h
@@ -5,6 +5,7 @@
 //   TokenCount
 //   parseTokenCount     PROMPT,MOST_OUTPUT
 //   parsePromptParts    ID:TOKENS entries, joined by commas
+//   sharedPartIds       the ids of those that other requests may hold too
 #pragma once
 
 #include "edge/TargetPool.h"
@@ -34,4 +35,7 @@
 // entry: a shorter prefix only makes the prediction of a target's prefix cache less accurate.
 std::vector<PromptPart> parsePromptParts(std::string_view field);
 
+// Ids of all parts but the last, which belongs to the request or its session. The views point into `field`.
+std::vector<std::string_view> sharedPartIds(std::string_view field);
+
 } // namespace guavapond::edge
--- a/tests/edge/RequestFieldsTest.cpp
+++ b/tests/edge/RequestFieldsTest.cpp
@@ -30,3 +30,13 @@
     LONGS_EQUAL(1, parsePromptParts("5c1e07a2:800,91bd3f06,e4402b7d:250").size());
     LONGS_EQUAL(0, parsePromptParts(":,").size());
 }
+
+// Guards against the own part of a request being taken for one that other requests hold too.
+TEST(RequestFields, SharedPartsExcludeTheLast)
+{
+    const auto shared = sharedPartIds("5c1e07a2:800, 91bd3f06:410,e4402b7d:250");
+    LONGS_EQUAL(2, shared.size());
+    CHECK(shared[0] == "5c1e07a2" && shared[1] == "91bd3f06");
+    CHECK(sharedPartIds("5c1e07a2:800").empty());
+    CHECK(sharedPartIds("").empty());
+}
