--- a/standins/edge/PlatformRunner.cpp
+++ b/standins/edge/PlatformRunner.cpp
@@ -13,6 +13,7 @@
 constexpr const char* leavingField = "Server-Leaving";
 constexpr const char* limitField = "Server-Limit";
 constexpr const char* targetField = "Guavapond-Target-Instance";
+constexpr const char* partsField = "Guavapond-Prompt-Prefix";
 constexpr const char* instanceField = "Guavapond-Instance-Id";
 
 std::string eventText(int id) { return "id: " + std::to_string(id) + "\ndata: piece " + std::to_string(id) + "\n\n"; }
@@ -63,8 +64,27 @@
     return message;
 }
 
+bool PlatformRunner::crashesOn(const Run& run) const
+{
+    return !this->crashPart.empty()
+        && run.request[partsField].find(boost::beast::string_view(this->crashPart + ":")) != boost::beast::string_view::npos;
+}
+
+// Breaks all answers off and takes no request until downTime has passed.
+void PlatformRunner::crash(size_t run)
+{
+    this->downUntil = edge::bootTime() + this->downTime;
+    this->onCrash(this->runs[run].attempt);
+    for (const auto& [index, caller] : std::exchange(this->answering, {})) {
+        this->runs[index].cancelled = true;
+        caller->abortResponse();
+    }
+}
+
 void PlatformRunner::onRequest(const edge::CallerPointer& caller, edge::CallerRequest request)
 {
+    if (edge::bootTime() < this->downUntil)
+        return caller->abortResponse();
     ++this->asked;
     const std::string attempt(request.message[idField]);
     this->onArrival(attempt);
@@ -92,7 +112,16 @@
     const size_t run = this->runs.size();
     const bool stream = isStream(request.message);
     this->runs.push_back({ attempt, std::move(request.message), false });
-    caller->onDisconnect([this, run] { this->runs[run].cancelled = true; });
+    this->answering[run] = caller;
+    caller->onDisconnect([this, run] {
+        this->runs[run].cancelled = true;
+        this->answering.erase(run);
+    });
+    if (this->crashesOn(this->runs[run]))
+        return this->after(this->settings.work, [this, run] {
+            if (!this->runs[run].cancelled)
+                this->crash(run);
+        });
     if (now == RunnerFault::Hangs)
         return this->hanging.push_back(caller);
     if (now == RunnerFault::BreaksBefore)
@@ -118,6 +147,7 @@
         caller->sendPiece("half");
         return this->after(this->settings.work, [caller] { caller->abortResponse(); });
     }
+    this->answering.erase(run);
     caller->sendResponse(std::move(message));
 }
 
@@ -136,8 +166,10 @@
 {
     if (this->runs[run].cancelled)
         return;
-    if (next > this->settings.events)
+    if (next > this->settings.events) {
+        this->answering.erase(run);
         return caller->endStream();
+    }
     if (now == RunnerFault::BreaksMidway && next == 2) {
         caller->sendPiece(eventText(next).substr(0, 6));
         return this->after(this->settings.eventGap, [caller] { caller->abortResponse(); });
--- a/standins/edge/PlatformRunner.h
+++ b/standins/edge/PlatformRunner.h
@@ -9,6 +9,7 @@
 #include "edge/HttpListener.h"
 
 #include <list>
+#include <map>
 
 namespace guavapond::standins {
 
@@ -54,9 +55,12 @@
     bool isLeaving = false;                                                  // says so in all its answers
     std::vector<std::string> requestLimits;                                  // in all its answers, one field each; empty: none
     std::string retryAfter;                                                  // of its refusals, seconds; empty: none
+    std::string crashPart;                                                   // crashes on prompts with this part; empty: on none
+    Duration downTime = std::chrono::milliseconds(500);                      // after a crash
     std::vector<Run> runs;                                                   // that began, in order
     std::function<void(const std::string& attempt)> onArrival = [](const auto&) {}; // a request arrived
     std::function<void(const std::string& attempt)> onAnswer = [](const auto&) {};  // the head of an answer is sent
+    std::function<void(const std::string& attempt)> onCrash = [](const auto&) {};   // the request has ended this runner
     size_t asked = 0;                                                               // requests that arrived
 
 private:
@@ -65,6 +69,8 @@
     void answerStream(const edge::CallerPointer& caller, size_t run, RunnerFault now);
     void sendEvent(const edge::CallerPointer& caller, size_t run, int next, RunnerFault now);
     edge::http::response<edge::http::string_body> makeHead(size_t run, unsigned status) const;
+    bool crashesOn(const Run& run) const;
+    void crash(size_t run);
     void after(Duration delay, std::function<void()> action);
 
     edge::net::io_context& loop;
@@ -72,6 +78,8 @@
     edge::HttpListener listener;
     std::list<edge::net::steady_timer> timers;
     std::vector<edge::CallerPointer> hanging;
+    std::map<size_t, edge::CallerPointer> answering; // by run
+    TimePoint downUntil {};
 };
 
 } // namespace guavapond::standins
--- a/tests/edge/EdgeFleet.h
+++ b/tests/edge/EdgeFleet.h
@@ -100,7 +100,8 @@
     }
 
     // Sends one request on an open connection to the node, if there is one.
-    std::shared_ptr<FleetCall> call(size_t node)
+    // `parts` of the prompt, as ID:TOKENS entries; empty: not stated.
+    std::shared_ptr<FleetCall> call(size_t node, const std::string& parts = "")
     {
         auto call = std::make_shared<FleetCall>();
         call->node = node;
@@ -122,7 +123,8 @@
         };
         events.failed = [call](edge::ConnectionFault, bool) { call->answer.ended = true; };
         connection->start("POST /x/stream HTTP/1.1\r\nHost: a.example\r\nGuavapond-Attempt-Id: " + call->attempt
-                + "\r\nGuavapond-Key: k\r\nGuavapond-Token-Count: 10,5\r\nGuavapond-Deadline-Ms: 5000\r\nContent-Length: 4\r\n\r\n",
+                + "\r\nGuavapond-Key: k\r\nGuavapond-Token-Count: 10,5\r\nGuavapond-Deadline-Ms: 5000\r\n"
+                + (parts.empty() ? "" : "Guavapond-Prompt-Prefix: " + parts + "\r\n") + "Content-Length: 4\r\n\r\n",
             "text", true, std::move(events));
         return call;
     }
