Keep prompt parts that crash targets from all targets

Cause: a lost stream counts against its target alone. Nothing compares what the lost streams of several targets have in common, so each request with the part is sent on, and its repeat too.

Ruled out: repeats as the cause (17 to 21 second sends with the part; first sends alone stay over the bound); load (no engine ended without the part); blocking by route, caller or first part, which sound requests share.

Change: PromptQuarantine, reports of lost streams and of parts in beacons, refusal before placing and before sending, no repeat of a request that is suspected, cancelled attempts when a part is found.

--- a/src/edge/Beliefs.cpp
+++ b/src/edge/Beliefs.cpp
@@ -1,6 +1,8 @@
 // Builds the status page from its sections: routes, services, workspaces, nodes and moves.
 #include "edge/Beliefs.h"
 
+#include "edge/RequestFields.h"
+
 #include <nlohmann/json.hpp>
 
 namespace guavapond::edge {
@@ -96,6 +98,14 @@
     return list;
 }
 
+json quarantinedParts(const PromptQuarantine& quarantine, TimePoint now)
+{
+    json list = json::array();
+    for (const PartAge& part : quarantine.list(now))
+        list.push_back({ { "part", partText(part.part) }, { "ageMs", inMilliseconds(part.age) } });
+    return list;
+}
+
 } // namespace
 
 std::string nodeStatusPage(const std::string& node, Relay& relay, const PeerTable& peers, TimePoint now)
@@ -103,7 +113,7 @@
     const auto proofAge = relay.freshness.age(now);
     json page { { "node", node }, { "ready", relay.isReady() }, { "inFlight", relay.inFlight() },
         { "proofAgeMs", proofAge ? inMilliseconds(*proofAge) : -1 }, { "services", services(relay, now) }, { "nodes", nodes(peers, now) },
-        { "moves", moves(relay) } };
+        { "moves", moves(relay) }, { "quarantinedParts", quarantinedParts(relay.quarantine, now) } };
     if (const CatalogPointer& catalog = relay.catalog()) {
         page["configurationVersion"] = catalog->version;
         page["routes"] = routes(*catalog);
--- a/src/edge/EdgeMetrics.cpp
+++ b/src/edge/EdgeMetrics.cpp
@@ -41,6 +41,11 @@
                                        .Register(this->registry);
     Counter& lostWithEvents = this->lostStreams.Add({ { "events", "some" } });
     Counter& lostWithoutEvent = this->lostStreams.Add({ { "events", "none" } });
+    Counter& quarantinedRequests = BuildCounter()
+                                       .Name("guavapond_edge_quarantined_requests_total")
+                                       .Help("Requests refused for a prompt part that crashes targets")
+                                       .Register(this->registry)
+                                       .Add({});
     Family<Counter>& storeCalls
         = BuildCounter().Name("guavapond_edge_store_calls_total").Help("Calls to the store, by call and result").Register(this->registry);
     Family<Histogram>& seconds = BuildHistogram()
@@ -137,6 +142,8 @@
     (placedElsewhere ? this->state->placedElsewhere : this->state->notPlaced).Increment();
 }
 
+void EdgeMetrics::keptByQuarantine() { this->state->quarantinedRequests.Increment(); }
+
 void EdgeMetrics::setGauge(std::string_view name, std::string_view help, double value)
 {
     prometheus::BuildGauge().Name(std::string(name)).Help(std::string(help)).Register(this->state->registry).Add({}).Set(value);
--- a/src/edge/EdgeMetrics.h
+++ b/src/edge/EdgeMetrics.h
@@ -4,7 +4,7 @@
 //   RequestResult   how a request ended
 //   LimitedSend     how a request that goes to a target with a request limit was placed
 //   EdgeMetrics     requestEnded, runFailed, streamLost, queueWaitEnded, storeCall, requestLimitChanged, sentToLimited, keptByLimit,
-//   setGauge, page
+//   keptByQuarantine, setGauge, page
 #pragma once
 
 #include "edge/RequestLife.h"
@@ -50,6 +50,7 @@
     void requestLimitChanged(LimitChange change);
     void sentToLimited(LimitedSend kind);   // a place that was taken from a request limit was used
     void keptByLimit(bool placedElsewhere); // a request was kept from a target by its request limit; false: it found no place
+    void keptByQuarantine();                // a request was refused for a prompt part that crashes targets
     void setGauge(std::string_view name, std::string_view help, double value); // creates the gauge on first use
     std::string page() const;                                                  // all metrics in the Prometheus text format
 
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -119,6 +119,8 @@
     size_t limited = 0;
     for (const auto& item : this->requests.services())
         limited += item.second->targets.limitedCount();
+    gauges.setGauge("guavapond_edge_quarantined_parts", "Prompt parts that crash targets, as this node knows",
+        static_cast<double>(this->requests.quarantine.size()));
     gauges.setGauge("guavapond_edge_limited_targets", "Targets whose request limit this node knows", static_cast<double>(limited));
     const Placement::Counts& placements = this->requests.placement.counts();
     gauges.setGauge("guavapond_edge_places_asked", "Places asked for since the start", static_cast<double>(placements.requested));
--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -17,6 +17,8 @@
 
 constexpr double maxRetryAfterSeconds = 1e6; // keeps the conversion to a duration in range
 
+constexpr std::string_view quarantineReason = "a part of the prompt crashes targets";
+
 constexpr unsigned misdirectedRequest = 421;
 constexpr unsigned badGateway = 502;
 constexpr unsigned serviceUnavailable = 503;
@@ -82,6 +84,8 @@
 void Exchange::requestPlace()
 {
     const TimePoint now = bootTime();
+    if (this->refuseQuarantined(this->relay.quarantine.blocks(this->plan.sharedParts, now), now))
+        return;
     if (!this->maySend(now))
         return this->takeStep(this->life.onNoTarget(), "no young proof of the configuration");
     if (this->targets().usableCount() == 0)
@@ -94,6 +98,31 @@
         this->askId = id;
 }
 
+bool Exchange::refuseQuarantined(bool isQuarantined, TimePoint now)
+{
+    if (!isQuarantined)
+        return false;
+    this->relay.metrics.keptByQuarantine();
+    this->retryAfter = this->relay.quarantine.retryAfter(this->plan.sharedParts, now);
+    this->takeStep(this->life.onNoTarget(), quarantineReason);
+    return true;
+}
+
+void Exchange::endQuarantined(TimePoint now)
+{
+    if (!this->relay.quarantine.isBlocked(this->plan.sharedParts, now) || (this->attempt && this->attempt->firstEventAt))
+        return;
+    this->withdrawAsk();
+    if (!this->attempt) {
+        this->refuseQuarantined(true, now);
+        return;
+    }
+    this->cancelAttempt(TargetOutcome::Cancelled);
+    this->takeStep(this->life.attemptEnded(
+                       AttemptOutcome::Silent, [] { return false; }, now),
+        quarantineReason);
+}
+
 void Exchange::withdrawAsk()
 {
     if (this->askId)
@@ -109,6 +138,8 @@
     if (this->isFinished)
         return;
     const TimePoint now = bootTime();
+    if (this->refuseQuarantined(this->relay.quarantine.isBlocked(this->plan.sharedParts, now), now))
+        return;
     this->relay.metrics.queueWaitEnded(now - *this->waitingSince);
     this->passedLimit = answer.passedLimit;
     this->retryAfter = answer.retryAfter;
@@ -191,7 +222,11 @@
         move->onSent(target.version == move->order().version, this->plan.route->name);
     const auto self = this->shared_from_this();
     ResponseHooks events;
-    events.beforeSend = [self] { return !self->isFinished && self->maySend(bootTime()) && bootTime() < self->life.deadline(); };
+    events.beforeSend = [self] {
+        const TimePoint sendTime = bootTime();
+        return !self->isFinished && self->maySend(sendTime) && sendTime < self->life.deadline()
+            && !self->relay.quarantine.isBlocked(self->plan.sharedParts, sendTime);
+    };
     events.head = [self](const http::response_header<>& head) { return self->onHead(head); };
     events.body = [self](std::string_view bytes) { self->onBody(bytes); };
     events.complete = [self] { self->onComplete(); };
@@ -335,6 +370,7 @@
         this->targets().firstEvent(
             this->attempt->target, this->attempt->prefillPending, this->attempt->backlogTokens, now - this->attempt->sentAt, now);
         this->targets().recordCachedPrompt(this->attempt->target, this->plan.parts, now);
+        this->relay.quarantine.onBegan(this->plan.sharedParts, now);
         RunSample sample;
         sample.backlogTokens = this->attempt->backlogTokens;
         sample.firstAfter = now - this->attempt->sentAt;
@@ -495,14 +531,25 @@
     this->form = AnswerForm::Buffered;
     this->relay.metrics.runFailed(outcome);
     const TimePoint now = bootTime();
+    this->noteLostStream(outcome, now);
+    // A repeat of a request that seems to crash targets would only crash another one.
+    const bool isSuspect = !this->lastHadEvent && this->relay.quarantine.isSuspect(this->promptHash(), this->plan.sharedParts);
     const NextStep step = this->life.attemptEnded(
-        outcome, [&] { return this->relay.secondTries.take(this->plan.service, now); }, now);
+        outcome, [&] { return !isSuspect && this->relay.secondTries.take(this->plan.service, now); }, now);
     if (this->plan.route->kind == RouteKind::Streaming && (outcome == AttemptOutcome::Broken || outcome == AttemptOutcome::Silent))
         this->relay.metrics.streamLost(this->lastHadEvent);
     this->logFailedAttempt(outcome, step, now);
     this->takeStep(step, attemptOutcomeName(outcome));
 }
 
+void Exchange::noteLostStream(AttemptOutcome outcome, TimePoint now)
+{
+    if (outcome != AttemptOutcome::Broken || this->lastHadEvent)
+        return;
+    this->relay.quarantine.onLost(nameHash(this->lastTarget), this->promptHash(), this->plan.sharedParts, now);
+    this->relay.updateQuarantine(now);
+}
+
 void Exchange::logFailedAttempt(AttemptOutcome outcome, NextStep step, TimePoint now) const
 {
     // The parts that other requests hold too show what requests that fail alike have in common.
--- a/src/edge/Exchange.h
+++ b/src/edge/Exchange.h
@@ -5,7 +5,7 @@
 //   ExchangePlan    results of admission
 //   Attempt         one send of the request to a target
 //   AnswerForm      how the body of the answer is relayed
-//   Exchange        begin, abandon, isStalled, leaveStalledTarget, judgePace
+//   Exchange        begin, abandon, isStalled, leaveStalledTarget, endQuarantined, judgePace
 #pragma once
 
 #include "edge/EventScanner.h"
@@ -23,6 +23,7 @@
     uint64_t expectedOutputTokens = 0;   // the caller's estimate of the output; 0: not stated
     std::optional<Duration> callerLimit; // how long the caller waits; empty: not stated
     std::vector<PromptPart> parts;       // empty: not stated
+    std::vector<PartKey> sharedParts;    // all but the last
     Rank rank;
     bool tryNewVersion = false; // first try the version that a move is testing on a part of the requests
     Demand demand;
@@ -66,6 +67,7 @@
     void abandon();                      // for the shutdown of the relay: closes the connections without an answer to the caller
     bool isStalled(TimePoint now) const; // its target has been silent for too long, and the request may be retried
     void leaveStalledTarget();           // cancels the attempt and retries, if that is allowed
+    void endQuarantined(TimePoint now);  // cancels the attempt and fails the request, if its prompt holds a part in quarantine
     void judgePace(TimePoint now);       // counts the attempt for a move of its service to a new version, if it is slow already
 
 private:
@@ -78,6 +80,9 @@
     VersionMove* runningMove() const;                             // of the service to a new version; null: none
     void countForMove(const Attempt& ended, TargetOutcome outcome, TimePoint now);
     void withdrawAsk();
+    bool refuseQuarantined(bool isQuarantined, TimePoint now);
+    uint64_t promptHash() const { return this->plan.parts.empty() ? 0 : this->plan.parts.back().prefixHash; }
+    void noteLostStream(AttemptOutcome outcome, TimePoint now);
     void send(const TargetPool::Choice& choice, bool countedByLimit, TimePoint now);
     std::string requestHead(const TargetInfo& target, TimePoint now) const;
     bool maySend(TimePoint now) const;
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -16,7 +16,8 @@
 
 constexpr size_t datagramBytes = 64 * 1024;
 constexpr std::string_view itemsPath = "/store-items";
-constexpr std::string_view smallAnswerOnly = "small=1"; // the requester can read the store, so a long answer isn't worth the transfer
+constexpr std::string_view smallAnswerOnly = "small=1";     // the requester can read the store, so a long answer isn't worth the transfer
+constexpr Duration maxReportedAge = std::chrono::hours(24); // keeps a damaged beacon from dating anything out of range
 constexpr Duration propagationMargin = std::chrono::milliseconds(50); // for the store's answer and the transfer between nodes
 
 int64_t microseconds(TimePoint time) { return time.time_since_epoch().count(); }
@@ -142,6 +143,7 @@
                 = { { route.new_requests(), route.new_bad(), route.new_running() }, { route.old_requests(), route.old_bad(), 0 } };
         this->relay.onPeerMoveReport(nameHash(beacon.node), move.service(), report);
     }
+    this->readQuarantine(message, now);
     this->compareCopies(beacon, now);
 }
 
@@ -237,6 +239,10 @@
     this->relay.quota.setReachable(this->peers.reachableFraction(now));
     this->relay.quota.setReportInterval(this->interval() > this->settings.maxPromptReportInterval ? this->interval() : Duration::zero());
     this->relay.secondTries.setNodes(this->peers.nodeCount());
+    // A lost stream takes one beacon to the peers, and what they know of its parts one more.
+    const ReadOrder order = this->readOrder(now);
+    this->relay.quarantine.setSettleTime(order.propagationDelay);
+    this->relay.quarantine.setProbing(order.place == 0);
     if (now - this->sentAt >= this->interval())
         this->sendBeacons(now);
     if (now - this->placementNodesSetAt >= this->settings.placementNodesInterval) {
@@ -296,6 +302,39 @@
     }
 }
 
+void PeerLink::addQuarantine(wire::Beacon& message, TimePoint now)
+{
+    const QuarantineReport report = this->relay.quarantine.report(now);
+    for (const LostStream& lost : report.lost) {
+        auto* entry = message.add_lost_streams();
+        entry->set_target(lost.target);
+        entry->set_prompt(lost.prompt);
+        entry->set_age_us(lost.age.count());
+        entry->mutable_parts()->Add(lost.parts.begin(), lost.parts.end());
+    }
+    const auto add = [](wire::PartAge* entry, const PartAge& part) {
+        entry->set_part(part.part);
+        entry->set_age_us(part.age.count());
+    };
+    for (const PartAge& part : report.begun)
+        add(message.add_begun_parts(), part);
+    for (const PartAge& part : report.quarantined)
+        add(message.add_quarantined_parts(), part);
+}
+
+void PeerLink::readQuarantine(const wire::Beacon& message, TimePoint now)
+{
+    QuarantineReport report;
+    const auto age = [](int64_t us) { return std::clamp(Duration(us), Duration::zero(), maxReportedAge); };
+    for (const auto& entry : message.lost_streams())
+        report.lost.push_back({ entry.target(), entry.prompt(), age(entry.age_us()), { entry.parts().begin(), entry.parts().end() } });
+    for (const auto& entry : message.begun_parts())
+        report.begun.push_back({ entry.part(), age(entry.age_us()) });
+    for (const auto& entry : message.quarantined_parts())
+        report.quarantined.push_back({ entry.part(), age(entry.age_us()) });
+    this->relay.quarantine.onPeerReport(report, now);
+}
+
 void PeerLink::sendBeacons(TimePoint now)
 {
     wire::Beacon message;
@@ -309,10 +348,13 @@
     }
     this->addMoves(message, now);
     std::string content = message.SerializeAsString();
-    if (content == this->lastContent && !this->beaconForced && now - this->sentAt < this->settings.idleInterval)
+    const bool quarantineChanged = this->relay.quarantine.changes() != this->reportedQuarantineChanges;
+    if (content == this->lastContent && !this->beaconForced && !quarantineChanged && now - this->sentAt < this->settings.idleInterval)
         return;
     this->relay.quota.onUsageReported();
     this->beaconForced = false;
+    this->reportedQuarantineChanges = this->relay.quarantine.changes();
+    this->addQuarantine(message, now);
     this->lastContent = std::move(content);
     this->sentAt = now;
     message.set_node(this->settings.node);
--- a/src/edge/PeerLink.h
+++ b/src/edge/PeerLink.h
@@ -85,6 +85,8 @@
     void sendTo(const Member& member, const std::string& datagram);
     void sendBeacons(TimePoint now);
     void addMoves(wire::Beacon& message, TimePoint now);
+    void addQuarantine(wire::Beacon& message, TimePoint now);
+    void readQuarantine(const wire::Beacon& message, TimePoint now);
     void fetchItems(const Member& member, bool isNewer);
     void answerItems(const CallerPointer& caller, std::string_view target);
     void compareCopies(const Beacon& beacon, TimePoint now);
@@ -106,6 +108,7 @@
     TimePoint itemsRequestedAt {};
     std::string lastContent; // of the last beacon, serialized, to detect a change
     bool beaconForced = false;
+    uint64_t reportedQuarantineChanges = 0; // PromptQuarantine::changes() at the last beacon
     bool stopping = false;
     TimePoint placementNodesSetAt {};
     std::optional<TimePoint> startedAt; // empty: before the first tick
--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -268,6 +268,8 @@
         if (plan.expectedOutputTokens > 0 && service && service->engine)
             plan.demand.outputEvents = static_cast<uint32_t>(1 + plan.expectedOutputTokens / std::max(service->engine->tokensPerEvent, 1U));
         plan.parts = parsePromptParts(request.message[names.promptParts]);
+        for (const std::string_view id : sharedPartIds(request.message[names.promptParts]))
+            plan.sharedParts.push_back(partKey(id));
     }
     plan.demand.urgent = plan.rank.workspace == 0 || plan.rank.route == 0;
     plan.demand.repeatable = plan.route->mayRepeat();
@@ -282,6 +284,7 @@
         return;
     this->lastHousekeeping = now;
     this->connections.expire(now);
+    this->updateQuarantine(now);
     this->reservesTokens = std::all_of(this->byService.begin(), this->byService.end(),
         [&](const auto& item) { return this->placement.occupancy(item.second->hash, now) < fullServiceOccupancy; });
     if (!this->movesByService.empty()) {
@@ -295,6 +298,26 @@
         exchange->leaveStalledTarget();
 }
 
+void Relay::updateQuarantine(TimePoint now)
+{
+    const auto changes = this->quarantine.decide(now);
+    for (const PromptQuarantine::Change& change : changes) {
+        log(LogLevel::Warn, change.isQuarantined ? "prompt part quarantined" : "prompt part released",
+            { { "part", partText(change.part) }, { "crashes", change.crashes },
+                { "from", change.crashes > 0 ? "this node" : "peer or event" } });
+    }
+    const bool isAnyNew = std::any_of(changes.begin(), changes.end(), [](const auto& change) { return change.isQuarantined; });
+    if (!isAnyNew)
+        return;
+    // Posted, since an exchange that ends here may be the one that reported the loss.
+    net::post(this->loop, [this] {
+        const TimePoint later = bootTime();
+        const std::vector<std::shared_ptr<Exchange>> present(this->exchanges.begin(), this->exchanges.end());
+        for (const auto& exchange : present)
+            exchange->endQuarantined(later);
+    });
+}
+
 void Relay::orderMove(const MoveOrder& order, const MoveSettings& bounds, std::optional<TimePoint> earliest)
 {
     const auto known = this->movesByService.find(order.service);
--- a/src/edge/Relay.h
+++ b/src/edge/Relay.h
@@ -1,5 +1,6 @@
 // The reverse proxy of an edge node: admits requests and relays them to targets, one Exchange per admitted request. It runs on one
-// event loop. RequestLife, TargetPool, Admission, WorkspaceQuota, SecondTryBudget and Freshness hold the rules that it applies.
+// event loop. RequestLife, TargetPool, Admission, WorkspaceQuota, SecondTryBudget, PromptQuarantine and Freshness hold the rules
+// that it applies.
 //
 // Index
 //   WireHeaders     names of the header fields that the node reads and sets
@@ -13,6 +14,7 @@
 #include "edge/Freshness.h"
 #include "edge/HttpListener.h"
 #include "edge/Placement.h"
+#include "edge/PromptQuarantine.h"
 #include "edge/SecondTryBudget.h"
 #include "edge/VersionMove.h"
 #include "edge/WorkspaceQuota.h"
@@ -115,6 +117,7 @@
     Freshness freshness;
     WorkspaceQuota quota;
     SecondTryBudget secondTries;
+    PromptQuarantine quarantine { {} };
     Placement placement;
 
 private:
@@ -122,6 +125,7 @@
     ServiceTargets& service(const std::string& name);
     Placement::Hooks placementHooks();
     void finished(const std::shared_ptr<Exchange>& exchange);
+    void updateQuarantine(TimePoint now);
     const std::string& chooseService(const Route& route);
     struct Refusal {
         unsigned status = 503;
--- a/src/edge/RequestFields.cpp
+++ b/src/edge/RequestFields.cpp
@@ -3,6 +3,8 @@
 
 #include "edge/WorkspaceQuota.h"
 
+#include <sstream>
+
 namespace guavapond::edge {
 
 namespace {
@@ -70,4 +72,18 @@
     return ids;
 }
 
+std::string partText(PartKey part)
+{
+    std::ostringstream text;
+    text << std::hex << part;
+    return text.str();
+}
+
+PartKey partKey(std::string_view id)
+{
+    PartKey value = 0;
+    const auto [end, error] = std::from_chars(id.data(), id.data() + id.size(), value, 16);
+    return error == std::errc() && end == id.data() + id.size() ? value : nameHash(lowerCase(id));
+}
+
 } // namespace guavapond::edge
--- a/src/edge/RequestFields.h
+++ b/src/edge/RequestFields.h
@@ -6,8 +6,10 @@
 //   parseTokenCount     PROMPT,MOST_OUTPUT
 //   parsePromptParts    ID:TOKENS entries, joined by commas
 //   sharedPartIds       the ids of those that other requests may hold too
+//   partKey, partText   key of a part by its id, and its text
 #pragma once
 
+#include "edge/PromptQuarantine.h"
 #include "edge/TargetPool.h"
 
 #include <charconv>
@@ -37,5 +39,7 @@
 
 // Ids of all parts but the last, which belongs to the request or its session. The views point into `field`.
 std::vector<std::string_view> sharedPartIds(std::string_view field);
+std::string partText(PartKey part);   // in hexadecimal
+PartKey partKey(std::string_view id); // its value, if it is a hexadecimal number of up to 64 bits; else a hash
 
 } // namespace guavapond::edge
--- /dev/null
+++ b/tests/edge/PromptQuarantineTest.cpp
@@ -0,0 +1,287 @@
+// Tests of the quarantine of prompt parts: one node by itself, and several nodes in virtual time that tell each other what they see.
+#include "edge/PromptQuarantine.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <random>
+
+using namespace guavapond;
+using namespace guavapond::edge;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr PartKey common = 1; // first part of many prompts
+constexpr PartKey crashing = 2;
+constexpr PartKey other = 3;
+
+// A stream with these parts is lost at the target. Each prompt is different.
+struct Losses {
+    PromptQuarantine& quarantine;
+    uint64_t prompts = 100;
+    void add(uint64_t target, std::vector<PartKey> parts, TimePoint now) { this->quarantine.onLost(target, ++this->prompts, parts, now); }
+};
+
+bool isIn(const PromptQuarantine& quarantine, PartKey part, TimePoint now) { return quarantine.isBlocked(std::vector { part }, now); }
+
+} // namespace
+
+TEST_GROUP(PromptQuarantine)
+{
+    TimePoint now = TimePoint(1h);
+    PromptQuarantine quarantine { {} };
+    Losses losses { this->quarantine };
+    void began(std::vector<PartKey> parts) { this->quarantine.onBegan(parts, this->now); }
+    void crash(std::vector<PartKey> parts)
+    {
+        this->losses.add(++this->target, std::move(parts), this->now);
+        this->now += 1s;
+        this->quarantine.decide(this->now);
+    }
+    uint64_t target = 0;
+};
+
+// Guards against refusing all requests that share a part with those that crash targets.
+TEST(PromptQuarantine, SharedPartsOfCrashingPromptsStayInUse)
+{
+    this->began({ common });
+    for (int i = 0; i < 3; ++i)
+        this->crash({ common, crashing });
+    CHECK(isIn(this->quarantine, crashing, this->now));
+    CHECK_FALSE(isIn(this->quarantine, common, this->now));
+    for (int i = 0; i < 10; ++i)
+        this->crash({ common, crashing });
+    CHECK_FALSE(isIn(this->quarantine, common, this->now));
+}
+
+// Guards against the same mistake where no node knows the shared part yet, and a bystander with it was lost once more.
+TEST(PromptQuarantine, MostSpecificPartIsSuspectedFirst)
+{
+    this->crash({ common });
+    for (int i = 0; i < 3; ++i)
+        this->crash({ common, crashing });
+    CHECK(isIn(this->quarantine, crashing, this->now));
+    CHECK_FALSE(isIn(this->quarantine, common, this->now));
+}
+
+// Guards against a part being missed since it is also the only shared one.
+TEST(PromptQuarantine, FirstPartCanBeTheCrashingOne)
+{
+    for (PartKey different = 10; different < 13; ++different)
+        this->crash({ crashing, different });
+    CHECK(isIn(this->quarantine, crashing, this->now));
+    CHECK_EQUAL(1, this->quarantine.size());
+}
+
+// Guards against blaming the parts of whatever a common cause ends at one moment, or one request that is repeated again and again.
+TEST(PromptQuarantine, OutsideCausesAndRepeatsQuarantineNothing)
+{
+    for (uint64_t failed = 1; failed <= 40; ++failed)
+        this->losses.add(failed, { other }, this->now + failed * 5ms);
+    for (int i = 0; i < 10; ++i) {
+        const std::vector<PartKey> parts { crashing };
+        this->quarantine.onLost(++this->target, 7, parts, this->now);
+        this->now += 1s;
+        this->quarantine.decide(this->now);
+    }
+    CHECK_EQUAL(0, this->quarantine.size());
+}
+
+// Guards against blaming what a single faulty target breaks off.
+TEST(PromptQuarantine, OneTargetAloneQuarantinesNothing)
+{
+    for (int i = 0; i < 10; ++i) {
+        this->losses.add(1, { crashing }, this->now);
+        this->now += 2s;
+        this->quarantine.decide(this->now);
+    }
+    CHECK_EQUAL(0, this->quarantine.size());
+}
+
+// Guards against blaming a part whose streams are sometimes lost and otherwise delivered.
+TEST(PromptQuarantine, DeliveredEventClearsAPart)
+{
+    for (int i = 0; i < 30; ++i) {
+        this->crash({ other });
+        if (i % 2 == 1)
+            this->began({ other });
+    }
+    CHECK_EQUAL(0, this->quarantine.size());
+}
+
+// Guards against a part that becomes fatal after an update of the targets, and was fine before.
+TEST(PromptQuarantine, PartThatWorkedBeforeNeedsMoreCrashes)
+{
+    this->began({ other });
+    this->now += 1s;
+    for (int i = 0; i < 5; ++i)
+        this->crash({ other });
+    CHECK_FALSE(isIn(this->quarantine, other, this->now));
+    this->crash({ other });
+    CHECK(isIn(this->quarantine, other, this->now));
+}
+
+// Guards against a stream that was under way when its part was quarantined, delivers, and does not lift the quarantine.
+TEST(PromptQuarantine, EventReleasesAPart)
+{
+    for (int i = 0; i < 3; ++i)
+        this->crash({ crashing });
+    CHECK(isIn(this->quarantine, crashing, this->now));
+    this->began({ crashing });
+    CHECK_FALSE(isIn(this->quarantine, crashing, this->now));
+}
+
+// Guards against a quarantine that never ends, and against one whose end lets all requests through at once.
+TEST(PromptQuarantine, OneRequestProbesAfterTheQuarantine)
+{
+    for (int i = 0; i < 3; ++i)
+        this->crash({ crashing });
+    const std::vector<PartKey> parts { crashing };
+    CHECK(this->quarantine.retryAfter(parts, this->now) > 9min);
+    this->now += 9min;
+    CHECK(this->quarantine.blocks(parts, this->now));
+    this->now += 1min;
+    this->quarantine.setProbing(false);
+    CHECK_TEXT(this->quarantine.blocks(parts, this->now), "another node probes");
+    this->quarantine.setProbing(true);
+    CHECK_FALSE(this->quarantine.blocks(parts, this->now));
+    CHECK_FALSE_TEXT(this->quarantine.isBlocked(parts, this->now), "the probe is sent");
+    CHECK_TEXT(this->quarantine.blocks(parts, this->now + 1s), "one probe at a time");
+    this->crash({ crashing });
+    CHECK_TEXT(this->quarantine.blocks(parts, this->now + 9min), "the probe has crashed a target");
+}
+
+// Guards against repeats that crash a target each while a part is only suspected.
+TEST(PromptQuarantine, SuspectsAreKnownAfterTheFirstCrash)
+{
+    const std::vector<PartKey> parts { common, crashing };
+    this->began({ common });
+    this->quarantine.onLost(1, 7, parts, this->now);
+    CHECK_FALSE_TEXT(this->quarantine.isSuspect(7, parts), "one crash alone may be anything");
+    this->quarantine.onLost(2, 8, parts, this->now);
+    CHECK(this->quarantine.isSuspect(7, parts));
+    CHECK_FALSE_TEXT(this->quarantine.isSuspect(9, std::vector<PartKey> { common }), "it has delivered events");
+}
+
+namespace {
+
+// Nodes that hear each other's reports late or not at all. Targets end on the crashing part and take bystanders with them.
+struct QuarantineWorld {
+    QuarantineWorld(size_t nodeCount, uint64_t seed, double lossProbability)
+        : generator(seed)
+        , lossProbability(lossProbability)
+    {
+        QuarantineSettings settings;
+        for (size_t i = 0; i < nodeCount; ++i) {
+            this->nodes.emplace_back(settings);
+            this->nodes.back().setSettleTime(2 * this->beaconInterval + 100ms);
+        }
+    }
+
+    void run(Duration span, double crashingShare)
+    {
+        const TimePoint end = this->now + span;
+        for (; this->now < end; this->now += 10ms) {
+            this->requests(crashingShare);
+            if ((this->now.time_since_epoch() % this->beaconInterval) == 0us)
+                this->exchangeReports();
+            for (PromptQuarantine& node : this->nodes)
+                node.decide(this->now);
+        }
+    }
+
+    void requests(double crashingShare)
+    {
+        const size_t sender = this->pick(this->nodes.size());
+        const PartKey first = 1 + this->pick(3);
+        const bool isCrashing = this->uniform(this->generator) < crashingShare;
+        std::vector<PartKey> parts { first };
+        if (isCrashing)
+            parts.push_back(crashingPart);
+        if (this->nodes[sender].blocks(parts, this->now)) {
+            this->refusedSound += isCrashing ? 0 : 1;
+            return;
+        }
+        if (!isCrashing)
+            return this->nodes[sender].onBegan(parts, this->now);
+        this->crashesAt.push_back(this->now);
+        const uint64_t target = ++this->lastTarget;
+        this->nodes[sender].onLost(target, ++this->lastPrompt, parts, this->now);
+        for (size_t bystanders = this->pick(6); bystanders > 0; --bystanders)
+            this->nodes[this->pick(this->nodes.size())].onLost(
+                target, ++this->lastPrompt, std::vector<PartKey> { 1 + this->pick(40) }, this->now);
+    }
+
+    void exchangeReports()
+    {
+        for (size_t from = 0; from < this->nodes.size(); ++from) {
+            const QuarantineReport report = this->nodes[from].report(this->now);
+            for (size_t to = 0; to < this->nodes.size(); ++to) {
+                if (to != from && this->uniform(this->generator) >= this->lossProbability)
+                    this->nodes[to].onPeerReport(report, this->now + 1ms);
+            }
+        }
+    }
+
+    uint64_t pick(uint64_t bound) { return this->generator() % bound; }
+
+    static constexpr PartKey crashingPart = 1000;
+    std::mt19937_64 generator;
+    std::uniform_real_distribution<double> uniform { 0, 1 };
+    double lossProbability;
+    Duration beaconInterval = 100ms;
+    std::vector<PromptQuarantine> nodes;
+    TimePoint now = TimePoint(1h);
+    uint64_t lastTarget = 0;
+    uint64_t lastPrompt = 0;
+    size_t refusedSound = 0;
+    std::vector<TimePoint> crashesAt;
+};
+
+} // namespace
+
+// Guards against nodes of which each sees too few crashes, and against sound requests being refused for what they share.
+TEST(PromptQuarantine, ManyNodesFindThePartTogether)
+{
+    constexpr Duration contact = 3s;
+    for (uint64_t seed = 1; seed <= 40; ++seed) {
+        const size_t nodeCount = seed % 2 == 0 ? 4 : 60;
+        QuarantineWorld world(nodeCount, seed, seed % 4 < 2 ? 0 : 0.3);
+        world.run(2s, 0);
+        world.run(20s, 0.02 + 0.02 * static_cast<double>(seed % 5));
+        const auto text = "seed " + std::to_string(seed) + ", " + std::to_string(world.crashesAt.size()) + " crashes, "
+            + std::to_string(world.refusedSound) + " sound requests refused";
+        CHECK_TEXT(world.crashesAt.size() >= 3, text.c_str());
+        const TimePoint bound = world.crashesAt.size() >= 5 ? world.crashesAt[4] + contact : world.now;
+        const auto late = std::count_if(world.crashesAt.begin(), world.crashesAt.end(), [&](TimePoint at) { return at > bound; });
+        CHECK_TEXT(late <= 3, text.c_str());
+        CHECK_TEXT(world.refusedSound == 0, text.c_str());
+    }
+}
+
+// Guards against a node that starts later, or starts again, and sends the part to targets once more.
+TEST(PromptQuarantine, StartedNodeLearnsOfTheQuarantineFromAPeer)
+{
+    for (int i = 0; i < 3; ++i)
+        this->crash({ crashing });
+    PromptQuarantine started { {} };
+    started.onPeerReport(this->quarantine.report(this->now + 5min), this->now + 5min);
+    CHECK(isIn(started, crashing, this->now + 5min));
+    CHECK(started.retryAfter(std::vector<PartKey> { crashing }, this->now + 5min) < 6min);
+}
+
+// Guards against two nodes that keep a part in quarantine for each other after an event has released it.
+TEST(PromptQuarantine, ReleaseReachesPeersAndStays)
+{
+    for (int i = 0; i < 3; ++i)
+        this->crash({ crashing });
+    PromptQuarantine peer { {} };
+    peer.onPeerReport(this->quarantine.report(this->now), this->now);
+    const QuarantineReport late = peer.report(this->now);
+    this->began({ crashing });
+    this->quarantine.onPeerReport(late, this->now + 1ms);
+    CHECK_FALSE_TEXT(isIn(this->quarantine, crashing, this->now), "a report of the time before the release brings it back");
+    this->now += 5s;
+    peer.onPeerReport(this->quarantine.report(this->now), this->now);
+    CHECK_FALSE(isIn(peer, crashing, this->now));
+}
