Move the bookkeeping of targets' entries out of the platform's adapter

TargetEntries holds it now, with the decoding behind a hook. No behaviour changes.

Measured: the 20 tests of EdgeStoreSyncTest pass as before.

--- /dev/null
+++ b/src/edge/TargetEntries.h
@@ -0,0 +1,65 @@
+// The store's entries of targets, as this node knows them from its reads and its peers. Entries are ordered by their revisions. What is
+// gone is remembered for a while, so that a peer that is behind does not bring it back.
+//
+// Index
+//   TargetEntry      an entry as the store holds it
+//   TargetEntries    apply, removeMissing, remove; items, digest
+#pragma once
+
+#include "edge/TargetPool.h"
+
+#include <set>
+
+namespace guavapond::edge {
+
+struct TargetEntry {
+    std::string id;
+    std::string value; // as bytes
+    uint64_t revision = 0;
+};
+
+class TargetEntries {
+public:
+    struct Hooks {
+        // Empty: the value can't be read, and the hook has logged why.
+        std::function<std::optional<TargetInfo>(const TargetEntry& entry)> decode;
+        std::function<void(const TargetInfo&)> changed; // what an entry says of its target
+        std::function<void(const std::string& id)> gone;
+    };
+    explicit TargetEntries(Hooks hooks)
+        : hooks(std::move(hooks))
+    {
+    }
+
+    void apply(const TargetEntry& entry); // newer ones only
+    // Removes what is not among the ids that the store holds at `revision`. While `isKept`, entries that lapsed may still come back.
+    // Returns false if entries are missing and kept, so that the copy differs from the store's.
+    bool removeMissing(const std::set<std::string>& present, uint64_t revision, bool isKept, TimePoint now);
+    void removeOlder(const std::string& id, uint64_t missingAt, TimePoint now); // a peer has found it missing at that revision
+
+    struct Change {
+        TargetEntry entry;
+        bool gone = false;
+    };
+    std::vector<Change> changesAfter(uint64_t revision) const; // without heartbeats
+    uint64_t digest() const;                                   // of all that the targets say of themselves
+
+private:
+    struct Known {
+        TargetEntry entry;
+        bool usable = false;
+        uint64_t digest = 0;          // of what it says, without its heartbeats; 0: can't be read
+        uint64_t changedRevision = 0; // of the newest entry that says something else than the one before
+    };
+    struct Gone {
+        uint64_t revision = 0; // of the store when it was missing
+        TimePoint at {};
+    };
+    void remove(const std::string& id, uint64_t missingAt, TimePoint now);
+
+    Hooks hooks;
+    std::map<std::string, Known> targets; // by id
+    std::map<std::string, Gone> gone;     // by id
+};
+
+} // namespace guavapond::edge
