Keep the quarantine of prompt parts in the store

Cause: the quarantine lived in the memory of the processes alone, and nothing but the store outlives them.

Ruled out: learning faster.

Change: QuarantineRecord has each quarantine written under a lease that ends with it. Nodes read the list with the list of nodes, at no further call; the first read after a start is not a stale one. The first heard node in the order of names writes what is missing.

--- a/src/edge/PromptQuarantine.cpp
+++ b/src/edge/PromptQuarantine.cpp
@@ -20,7 +20,7 @@
             std::erase_if(this->ownBegunAt, [&](const auto& item) { return now - item.second >= this->settings.knownTime / 2; });
         if (this->ownBegunAt.size() < this->settings.maxParts || this->ownBegunAt.contains(part))
             this->ownBegunAt[part] = now;
-        if (this->release(part))
+        if (this->release(part, true))
             this->releasedAt[part] = now;
     }
 }
@@ -149,15 +149,15 @@
     if (this->quarantined.size() >= this->settings.maxQuarantined && !this->quarantined.contains(part))
         return;
     this->quarantined[part] = { since, std::nullopt };
-    this->pendingChanges.push_back({ part, true, crashCount });
+    this->pendingChanges.push_back({ part, true, crashCount, crashCount > 0 });
     ++this->changeCount;
 }
 
-bool PromptQuarantine::release(PartKey part)
+bool PromptQuarantine::release(PartKey part, bool isOwn)
 {
     if (this->quarantined.erase(part) == 0)
         return false;
-    this->pendingChanges.push_back({ part, false, 0 });
+    this->pendingChanges.push_back({ part, false, 0, isOwn });
     ++this->changeCount;
     return true;
 }
@@ -305,7 +305,7 @@
         last = std::max(last, now - begun.age);
         const auto found = this->quarantined.find(begun.part);
         if (found != this->quarantined.end() && last >= found->second.since)
-            this->release(begun.part);
+            this->release(begun.part, false);
     }
     for (const PartAge& entry : report.quarantined) {
         const TimePoint since = now - entry.age;
--- a/src/edge/PromptQuarantine.h
+++ b/src/edge/PromptQuarantine.h
@@ -72,6 +72,7 @@
         PartKey part = 0;
         bool isQuarantined = false; // false: released
         size_t crashes = 0;         // that led to it; 0: told by a peer
+        bool isOwn = false;         // decided, or released, by what this node knows by itself
     };
 
     explicit PromptQuarantine(const QuarantineSettings& settings)
@@ -93,6 +94,7 @@
     bool isSuspect(uint64_t prompt, std::span<const PartKey> parts) const;
     Duration retryAfter(std::span<const PartKey> parts, TimePoint now) const; // until the quarantine ends
     size_t size() const { return this->quarantined.size(); }
+    Duration quarantineTime() const { return this->settings.quarantineTime; }
     std::vector<PartAge> list(TimePoint now) const; // parts in quarantine, and since when
 
     QuarantineReport report(TimePoint now) const;
@@ -133,7 +135,7 @@
     std::optional<PartKey> likeliest(const std::unordered_map<PartKey, Count>& counts, bool begun) const;
     std::optional<PartKey> nextCulprit(const std::unordered_map<PartKey, Count>& counts, TimePoint now) const;
     void quarantine(PartKey part, size_t crashes, TimePoint since);
-    bool release(PartKey part); // false: it was not in quarantine
+    bool release(PartKey part, bool isOwn); // false: it was not in quarantine
     void renewAfterProbe(TimePoint now);
     void expire(TimePoint now);
     bool allows(const Quarantine& entry, TimePoint now) const; // one probe
--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -303,9 +303,9 @@
     const auto changes = this->quarantine.decide(now);
     for (const PromptQuarantine::Change& change : changes) {
         log(LogLevel::Warn, change.isQuarantined ? "prompt part quarantined" : "prompt part released",
-            { { "part", partText(change.part) }, { "crashes", change.crashes },
-                { "from", change.crashes > 0 ? "this node" : "peer or event" } });
+            { { "part", partText(change.part) }, { "crashes", change.crashes }, { "from", change.isOwn ? "this node" : "peer" } });
     }
+    std::for_each(changes.begin(), changes.end(), this->quarantineChanged);
     const bool isAnyNew = std::any_of(changes.begin(), changes.end(), [](const auto& change) { return change.isQuarantined; });
     if (!isAnyNew)
         return;
--- a/src/edge/Relay.h
+++ b/src/edge/Relay.h
@@ -111,6 +111,7 @@
     {
         this->sendPlacement = std::move(hook);
     }
+    void onQuarantineChange(std::function<void(const PromptQuarantine::Change&)> hook) { this->quarantineChanged = std::move(hook); }
     uint64_t connectionsOpened() const { return this->connections.opened(); }
     const std::map<std::string, std::unique_ptr<ServiceTargets>>& services() const { return this->byService; }
 
@@ -148,6 +149,7 @@
     std::map<std::string, std::unique_ptr<ServiceTargets>> byService;
     std::unordered_map<uint64_t, ServiceTargets*> byServiceHash;
     std::function<void(const std::string& node, const PlacementMessage&)> sendPlacement;
+    std::function<void(const PromptQuarantine::Change&)> quarantineChanged = [](const auto&) {};
     bool flushScheduled = false;                                  // a flush of placement messages is posted to the loop
     std::unordered_map<std::string, std::string> serviceOfTarget; // name of the service by id of the target
     std::set<std::shared_ptr<Exchange>> exchanges;
--- a/tests/edge/PromptQuarantineProgramTest.cpp
+++ b/tests/edge/PromptQuarantineProgramTest.cpp
@@ -90,3 +90,20 @@
     CHECK_TEXT(2 * served >= static_cast<ptrdiff_t>(traffic.sound.size()),
         (std::to_string(served) + " of " + std::to_string(traffic.sound.size()) + " sound requests were served").c_str());
 }
+
+// Guards against a quarantine that is forgotten when all processes end, so that the part crashes targets anew.
+TEST(PromptQuarantineProgram, RestartOfAllNodesKeepsTheQuarantine)
+{
+    CrashingTraffic traffic(3);
+    CHECK(traffic.start());
+    traffic.play(3s);
+    const size_t crashes = traffic.crashes.size();
+    CHECK_TEXT(crashes >= 2, "the part crashes targets");
+    for (size_t node = 0; node < traffic.fleet.nodes.size(); ++node)
+        traffic.fleet.kill(node);
+    for (size_t node = 0; node < traffic.fleet.nodes.size(); ++node)
+        traffic.fleet.restart(node);
+    CHECK(traffic.fleet.runUntil([&] { return traffic.fleet.allReady(); }));
+    traffic.play(3s);
+    CHECK_EQUAL_TEXT(crashes, traffic.crashes.size(), "crashes after the restart");
+}
--- a/tests/edge/PromptQuarantineTest.cpp
+++ b/tests/edge/PromptQuarantineTest.cpp
@@ -1,5 +1,5 @@
 // Tests of the quarantine of prompt parts: one node by itself, and several nodes in virtual time that tell each other what they see.
-#include "edge/PromptQuarantine.h"
+#include "edge/QuarantineRecord.h"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
@@ -285,3 +285,41 @@
     peer.onPeerReport(this->quarantine.report(this->now), this->now);
     CHECK_FALSE(isIn(peer, crashing, this->now));
 }
+
+// Guards against entries that are lost with the store's newest changes, or were never written since the store was away.
+TEST(PromptQuarantine, WriterRestoresMissingEntries)
+{
+    bool isWriter = false;
+    std::vector<PartAge> written;
+    std::vector<PartKey> removed;
+    QuarantineRecord record(this->quarantine,
+        { [&](TimePoint) { return isWriter; }, [&](const PartAge& part) { written.push_back(part); },
+            [&](PartKey part) { removed.push_back(part); } });
+    for (int i = 0; i < 3; ++i)
+        this->crash({ crashing });
+    record.onListed({}, this->now);
+    CHECK_TEXT(written.empty(), "another node writes");
+    isWriter = true;
+    record.onListed({}, this->now + 1min);
+    record.onListed({}, this->now + 1min);
+    CHECK_EQUAL_TEXT(1, written.size(), "the first call is still under way");
+    CHECK(written.front().part == crashing && written.front().age == 1min);
+    record.written(crashing);
+    record.onListed({}, this->now + 1min);
+    CHECK_EQUAL(2, written.size());
+    record.written(crashing);
+    record.onListed(std::vector<PartAge> { { crashing, 1min } }, this->now + 1min);
+    CHECK_EQUAL_TEXT(2, written.size(), "it is there");
+    this->began({ crashing });
+    for (const auto& change : this->quarantine.decide(this->now))
+        record.onChange(change, this->now);
+    CHECK(removed == std::vector<PartKey> { crashing });
+}
+
+// Guards against a node that knows a quarantine only from the store and lets a request through.
+TEST(PromptQuarantine, ListedPartsAreBlocked)
+{
+    QuarantineRecord record(this->quarantine, { [](TimePoint) { return false; }, [](const PartAge&) {}, [](PartKey) {} });
+    record.onListed(std::vector<PartAge> { { crashing, 4min } }, this->now);
+    CHECK(isIn(this->quarantine, crashing, this->now));
+}
--- a/tests/edge/StoreSyncTest.cpp
+++ b/tests/edge/StoreSyncTest.cpp
@@ -32,6 +32,7 @@
     edge::CatalogPointer catalog;
     std::map<std::string, bool> usable; // by target id; false: draining
     std::vector<edge::Member> members;
+    std::vector<edge::PartAge> quarantine;
     std::optional<TimePoint> proof;
     std::optional<edge::MoveOrder> order;
     std::optional<TimePoint> orderedAfter;
@@ -57,6 +58,7 @@
         hooks.catalog = [this](edge::CatalogPointer value) { this->catalog = std::move(value); };
         hooks.target = [this](const edge::TargetInfo& target) { this->usable[target.id] = !target.draining; };
         hooks.targetGone = [this](const std::string& id) { this->usable.erase(id); };
+        hooks.quarantine = [this](std::span<const edge::PartAge> list) { this->quarantine.assign(list.begin(), list.end()); };
         hooks.members = [this](std::span<const edge::Member> list) { this->members.assign(list.begin(), list.end()); };
         hooks.proof = [this](TimePoint time) { this->proof = time; };
         hooks.wasRead = [this] { ++this->reads; };
@@ -456,3 +458,31 @@
     CHECK(changed.items[0].key == "servers/b" && changed.items[1].key == "servers/c" && changed.items[1].gone);
     CHECK(changed.upTo.targets > before.targets);
 }
+
+// Guards against a quarantine whose entry can't be read back, that loses its age while no process runs, or that outlasts its release.
+TEST(StoreSync, QuarantineIsKeptInTheStoreUntilItIsRemoved)
+{
+    this->startSync();
+    bool isWritten = false;
+    this->sync->writeQuarantine({ 0xdead, 2min }, 8min, [&] { isWritten = true; });
+    CHECK(this->runUntil([&] { return isWritten && this->quarantine.size() == 1; }));
+    CHECK(this->quarantine.front().part == 0xdead);
+    CHECK(this->quarantine.front().age >= 2min && this->quarantine.front().age < 3min);
+    CHECK_TEXT(this->store->model.items().at("guavapond/quarantine/dead").lease != 0, "it ends with the quarantine");
+    isWritten = false;
+    this->sync->writeQuarantine({ 0xdead, 0min }, 10min, [&] { isWritten = true; });
+    CHECK(this->runUntil([&] { return isWritten; }));
+    CHECK_TEXT(this->quarantine.front().age >= 2min, "another node's entry stays");
+    this->sync->removeQuarantine(0xdead);
+    CHECK(this->runUntil([&] { return this->quarantine.empty(); }));
+    CHECK_TEXT(this->members.size() == 1 && this->members.front().node == "n1", "the list of nodes is read with it");
+}
+
+// Guards against a clock that jumped and dates an entry in the future, or before any quarantine that still holds.
+TEST(StoreSync, AgeOfAQuarantineStaysInRange)
+{
+    CHECK(decodeQuarantine(R"({"part":10,"since_unix_ms":1700000009000})", 1700000000000).value->age == 0s);
+    CHECK(decodeQuarantine(R"({"part":11,"since_unix_ms":1600000000000})", 1700000000000).value->age == 1h);
+    CHECK(decodeQuarantine(R"({"part":11,"since_unix_ms":-9223372036854775807})", 1700000000000).value->age <= 1h);
+    CHECK_FALSE(decodeQuarantine(R"({"part":"x"})", 1700000000000).value.has_value());
+}
