Treat an empty stream that ends with its connection as broken off

Callers would see: a target that ends after the head of an answer without length or chunks, before its first event, and closes its connection in order, reached the caller as a whole, empty answer with status 200.

Cause: the end of the connection completes an answer without framing, and the scanner only knew that no event was half read.

Change: without an event and without framing the attempt counts as broken; it is repeated or failed as any other.

Before: EdgeRelayTest StreamThatEndsWithItsConnectionIsWholeOnlyAfterAnEvent fails in the row "no event". After: the 18 tests of EdgeRelayTest pass.

--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -33,6 +33,12 @@
 
 bool isEventStream(const http::response_header<>& head) { return head[http::field::content_type].starts_with("text/event-stream"); }
 
+// The answer has neither a length nor chunks.
+bool endsWithConnection(const http::response_header<>& head)
+{
+    return head.count(http::field::content_length) == 0 && head.count(http::field::transfer_encoding) == 0;
+}
+
 } // namespace
 
 Exchange::Exchange(Relay& relay, CallerPointer callerConnection, CallerRequest callerRequest, ExchangePlan exchangePlan)
@@ -421,11 +427,13 @@
         return this->finish(RequestResult::Answered, "whole");
     }
     if (this->form == AnswerForm::Events) {
-        if (this->scanner.isMidEvent()) {
+        const uint64_t events = this->scanner.events() - finished.eventsBefore;
+        // A target that ends before its first event closes such an answer like a whole one.
+        const bool isCut = this->scanner.isMidEvent() || (events == 0 && endsWithConnection(finished.head));
+        if (isCut) {
             this->endAttempt(TargetOutcome::Failed);
             return this->onAttemptEnded(AttemptOutcome::Broken);
         }
-        const uint64_t events = this->scanner.events() - finished.eventsBefore;
         if (events >= minEventsForMeanGap) {
             const Duration gap = (finished.lastEventAt - *finished.firstEventAt) / (events - 1);
             this->targets().eventGap(finished.target, gap, now);
--- a/tests/edge/RelayTest.cpp
+++ b/tests/edge/RelayTest.cpp
@@ -448,3 +448,33 @@
     CHECK(isReverted());
     CHECK_TEXT(move.counts().oldVersion.bad == 0, "the old version is not slow");
 }
+
+// Guards against streams without length or chunks that break off and reach the caller as whole, and against whole ones taken for broken.
+TEST(Relay, StreamThatEndsWithItsConnectionIsWholeOnlyAfterAnEvent)
+{
+    const std::string head
+        = "HTTP/1.1 200 OK\r\nGuavapond-Attempt-Id: {id}\r\nGuavapond-Response-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n";
+    const std::string events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    struct Row {
+        const char* name;
+        std::string bytes;
+        standins::ScriptedEnd end;
+        bool isWhole;
+    };
+    const std::vector<Row> rows {
+        { "whole", events, standins::ScriptedEnd::Close, true },
+        { "reset after an event", events, standins::ScriptedEnd::Reset, false },
+        { "in a line of an event", events + "id: 3\nda", standins::ScriptedEnd::Close, false },
+        { "before the empty line", events + "id: 3\ndata: c\n", standins::ScriptedEnd::Close, false },
+        { "no event", "", standins::ScriptedEnd::Close, false },
+    };
+    for (const Row& row : rows) {
+        EdgeWorld fresh;
+        fresh.setCatalog(fresh.catalog());
+        standins::ScriptedServer server(fresh.loop, head + row.bytes, row.end);
+        fresh.addTarget("r1", server.address());
+        const auto answer = fresh.send("/stream/x", "u1");
+        CHECK_TEXT(fresh.runUntilEnded(answer), row.name);
+        CHECK_EQUAL_TEXT(row.isWhole, answer->status == 200 && answer->complete, row.name);
+    }
+}
