--- a/standins/edge/PlatformStore.cpp
+++ b/standins/edge/PlatformStore.cpp
@@ -76,6 +76,12 @@
         ++this->revision;
 }
 
+void StoreModel::restore(StoreModel copy)
+{
+    copy.era = this->era + 1;
+    *this = std::move(copy);
+}
+
 StoreModel::Answer StoreModel::range(const std::string& prefix, const std::string& after) const
 {
     json entries = json::array();
@@ -169,8 +175,13 @@
     this->model.expire(edge::bootTime());
     if (this->mode == StoreMode::Silent)
         return this->unanswered.push_back(caller);
+    const auto respond = [&](unsigned status, std::string text) {
+        auto message = edge::makeResponse({ status, std::move(text), "application/json", {} });
+        message.set("Store-Era", std::to_string(this->model.era));
+        caller->sendResponse(std::move(message));
+    };
     if (this->mode == StoreMode::Busy)
-        return caller->sendResponse(edge::makeResponse({ 503, "{}", "application/json", {} }));
+        return respond(503, "{}");
     const std::string target(request.message.target());
     const size_t mark = std::min(target.find('?'), target.size());
     StoreModel::Answer answer;
@@ -182,7 +193,7 @@
     }
     if (this->mode == StoreMode::LosesAnswers && answer.changed)
         return this->unanswered.push_back(caller);
-    caller->sendResponse(edge::makeResponse({ answer.status, answer.body.dump(), "application/json", {} }));
+    respond(answer.status, answer.body.dump());
 }
 
 StoreModel::Answer PlatformStore::handle(
--- a/standins/edge/PlatformStore.h
+++ b/standins/edge/PlatformStore.h
@@ -41,10 +41,12 @@
     Answer grant(Duration asked, TimePoint now);
     Answer renew(uint64_t lease, TimePoint now);
     Answer end(uint64_t lease);
-    void expire(TimePoint now); // removes the keys of leases that ran out
+    void expire(TimePoint now);    // removes the keys of leases that ran out
+    void restore(StoreModel copy); // loses all changes, leases too, that this copy does not have
     const std::map<std::string, Item>& items() const { return this->byKey; }
 
     size_t pageItems = 500;
+    uint64_t era = 1;                                 // rises when changes are lost
     Duration longestLease = std::chrono::minutes(10); // a longer one is cut to it
 
 private:
--- a/tests/edge/StoreSyncTest.cpp
+++ b/tests/edge/StoreSyncTest.cpp
@@ -1,9 +1,8 @@
 // Contract tests of the adapter to the platform's store, run against a stand-in store: which items it reads and accepts, and when its copy
 // is known to be current, also during outages.
 #include "platform/StoreSync.h"
-#include "StoreTexts.h"
+#include "StoreSyncWorld.h"
 #include "adapters/Logging.h"
-#include "edge/PlatformStore.h"
 #include "platform/Decode.h"
 
 #include <CppUTest/TestHarness.h>
@@ -20,66 +19,7 @@
 using test::configText;
 using test::targetText;
 
-TEST_GROUP(StoreSync)
-{
-    edge::net::io_context loop;
-    edge::EdgeMetrics metrics;
-    std::mt19937_64 generator { 4 };
-    std::unique_ptr<standins::PlatformStore> store
-        = std::make_unique<standins::PlatformStore>(this->loop, edge::Address { "127.0.0.1", 0 });
-    std::unique_ptr<StoreClient> client;
-    std::unique_ptr<StoreSync> sync;
-    edge::CatalogPointer catalog;
-    std::map<std::string, bool> usable; // by target id; false: draining
-    std::vector<edge::Member> members;
-    std::vector<edge::PartAge> quarantine;
-    std::optional<TimePoint> proof;
-    std::optional<edge::MoveOrder> order;
-    std::optional<TimePoint> orderedAfter;
-    std::optional<edge::MoveState> ended;
-    size_t reads = 0;
-    edge::ReadOrder readOrder { 0, 2, 10ms };
-
-    void startSync()
-    {
-        this->store->start();
-        this->client = std::make_unique<StoreClient>(this->loop, edge::Address { "127.0.0.1", this->store->port() }, 600ms, this->metrics);
-        StoreSyncSettings settings;
-        settings.self = { "n1", "10.0.0.1", 7600 };
-        settings.leaseTtl = 1s;
-        settings.operators = { 20ms, 5ms, 10ms, 10ms, 20ms, 60ms, 0ms };
-        settings.targets = settings.operators;
-        settings.moveInterval = 20ms;
-        settings.memberInterval = 50ms;
-        settings.retryInterval = 20ms;
-        settings.returnGrace = 1500ms;
-        settings.shortestOutage = 500ms;
-        StoreSync::Hooks hooks;
-        hooks.catalog = [this](edge::CatalogPointer value) { this->catalog = std::move(value); };
-        hooks.target = [this](const edge::TargetInfo& target) { this->usable[target.id] = !target.draining; };
-        hooks.targetGone = [this](const std::string& id) { this->usable.erase(id); };
-        hooks.quarantine = [this](std::span<const edge::PartAge> list) { this->quarantine.assign(list.begin(), list.end()); };
-        hooks.members = [this](std::span<const edge::Member> list) { this->members.assign(list.begin(), list.end()); };
-        hooks.proof = [this](TimePoint time) { this->proof = time; };
-        hooks.wasRead = [this] { ++this->reads; };
-        hooks.readOrder = [this](TimePoint) { return this->readOrder; };
-        hooks.move = [this](const edge::MoveOrder& value, std::optional<TimePoint> after) {
-            this->order = value;
-            this->orderedAfter = after;
-        };
-        hooks.moveEnded = [this](const edge::MoveOrder&, edge::MoveState state) { this->ended = state; };
-        hooks.random = [this] { return std::uniform_real_distribution<double>()(this->generator); };
-        this->sync = std::make_unique<StoreSync>(this->loop, *this->client, settings, std::move(hooks));
-        this->sync->start();
-    }
-    bool runUntil(const std::function<bool()>& condition, Duration bound = 10s)
-    {
-        const TimePoint end = bootTime() + bound;
-        while (!condition() && bootTime() < end)
-            this->loop.run_for(1ms);
-        return condition();
-    }
-};
+TEST_GROUP_BASE(StoreSync, test::StoreSyncWorld) {};
 
 // Guards against a JSON name that is decoded into the wrong field.
 TEST(StoreSync, DecodesConfigurationFields)
