Order what the store holds across its eras

Cause: revisions were taken as an order of all that the store ever held, and equal revisions for equal content. After the restore version 14 got revision 24, which version 11 had: ignored as not newer, and read as proof that version 11 is current. Version 11 itself, written again as revision 23, was no proof.

Ruled out: copies that nodes keep alive for each other (each node reads the item itself); a slow store (reads take milliseconds).

Change: a StoreRevision holds the era (Store-Era) in its upper bits, in all comparisons and between nodes. A configuration is newer by its version across eras, and by both within one; it is proved by its content.

--- a/src/edge/ConfigCopy.h
+++ b/src/edge/ConfigCopy.h
@@ -1,4 +1,5 @@
 // The operators' configuration as this node knows it from its reads and its peers: which item of the store is the one in force.
+// Revisions order configurations within an era of the store only; across eras their versions do.
 //
 // Index
 //   DecodedCatalog
@@ -25,20 +26,20 @@
     {
     }
 
-    void apply(const StoreItem& item);                     // a newer one only
-    bool isInForce(const StoreItem& item) const;           // so that the store's configuration is the one in force
+    void apply(const StoreItem& item); // a newer one only
+    // The store's configuration is the one in force, whatever its revision: it may have been written again.
+    bool isInForce(const StoreItem& item) const { return item.value == this->config.value; }
     const StoreItem& item() const { return this->config; } // of the configuration in force
-    uint64_t digest() const;
+    uint64_t digest() const { return this->valueHash; }    // equal for equal configurations
 
 private:
-    bool isKnownUnreadable(const StoreItem& item) const { return item.revision == this->unreadable; }
-    void logIgnored(const StoreItem& item);
+    bool isNewer(const StoreItem& item, const Catalog& catalog) const;
 
     Hooks hooks;
     StoreItem config;
-    uint64_t version = 0;     // of the configuration in force; never goes back
-    uint64_t unreadable = 0;  // revision of the last item that can't be used; it is logged once
-    uint64_t lastIgnored = 0; // hash of the last value that was logged as ignored
+    uint64_t version = 0;   // of the configuration in force; never goes back
+    uint64_t valueHash = 0; // of the configuration in force
+    uint64_t unusable = 0;  // hash of the last value that can't be read or is not newer; it is logged once
 };
 
 } // namespace guavapond::edge
--- /dev/null
+++ b/src/edge/MoveRecord.cpp
@@ -0,0 +1,93 @@
+// Compares orders and statuses of moves with what is known of them.
+#include "edge/MoveRecord.h"
+
+#include <algorithm>
+
+namespace guavapond::edge {
+
+void MoveRecord::applyOrder(const StoreItem& item, const MoveOrder& order)
+{
+    Known& known = this->moves[order.service];
+    if (known.order.revision >= item.revision)
+        return;
+    known = Known {};
+    known.item = item;
+    known.order = order;
+    this->hooks.ordered(known.order);
+}
+
+bool MoveRecord::hasOpen() const
+{
+    return std::any_of(this->moves.begin(), this->moves.end(), [](const auto& move) { return !move.second.isFinal(); });
+}
+
+void MoveRecord::onStatusRead(std::span<const ReadStatus> statuses)
+{
+    for (const ReadStatus& read : statuses) {
+        const auto found = this->moves.find(read.service);
+        if (found == this->moves.end())
+            continue;
+        Known& move = found->second;
+        move.statusRevision = read.revision;
+        // A status older than the order speaks of an earlier move.
+        if (read.status && read.revision > move.order.revision && read.status->version == move.order.version
+            && read.status->state != MoveState::Trying) {
+            move.written = read.status->state;
+            this->hooks.ended(move.order, read.status->state);
+        }
+    }
+    for (auto& [service, move] : this->moves) {
+        move.wasRead = true;
+        this->write(move);
+    }
+}
+
+void MoveRecord::publish(const MoveOrder& order, MoveState state)
+{
+    const auto found = this->moves.find(order.service);
+    if (found == this->moves.end() || found->second.order.revision != order.revision)
+        return;
+    found->second.wanted = state == MoveState::Switching ? MoveState::Trying : state;
+    this->write(found->second);
+}
+
+void MoveRecord::write(Known& move)
+{
+    if (!move.wanted || move.wanted == move.written || move.isFinal() || !move.wasRead || move.isWriting)
+        return;
+    move.isWriting = true;
+    this->hooks.write({ move.order, { move.order.version, *move.wanted }, move.statusRevision });
+}
+
+void MoveRecord::onWritten(const Write& write, std::optional<StoreRevision> written)
+{
+    Known& known = this->moves.at(write.order.service);
+    if (known.order.revision != write.order.revision)
+        return; // a newer order came meanwhile
+    known.isWriting = false;
+    if (!written) {
+        known.wasRead = false; // the store may hold another status, also this one
+        return this->hooks.readStatuses();
+    }
+    known.written = write.status.state;
+    known.statusRevision = *written;
+    this->write(known); // the wish may have changed
+}
+
+std::vector<StoreItem> MoveRecord::orders() const
+{
+    std::vector<StoreItem> result;
+    for (const auto& [service, move] : this->moves)
+        result.push_back(move.item);
+    return result;
+}
+
+uint64_t MoveRecord::digest() const
+{
+    uint64_t digest = 0;
+    for (const auto& [service, move] : this->moves)
+        digest += nameHash(move.item.key + '@' + std::to_string(move.item.revision));
+    return digest;
+}
+
+} // namespace guavapond::edge
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -29,16 +29,25 @@
 
 bool hasEqualColumns(const wire::Beacon& message) { return message.used_workspaces_size() == message.used_tokens_size(); }
 
+// A node of an earlier version names no eras: era 0.
+constexpr std::string_view operatorsEra = "operatorsEra";
+constexpr std::string_view targetsEra = "targetsEra";
+
+StoreRevision readRevision(const json& object, const char* name, std::string_view eraName)
+{
+    return inEra(object.value(std::string(eraName), uint64_t { 0 }), object.at(name).get<uint64_t>());
+}
+
 // Parses the items that a peer serves; empty: the text is not a valid list of items.
 std::optional<StoreItems> readItems(const std::string& text)
 {
     StoreItems result;
     try {
         const json object = json::parse(text);
-        result.upTo = { object.at("operators").get<uint64_t>(), object.at("targets").get<uint64_t>() };
+        result.upTo = { readRevision(object, "operators", operatorsEra), readRevision(object, "targets", targetsEra) };
         for (const json& item : object.at("items")) {
             result.items.push_back({ item.at("key").get<std::string>(), item.at("value").get<std::string>(),
-                item.at("revision").get<uint64_t>(), item.at("gone").get<bool>() });
+                readRevision(item, "revision", "era"), item.at("gone").get<bool>() });
         }
     } catch (const json::exception&) {
         return std::nullopt;
@@ -172,11 +181,16 @@
             ? 0
             : parseNumber<uint64_t>(target.substr(at + name.size(), target.find('&', at) - at - name.size())).value_or(0);
     };
-    const StoreItems found = this->hooks.items({ queryNumber("operators="), queryNumber("targets=") });
+    const auto queryRevision = [&](std::string_view name, std::string_view eraName) {
+        return inEra(queryNumber(std::string(eraName) + "="), queryNumber(std::string(name) + "="));
+    };
+    const StoreItems found = this->hooks.items({ queryRevision("operators", operatorsEra), queryRevision("targets", targetsEra) });
     json items = json::array();
     for (const StoreItem& item : found.items)
-        items.push_back({ { "key", item.key }, { "value", item.value }, { "revision", item.revision }, { "gone", item.gone } });
-    const json object { { "operators", found.upTo.operators }, { "targets", found.upTo.targets }, { "items", std::move(items) } };
+        items.push_back({ { "key", item.key }, { "value", item.value }, { "revision", revisionInEra(item.revision) },
+            { "era", eraOf(item.revision) }, { "gone", item.gone } });
+    const json object { { "operators", revisionInEra(found.upTo.operators) }, { operatorsEra, eraOf(found.upTo.operators) },
+        { "targets", revisionInEra(found.upTo.targets) }, { targetsEra, eraOf(found.upTo.targets) }, { "items", std::move(items) } };
     std::string text = object.dump(-1, ' ', false, json::error_handler_t::replace);
     if (target.find(smallAnswerOnly) != std::string_view::npos && text.size() > this->settings.maxItemsBytes)
         return caller->sendResponse(makeResponse(makeErrorResponse(503, "too much; read the store")));
@@ -215,8 +229,12 @@
             this->hooks.fetchFailed();
     };
     const ItemRevisions after = this->hooks.knownRevisions();
-    const std::string target = std::string(itemsPath) + "?operators=" + std::to_string(after.operators)
-        + "&targets=" + std::to_string(after.targets) + (isNewer ? "&" + std::string(smallAnswerOnly) : "");
+    const auto query = [](std::string_view name, std::string_view eraName, StoreRevision revision) {
+        return std::string(name) + "=" + std::to_string(revisionInEra(revision)) + "&" + std::string(eraName) + "="
+            + std::to_string(eraOf(revision));
+    };
+    const std::string target = std::string(itemsPath) + "?" + query("operators", operatorsEra, after.operators) + "&"
+        + query("targets", targetsEra, after.targets) + (isNewer ? "&" + std::string(smallAnswerOnly) : "");
     connection->start("GET " + target + " HTTP/1.1\r\nHost: " + member.ip + "\r\n\r\n", "", true, std::move(events));
 }
 
--- a/src/edge/PeerLink.h
+++ b/src/edge/PeerLink.h
@@ -11,6 +11,7 @@
 
 #include "edge/PeerTable.h"
 #include "edge/Relay.h"
+#include "edge/StoreRevision.h"
 
 namespace guavapond::edge {
 
@@ -21,14 +22,14 @@
 struct StoreItem {
     std::string key;
     std::string value;
-    uint64_t revision = 0;
+    StoreRevision revision = 0;
     bool gone = false; // the item existed with this revision and has been deleted since
 };
 
 // A copy of the store's items holds every change up to these revisions of the store.
 struct ItemRevisions {
-    uint64_t operators = 0;
-    uint64_t targets = 0;
+    StoreRevision operators = 0;
+    StoreRevision targets = 0;
 };
 
 struct StoreItems {
--- a/src/edge/TargetEntries.cpp
+++ b/src/edge/TargetEntries.cpp
@@ -45,7 +45,7 @@
     const bool usable = !decoded->draining;
     if (usable != known.usable)
         log(LogLevel::Info, usable ? "target joined" : "target is draining",
-            { { "target", entry.id }, { "service", decoded->service }, { "revision", entry.revision } });
+            { { "target", entry.id }, { "service", decoded->service }, { "revision", revisionInEra(entry.revision) } });
     known.usable = usable;
     known.digest = targetDigest(*decoded);
     if (known.digest == formerDigest)
@@ -54,7 +54,7 @@
     this->hooks.changed(*decoded);
 }
 
-bool TargetEntries::removeMissing(const std::set<std::string>& present, uint64_t revision, bool isKept, TimePoint now)
+bool TargetEntries::removeMissing(const std::set<std::string>& present, StoreRevision revision, bool isKept, TimePoint now)
 {
     std::vector<std::string> missing;
     for (const auto& [id, known] : this->targets) {
@@ -68,24 +68,24 @@
     return true;
 }
 
-void TargetEntries::removeOlder(const std::string& id, uint64_t missingAt, TimePoint now)
+void TargetEntries::removeOlder(const std::string& id, StoreRevision missingAt, TimePoint now)
 {
     const auto known = this->targets.find(id);
     if (known != this->targets.end() && known->second.entry.revision <= missingAt)
         this->remove(id, missingAt, now);
 }
 
-void TargetEntries::remove(const std::string& id, uint64_t missingAt, TimePoint now)
+void TargetEntries::remove(const std::string& id, StoreRevision missingAt, TimePoint now)
 {
     const auto found = this->targets.find(id);
-    log(LogLevel::Info, "target is gone", { { "target", id }, { "revision", found->second.entry.revision } });
+    log(LogLevel::Info, "target is gone", { { "target", id }, { "revision", revisionInEra(found->second.entry.revision) } });
     this->gone[id] = { missingAt, now };
     this->targets.erase(found);
     this->hooks.gone(id);
     std::erase_if(this->gone, [&](const auto& item) { return now - item.second.at > goneKept; });
 }
 
-std::vector<TargetEntries::Change> TargetEntries::changesAfter(uint64_t revision) const
+std::vector<TargetEntries::Change> TargetEntries::changesAfter(StoreRevision revision) const
 {
     std::vector<Change> result;
     for (const auto& [id, known] : this->targets) {
--- a/src/edge/TargetEntries.h
+++ b/src/edge/TargetEntries.h
@@ -6,6 +6,7 @@
 //   TargetEntries    apply, removeMissing, remove; items, digest
 #pragma once
 
+#include "edge/StoreRevision.h"
 #include "edge/TargetPool.h"
 
 #include <set>
@@ -15,7 +16,7 @@
 struct TargetEntry {
     std::string id;
     std::string value; // as bytes
-    uint64_t revision = 0;
+    StoreRevision revision = 0;
 };
 
 class TargetEntries {
@@ -34,28 +35,28 @@
     void apply(const TargetEntry& entry); // newer ones only
     // Removes what is not among the ids that the store holds at `revision`. While `isKept`, entries that lapsed may still come back.
     // Returns false if entries are missing and kept, so that the copy differs from the store's.
-    bool removeMissing(const std::set<std::string>& present, uint64_t revision, bool isKept, TimePoint now);
-    void removeOlder(const std::string& id, uint64_t missingAt, TimePoint now); // a peer has found it missing at that revision
+    bool removeMissing(const std::set<std::string>& present, StoreRevision revision, bool isKept, TimePoint now);
+    void removeOlder(const std::string& id, StoreRevision missingAt, TimePoint now); // a peer has found it missing at that revision
 
     struct Change {
         TargetEntry entry;
         bool gone = false;
     };
-    std::vector<Change> changesAfter(uint64_t revision) const; // without heartbeats
-    uint64_t digest() const;                                   // of all that the targets say of themselves
+    std::vector<Change> changesAfter(StoreRevision revision) const; // without heartbeats
+    uint64_t digest() const;                                        // of all that the targets say of themselves
 
 private:
     struct Known {
         TargetEntry entry;
         bool usable = false;
-        uint64_t digest = 0;          // of what it says, without its heartbeats; 0: can't be read
-        uint64_t changedRevision = 0; // of the newest entry that says something else than the one before
+        uint64_t digest = 0;               // of what it says, without its heartbeats; 0: can't be read
+        StoreRevision changedRevision = 0; // of the newest entry that says something else than the one before
     };
     struct Gone {
-        uint64_t revision = 0; // of the store when it was missing
+        StoreRevision revision = 0; // of the store when it was missing
         TimePoint at {};
     };
-    void remove(const std::string& id, uint64_t missingAt, TimePoint now);
+    void remove(const std::string& id, StoreRevision missingAt, TimePoint now);
 
     Hooks hooks;
     std::map<std::string, Known> targets; // by id
