Bring no target back that had left from a store's older copy

Callers would see: the store comes back from a copy that still lists a target as ready which has left or drains since, under a revision of a new era, and the node sends it requests again (an operator's warning of old: a server that had left was in use again).

Cause: an entry read in the new era counts as newer than all that is known, though it may be from the copy. Change: until an entry has a revision that the copy can't hold, it does not bring back a target of the same process that is known to have left or to drain. A living target writes its entry within a heartbeat; one that says it drains is believed at once.

Before: EdgeStoreRestoreTest TargetThatHadLeftStaysOutOfUse fails. EdgeStoreSyncTest: 22 tests pass.

--- a/src/edge/TargetEntries.cpp
+++ b/src/edge/TargetEntries.cpp
@@ -21,21 +21,46 @@
 
 } // namespace
 
+void TargetEntries::onRead(StoreRevision revision)
+{
+    if (!this->copiedUpTo)
+        this->copiedUpTo = revision;
+}
+
+bool TargetEntries::mayBeCopied(const TargetEntry& entry) const { return !this->copiedUpTo || entry.revision <= *this->copiedUpTo; }
+
+// The entry says that a target takes work which is known to have left or to drain, and may be from the copy. A living target writes its
+// entry again within a heartbeat.
+bool TargetEntries::isOutdated(const TargetEntry& entry, const TargetInfo& info) const
+{
+    if (info.draining || !this->mayBeCopied(entry))
+        return false;
+    if (const auto former = this->gone.find(entry.id); former != this->gone.end())
+        return info.startedUnixMs <= former->second.startedUnixMs;
+    const auto known = this->targets.find(entry.id);
+    return known != this->targets.end() && known->second.digest != 0 && !known->second.usable
+        && info.startedUnixMs <= known->second.startedUnixMs;
+}
+
 void TargetEntries::apply(const TargetEntry& entry)
 {
     const auto former = this->gone.find(entry.id);
     if (former != this->gone.end() && entry.revision <= former->second.revision)
         return;
-    Known& known = this->targets[entry.id];
-    if (entry.revision <= known.entry.revision)
+    const auto present = this->targets.find(entry.id);
+    if (present != this->targets.end() && entry.revision <= present->second.entry.revision)
         return;
-    const bool changed = entry.value != known.entry.value;
-    known.entry = entry;
-    if (!changed)
+    if (present != this->targets.end() && entry.value == present->second.entry.value) {
+        present->second.entry = entry;
+        return;
+    }
+    const auto decoded = this->hooks.decode(entry);
+    if (decoded && this->isOutdated(entry, *decoded))
         return;
+    Known& known = this->targets[entry.id];
+    known.entry = entry;
     const uint64_t formerDigest = known.digest;
     known.digest = 0;
-    const auto decoded = this->hooks.decode(entry);
     if (!decoded) {
         if (known.usable)
             this->hooks.gone(entry.id);
@@ -47,6 +72,7 @@
         log(LogLevel::Info, usable ? "target joined" : "target is draining",
             { { "target", entry.id }, { "service", decoded->service }, { "revision", revisionInEra(entry.revision) } });
     known.usable = usable;
+    known.startedUnixMs = decoded->startedUnixMs;
     known.digest = targetDigest(*decoded);
     if (known.digest == formerDigest)
         return; // a heartbeat
@@ -79,7 +105,7 @@
 {
     const auto found = this->targets.find(id);
     log(LogLevel::Info, "target is gone", { { "target", id }, { "revision", revisionInEra(found->second.entry.revision) } });
-    this->gone[id] = { missingAt, now };
+    this->gone[id] = { missingAt, now, found->second.startedUnixMs };
     this->targets.erase(found);
     this->hooks.gone(id);
     std::erase_if(this->gone, [&](const auto& item) { return now - item.second.at > goneKept; });
--- a/src/edge/TargetEntries.h
+++ b/src/edge/TargetEntries.h
@@ -3,7 +3,7 @@
 //
 // Index
 //   TargetEntry      an entry as the store holds it
-//   TargetEntries    apply, removeMissing, remove; items, digest
+//   TargetEntries    apply, onChangesLost, onRead, removeMissing, removeOlder; changesAfter, digest
 #pragma once
 
 #include "edge/StoreRevision.h"
@@ -33,6 +33,10 @@
     }
 
     void apply(const TargetEntry& entry); // newer ones only
+    // The store is back from an older copy. Until an entry is written again it may say what was true before: it brings back nothing that
+    // has left or drains.
+    void onChangesLost() { this->copiedUpTo.reset(); }
+    void onRead(StoreRevision revision); // call with the store's revision before the entries of a read
     // Removes what is not among the ids that the store holds at `revision`. While `isKept`, entries that lapsed may still come back.
     // Returns false if entries are missing and kept, so that the copy differs from the store's.
     bool removeMissing(const std::set<std::string>& present, StoreRevision revision, bool isKept, TimePoint now);
@@ -49,18 +53,23 @@
     struct Known {
         TargetEntry entry;
         bool usable = false;
+        int64_t startedUnixMs = 0;         // of the target's process
         uint64_t digest = 0;               // of what it says, without its heartbeats; 0: can't be read
         StoreRevision changedRevision = 0; // of the newest entry that says something else than the one before
     };
     struct Gone {
         StoreRevision revision = 0; // of the store when it was missing
         TimePoint at {};
+        int64_t startedUnixMs = 0; // of the process that left
     };
     void remove(const std::string& id, StoreRevision missingAt, TimePoint now);
+    bool mayBeCopied(const TargetEntry& entry) const; // from the copy that the store came back from
+    bool isOutdated(const TargetEntry& entry, const TargetInfo& info) const;
 
     Hooks hooks;
-    std::map<std::string, Known> targets; // by id
-    std::map<std::string, Gone> gone;     // by id
+    std::map<std::string, Known> targets;        // by id
+    std::map<std::string, Gone> gone;            // by id
+    std::optional<StoreRevision> copiedUpTo = 0; // the copy holds no later one; empty: not known yet
 };
 
 } // namespace guavapond::edge
