Keep a move and its end when the store has lost changes

Callers would see: after the store is back from an older copy, an order that the operators write again starts its move anew, so that a part of the requests goes to the version under test once more; and operators miss the status of a move that had ended.

Cause: an order is identified by its revision, and a written status was taken to last. Change: an order that says the same under a revision of a later era is the same order; one that says something else counts only after the time in which operators write again what was lost; statuses are read and written anew after a loss.

Before: EdgeStoreRestoreTest FinishedMoveStaysFinished fails. EdgeStoreSyncTest: 22 tests pass.

--- a/src/edge/MoveRecord.cpp
+++ b/src/edge/MoveRecord.cpp
@@ -5,10 +5,17 @@
 
 namespace guavapond::edge {
 
-void MoveRecord::applyOrder(const StoreItem& item, const MoveOrder& order)
+void MoveRecord::applyOrder(const StoreItem& item, const MoveOrder& order, TimePoint now)
 {
     Known& known = this->moves[order.service];
-    if (known.order.revision >= item.revision)
+    if (known.item.revision >= item.revision)
+        return;
+    const bool isOfLaterEra = known.item.revision > 0 && eraOf(item.revision) > eraOf(known.item.revision);
+    if (isOfLaterEra && item.value == known.item.value) { // the same order, copied or written again
+        known.item = item;
+        return;
+    }
+    if (isOfLaterEra && now < this->copiedUntil)
         return;
     known = Known {};
     known.item = item;
@@ -16,6 +23,18 @@
     this->hooks.ordered(known.order);
 }
 
+void MoveRecord::onChangesLost(TimePoint until)
+{
+    this->copiedUntil = until;
+    for (auto& [service, move] : this->moves) {
+        if (!move.wanted)
+            move.wanted = move.written;
+        move.written.reset();
+        move.wasRead = false;
+        move.statusRevision = 0;
+    }
+}
+
 bool MoveRecord::hasOpen() const
 {
     return std::any_of(this->moves.begin(), this->moves.end(), [](const auto& move) { return !move.second.isFinal(); });
--- a/src/edge/MoveRecord.h
+++ b/src/edge/MoveRecord.h
@@ -3,7 +3,7 @@
 //
 // Index
 //   MoveStatus    a status as the store holds it
-//   MoveRecord    applyOrder, onStatusRead, publish, onWritten; hasOpen, orders, digest
+//   MoveRecord    applyOrder, onStatusRead, onChangesLost, publish, onWritten; hasOpen, orders, digest
 #pragma once
 
 #include "edge/PeerLink.h"
@@ -33,7 +33,9 @@
     {
     }
 
-    void applyOrder(const StoreItem& item, const MoveOrder& order); // a newer one only
+    void applyOrder(const StoreItem& item, const MoveOrder& order, TimePoint now); // a newer one only
+    // The store is back from an older copy. Its statuses may be gone, and until `copiedUntil` its orders may be older than the known ones.
+    void onChangesLost(TimePoint copiedUntil);
     struct ReadStatus {
         std::string service;
         StoreRevision revision = 0;
@@ -50,8 +52,8 @@
 
 private:
     struct Known {
-        StoreItem item;
-        MoveOrder order;
+        StoreItem item;                   // as written last
+        MoveOrder order;                  // as given first
         StoreRevision statusRevision = 0; // of the newest status that was read; 0: none
         bool wasRead = false;             // the statuses were read since the order came
         bool isWriting = false;
@@ -63,6 +65,7 @@
 
     Hooks hooks;
     std::map<std::string, Known> moves; // by service
+    TimePoint copiedUntil {};
 };
 
 } // namespace guavapond::edge
