--- a/fuzz/Inputs.cpp
+++ b/fuzz/Inputs.cpp
@@ -49,7 +49,15 @@
 
 void readMoveStatus(std::string_view bytes) { platform::decodeMoveStatus(bytes); }
 
-void readMember(std::string_view bytes) { platform::decodeMember(bytes); }
+// The items that nodes write themselves: a node's entry and a quarantined prompt part.
+void readOwnItem(std::string_view bytes)
+{
+    platform::decodeMember(bytes);
+    const auto quarantine = platform::decodeQuarantine(bytes, 1'700'000'000'000);
+    if (quarantine.value)
+        require(quarantine.value->age >= Duration::zero() && quarantine.value->age <= std::chrono::hours(1),
+            "the age of a quarantine is in range");
+}
 
 // The relayed stream must not depend on how the input is split into reads, and must not contain additional bytes.
 void readEvents(std::string_view bytes)
@@ -73,6 +81,10 @@
     edge::parseTokenCount(bytes);
     const auto parts = edge::parsePromptParts(bytes);
     require(parts.size() <= bytes.size() / 2 + 1, "there are no more parts than the field has room for");
+    const auto shared = edge::sharedPartIds(bytes);
+    require(shared.size() == std::max<size_t>(parts.size(), 1) - 1, "all parts but the last are shared");
+    for (const std::string_view id : shared)
+        edge::partKey(id);
     if (const auto address = edge::parseAddress(bytes))
         require(address->port > 0 && edge::addressText(*address).size() <= bytes.size(),
             "a parsed address has a port and is written with no more bytes than the input");
@@ -156,7 +168,7 @@
             R"({"service":"s1","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":13,"state":"ready","born":1764800000000})" },
         { readMoveOrder, R"({"service":"s1","target":"v2","duration_s":12})" },
         { readMoveStatus, R"({"target":"v2","state":"in_progress"})" },
-        { readMember, R"({"node":"n1","ip":"10.0.0.1","port":7600})" },
+        { readOwnItem, R"({"node":"n1","ip":"10.0.0.1","port":7600,"part":57005,"since_unix_ms":1699999990000})" },
         { readEvents, "id: 1\ndata: a\n\n: note\r\n\r\nid: 2\nweights: 3\ndata: b\n\nid: 3\ndata: c\n\nid: 4\nda" },
         { readRequestFields, "5c1e07a2:800,91bd3f06:410,e4402b7d:250,10.0.0.9:8080" },
         { readPlacement, samplePlacement() },
--- a/tests/edge/PeerLinkTest.cpp
+++ b/tests/edge/PeerLinkTest.cpp
@@ -240,6 +240,41 @@
     CHECK(runUntil([&] { return second.received.back().revision == 6; }));
 }
 
+// Guards against items that lose their era on the way, so that what was before a restore of the store hides what came after it.
+TEST(PeerLink, ItemsKeepTheirEraBetweenNodes)
+{
+    Node& first = add("n1");
+    Node& second = add("n2");
+    second.copy.setDigest(3);
+    second.read();
+    first.items = { { "a", "text", inEra(2, 5), false } };
+    second.known = { inEra(1, 7), inEra(2, 4) };
+    setMembersOfAllNodes();
+    CHECK(runUntil([&] { return second.link.table().heardCount(bootTime()) == 1; }));
+    CHECK(runUntil([&] {
+        first.read();
+        return !second.received.empty();
+    }));
+    CHECK(first.requestedAfter.operators == inEra(1, 7) && first.requestedAfter.targets == inEra(2, 4));
+    CHECK(second.received.front().revision == inEra(2, 5));
+}
+
+// Guards against lost streams and quarantined parts that peers never hear of.
+TEST(PeerLink, LostStreamsAndQuarantinedPartsReachPeers)
+{
+    Node& first = add("n1");
+    Node& second = add("n2");
+    setMembersOfAllNodes();
+    CHECK(runUntil([&] { return second.link.table().heardCount(bootTime()) == 1; }));
+    const std::vector<PartKey> parts { 0xaa, 0xdead };
+    first.relay.quarantine.onLost(1, 10, parts, bootTime());
+    CHECK(runUntil([&] { return second.relay.quarantine.isSuspect(11, parts); }));
+    first.relay.quarantine.onPeerReport({ {}, {}, { { 0xdead, 1min } } }, bootTime());
+    CHECK(runUntil([&] { return second.relay.quarantine.isBlocked(parts, bootTime()); }));
+    const Duration left = second.relay.quarantine.retryAfter(parts, bootTime());
+    CHECK(left > 8min && left < 9min);
+}
+
 // Guards against a proof with a time in the future: after a power loss the machine's clock restarts, and peers still echo a time that the
 // node's earlier process sent. The node then accepted a revoked key for the rest of the day (observed on pupari-comm-grown scale-2).
 TEST(PeerLink, RejectsProofDatedByEarlierProcessClock)
