Forget quarantined parts that no request holds any more

A part whose quarantine has ended stays until a request probes it; without requests it stayed in every beacon for ever. After twice the quarantine it is forgotten, and reports of such an age are ignored.

Before: EdgePromptQuarantineTest PartWithoutRequestsIsForgotten fails. After: its 16 tests pass.

--- a/src/edge/PromptQuarantine.cpp
+++ b/src/edge/PromptQuarantine.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr int forgottenAfter = 2; // quarantine times; no request has probed the part meanwhile
+
 bool contains(std::span<const PartKey> parts, PartKey part) { return std::find(parts.begin(), parts.end(), part) != parts.end(); }
 
 } // namespace
@@ -180,13 +182,15 @@
     const auto isOld = [&](const auto& item) { return now - item.second >= this->settings.knownTime; };
     std::erase_if(this->crashes, [&](const Crash& crash) { return now - crash.at >= this->settings.knownTime; });
     std::erase_if(this->peerBegunAt, isOld);
+    std::erase_if(
+        this->quarantined, [&](const auto& item) { return now - item.second.since >= forgottenAfter * this->settings.quarantineTime; });
     std::erase_if(this->releasedAt, [&](const auto& item) { return now - item.second >= this->settings.releaseReportTime; });
 }
 
 std::vector<PromptQuarantine::Change> PromptQuarantine::decide(TimePoint now)
 {
+    this->expire(now);
     if (!this->crashes.empty()) {
-        this->expire(now);
         this->renewAfterProbe(now);
         for (auto counts = this->countParts(); const auto culprit = this->nextCulprit(counts, now); counts = this->countParts()) {
             if (this->quarantined.size() >= this->settings.maxQuarantined)
@@ -308,6 +312,8 @@
             this->release(begun.part, false);
     }
     for (const PartAge& entry : report.quarantined) {
+        if (entry.age >= forgottenAfter * this->settings.quarantineTime)
+            continue;
         const TimePoint since = now - entry.age;
         const auto known = this->quarantined.find(entry.part);
         const bool isRenewed = known != this->quarantined.end() && since > known->second.since + this->settings.renewalMargin;
--- a/tests/edge/PromptQuarantineTest.cpp
+++ b/tests/edge/PromptQuarantineTest.cpp
@@ -151,6 +151,24 @@
     CHECK_TEXT(this->quarantine.blocks(parts, this->now + 9min), "the probe has crashed a target");
 }
 
+// Guards against parts that no request holds any more and that nodes go on telling each other for ever.
+TEST(PromptQuarantine, PartWithoutRequestsIsForgotten)
+{
+    for (int i = 0; i < 3; ++i)
+        this->crash({ crashing });
+    PromptQuarantine peer { {} };
+    this->now += 19min;
+    peer.onPeerReport(this->quarantine.report(this->now), this->now);
+    CHECK_EQUAL(1, peer.size());
+    this->now += 2min;
+    this->quarantine.onPeerReport(peer.report(this->now), this->now);
+    this->quarantine.decide(this->now);
+    peer.decide(this->now);
+    this->quarantine.onPeerReport(peer.report(this->now), this->now);
+    CHECK_EQUAL(0, this->quarantine.size());
+    CHECK_EQUAL(0, peer.size());
+}
+
 // Guards against repeats that crash a target each while a part is only suspected.
 TEST(PromptQuarantine, SuspectsAreKnownAfterTheFirstCrash)
 {
