Walk through the newest crashes first by index

clang-tidy asks for a reversed range, which clang 14 can't compile with this library. No behaviour changes; 16 tests of EdgePromptQuarantineTest pass.

--- a/src/edge/PromptQuarantine.cpp
+++ b/src/edge/PromptQuarantine.cpp
@@ -273,14 +273,15 @@
     };
     for (const auto& [part, at] : this->releasedAt)
         ask(part);
-    for (auto crash = this->crashes.rbegin(); crash != this->crashes.rend(); ++crash) {
-        const bool isNew = now - crash->heardAt < this->settings.reportTime + this->settleTime;
+    for (size_t i = this->crashes.size(); i > 0; --i) { // the newest first
+        const Crash& crash = this->crashes[i - 1];
+        const bool isNew = now - crash.heardAt < this->settings.reportTime + this->settleTime;
         if (!isNew)
             continue;
-        for (const Lost& lost : crash->lost) {
+        for (const Lost& lost : crash.lost) {
             std::for_each(lost.parts.begin(), lost.parts.end(), ask);
             if (lost.isOwn && result.lost.size() < this->settings.maxReportedStreams)
-                result.lost.push_back({ crash->target, lost.prompt, now - crash->at, lost.parts });
+                result.lost.push_back({ crash.target, lost.prompt, now - crash.at, lost.parts });
         }
     }
     result.quarantined = this->list(now);
