--- a/tests/edge/StoreRestoreTest.cpp
+++ b/tests/edge/StoreRestoreTest.cpp
@@ -13,7 +13,6 @@
 std::string withRoute(const std::string& text) // the same with a second route
 {
     std::string result = text;
-    const std::string mark = R"("services":[)";
     const size_t routes = result.find(R"({"name":)");
     const std::string first = result.substr(routes, result.find("],", routes) - routes);
     std::string second = first;
@@ -22,43 +21,45 @@
     return result;
 }
 
+class RestoreWorld : public test::StoreSyncWorld {
+public:
+    uint64_t version() const { return this->catalog ? this->catalog->version : 0; }
+    bool isInForce(uint64_t expected)
+    {
+        return this->runUntil([&] { return this->version() == expected; }, 2s);
+    }
+    // Nothing younger than the start of this call proves the configuration.
+    bool hasNoNewProof(Duration span)
+    {
+        const TimePoint from = bootTime();
+        this->runUntil([] { return false; }, span);
+        return !this->proof || *this->proof < from;
+    }
+    bool hasNewProof()
+    {
+        const TimePoint from = bootTime();
+        return this->runUntil([&] { return this->proof && *this->proof >= from; }, 2s);
+    }
+    // Starts with version 1 in the store, then brings versions 2 and 3 into force. Returns the copy with version 1.
+    standins::StoreModel playThreeVersions()
+    {
+        auto& model = this->store->model;
+        model.put("op/config", configText(1, "r"));
+        model.put("servers/t1", targetText("ready", 1));
+        this->startSync();
+        CHECK(this->isInForce(1));
+        standins::StoreModel copy = model;
+        model.put("op/config", configText(2, "r"));
+        CHECK(this->isInForce(2));
+        model.put("op/config", configText(3, "r"));
+        CHECK(this->isInForce(3));
+        return copy;
+    }
+};
+
 } // namespace
 
-TEST_GROUP_BASE(StoreRestore, test::StoreSyncWorld) { uint64_t version() const { return this->catalog ? this->catalog->version : 0;
-}
-bool isInForce(uint64_t expected)
-{
-    return this->runUntil([&] { return this->version() == expected; }, 2s);
-}
-// Nothing younger than the start of this call proves the configuration.
-bool hasNoNewProof(Duration span)
-{
-    const TimePoint from = bootTime();
-    this->runUntil([] { return false; }, span);
-    return !this->proof || *this->proof < from;
-}
-bool hasNewProof()
-{
-    const TimePoint from = bootTime();
-    return this->runUntil([&] { return this->proof && *this->proof >= from; }, 2s);
-}
-// Starts with version 1 in the store, then brings versions 2 and 3 into force. Returns the copy with version 1.
-standins::StoreModel playThreeVersions()
-{
-    auto& model = this->store->model;
-    model.put("op/config", configText(1, "r"));
-    model.put("servers/t1", targetText("ready", 1));
-    this->startSync();
-    CHECK(this->isInForce(1));
-    const standins::StoreModel copy = model;
-    model.put("op/config", configText(2, "r"));
-    CHECK(this->isInForce(2));
-    model.put("op/config", configText(3, "r"));
-    CHECK(this->isInForce(3));
-    return copy;
-}
-}
-;
+TEST_GROUP_BASE(StoreRestore, RestoreWorld) {};
 
 // Guards against a configuration that is ignored since its revision is not above that of one which the store has lost.
 TEST(StoreRestore, ConfigurationAfterTheRestoreIsTaken)
