Work out the settle time of the quarantine with the list of nodes, not on every tick

The order of readers walks all peers twice; it was worked out each 10 ms for two values that follow the list of nodes, which is refreshed each 50 ms. No decision changes.

--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -257,15 +257,15 @@
     this->relay.quota.setReachable(this->peers.reachableFraction(now));
     this->relay.quota.setReportInterval(this->interval() > this->settings.maxPromptReportInterval ? this->interval() : Duration::zero());
     this->relay.secondTries.setNodes(this->peers.nodeCount());
-    // A lost stream takes one beacon to the peers, and what they know of its parts one more.
-    const ReadOrder order = this->readOrder(now);
-    this->relay.quarantine.setSettleTime(order.propagationDelay);
-    this->relay.quarantine.setProbing(order.place == 0);
     if (now - this->sentAt >= this->interval())
         this->sendBeacons(now);
     if (now - this->placementNodesSetAt >= this->settings.placementNodesInterval) {
         this->placementNodesSetAt = now;
         this->relay.placement.setNodes(this->peers.placementNodes(now));
+        // A lost stream takes one beacon to the peers, and what they know of its parts one more.
+        const ReadOrder order = this->readOrder(now);
+        this->relay.quarantine.setSettleTime(order.propagationDelay);
+        this->relay.quarantine.setProbing(order.place == 0);
     }
 }
 
