Look at 64 parts of a prompt at most when a stream is lost

Callers would see: a prompt of thousands of parts whose target ends makes its node's beacons longer than a datagram for some seconds. They are not sent, so the peers take the node for silent.

Cause: the lost streams in a beacon were bounded in number, not in their parts. Change: PromptQuarantine keeps 64 parts of a stream, of its own and of reported ones, and as many of a stream that begins.

Before: EdgePeerLinkTest LostStreamOfAHugePromptLeavesBeaconsShort fails.

--- a/src/edge/PromptQuarantine.cpp
+++ b/src/edge/PromptQuarantine.cpp
@@ -9,6 +9,10 @@
 
 constexpr int forgottenAfter = 2; // quarantine times; no request has probed the part meanwhile
 
+constexpr size_t maxPartsPerPrompt = 64; // that are looked at; keeps a prompt of very many parts from filling beacons and the memory
+
+std::span<const PartKey> bounded(std::span<const PartKey> parts) { return parts.first(std::min(parts.size(), maxPartsPerPrompt)); }
+
 bool contains(std::span<const PartKey> parts, PartKey part) { return std::find(parts.begin(), parts.end(), part) != parts.end(); }
 
 } // namespace
@@ -17,7 +21,7 @@
 
 void PromptQuarantine::onBegan(std::span<const PartKey> parts, TimePoint now)
 {
-    for (const PartKey part : parts) {
+    for (const PartKey part : bounded(parts)) {
         if (this->ownBegunAt.size() >= this->settings.maxParts && !this->ownBegunAt.contains(part))
             std::erase_if(this->ownBegunAt, [&](const auto& item) { return now - item.second >= this->settings.knownTime / 2; });
         if (this->ownBegunAt.size() < this->settings.maxParts || this->ownBegunAt.contains(part))
@@ -45,6 +49,7 @@
     }
     const bool isKnown
         = std::any_of(crash->lost.begin(), crash->lost.end(), [&](const Lost& known) { return known.prompt == lost.prompt; });
+    lost.parts.resize(std::min(lost.parts.size(), maxPartsPerPrompt));
     if (isKnown || crash->lost.size() >= this->settings.maxLostPerCrash)
         return;
     crash->lost.push_back(std::move(lost));
--- a/tests/edge/PeerLinkTest.cpp
+++ b/tests/edge/PeerLinkTest.cpp
@@ -6,6 +6,7 @@
 
 #include <CppUTest/TestHarness.h>
 #include <beacon.pb.h>
+#include <numeric>
 
 using namespace guavapond;
 using namespace guavapond::edge;
@@ -275,6 +276,19 @@
     CHECK(left > 8min && left < 9min);
 }
 
+// Guards against a prompt of very many parts whose lost stream makes each beacon too long for a datagram, so that peers hear nothing more.
+TEST(PeerLink, LostStreamOfAHugePromptLeavesBeaconsShort)
+{
+    Node& first = add("n1");
+    Node& second = add("n2");
+    setMembersOfAllNodes();
+    CHECK(runUntil([&] { return second.link.table().heardCount(bootTime()) == 1; }));
+    std::vector<PartKey> parts(20'000);
+    std::iota(parts.begin(), parts.end(), 1);
+    first.relay.quarantine.onLost(1, 10, parts, bootTime());
+    CHECK(runUntil([&] { return second.relay.quarantine.isSuspect(11, parts); }, 2s));
+}
+
 // Guards against a proof with a time in the future: after a power loss the machine's clock restarts, and peers still echo a time that the
 // node's earlier process sent. The node then accepted a revoked key for the rest of the day (observed on pupari-comm-grown scale-2).
 TEST(PeerLink, RejectsProofDatedByEarlierProcessClock)
