--- a/tests/edge/StoreRestoreTest.cpp
+++ b/tests/edge/StoreRestoreTest.cpp
@@ -205,3 +205,18 @@
         = std::any_of(after.items.begin(), after.items.end(), [](const edge::StoreItem& item) { return item.key == "op/config"; });
     CHECK_TEXT(hasConfig, "a peer that has only heard of what was before the restore gets the new configuration");
 }
+
+// Guards against an era that can't be read and puts what the store holds now before all that it held earlier.
+TEST(StoreRestore, EraThatCannotBeReadChangesNothing)
+{
+    this->playThreeVersions();
+    auto& model = this->store->model;
+    model.era = uint64_t { 1 } << 40;
+    model.put("servers/t1", targetText("draining", 2));
+    CHECK(this->runUntil([&] { return !this->usable["t1"]; }, 2s));
+    model.era = 2;
+    model.put("op/config", configText(4, "r"));
+    CHECK(this->isInForce(4));
+    model.put("servers/t2", targetText("ready", 1));
+    CHECK(this->runUntil([&] { return this->usable.contains("t2"); }, 2s));
+}
