--- a/tests/edge/StoreRestoreTest.cpp
+++ b/tests/edge/StoreRestoreTest.cpp
@@ -220,3 +220,20 @@
     model.put("servers/t2", targetText("ready", 1));
     CHECK(this->runUntil([&] { return this->usable.contains("t2"); }, 2s));
 }
+
+// Guards against late answers of the era before: they are no proof, and tell nothing of what the copy holds.
+TEST(StoreRestore, AnswersOfAnEarlierEraProveNothing)
+{
+    this->playThreeVersions();
+    auto& model = this->store->model;
+    model.era = 3;
+    CHECK(this->hasNewProof());
+    model.era = 2;
+    this->runUntil([] { return false; }, 100ms); // reads that are under way
+    CHECK(this->hasNoNewProof(200ms));
+    model.put("op/config", configText(9, "r"));
+    this->runUntil([] { return false; }, 200ms);
+    CHECK_EQUAL(3, this->version());
+    model.era = 3;
+    CHECK(this->isInForce(9));
+}
