Share the scheduled ends of faults and the lifted quota between the soaks

Two soaks kept the same list of actions for later, and one wrote the configuration as the fleet's constructor does. EdgeFleet holds both now.

--- a/tests/edge/EdgeFleet.h
+++ b/tests/edge/EdgeFleet.h
@@ -3,7 +3,8 @@
 //
 // Index
 //   FleetCall    one request of a caller and its answer
-//   EdgeFleet    addTarget, startNodes, call, runFor, runUntil, kill, freeze, resume, stop, restart
+//   EdgeFleet    addTarget, startNodes, call, runFor, runUntil, kill, freeze, resume, stop, restart, writeConfig,
+//                schedule, runDue
 #pragma once
 
 #include "Caller.h"
@@ -43,10 +44,7 @@
         std::string path = (std::filesystem::temp_directory_path() / "guavapond-fleet-XXXXXX").string();
         this->directory = ::mkdtemp(path.data());
         this->store.start();
-        std::string config = configText(1, "r");
-        const std::string quota = R"("rate_per_s":310)";
-        config.replace(config.find(quota), quota.size(), R"("rate_per_s":1000000)");
-        this->store.model.put("op/config", config);
+        this->writeConfig(1);
         for (size_t i = 0; i < nodeCount; ++i) {
             this->nodes.emplace_back("n" + std::to_string(i), this->directory, this->store.port());
             this->nodes.back().files.writeSettings();
@@ -60,6 +58,15 @@
     EdgeFleet(const EdgeFleet&) = delete;
     EdgeFleet& operator=(const EdgeFleet&) = delete;
 
+    // The operators' configuration, without a quota that would bound the callers.
+    void writeConfig(uint64_t version)
+    {
+        std::string config = configText(static_cast<int>(version), "r");
+        const std::string quota = R"("rate_per_s":310)";
+        config.replace(config.find(quota), quota.size(), R"("rate_per_s":1000000)");
+        this->store.model.put("op/config", config);
+    }
+
     void addTarget()
     {
         const std::string id = "t" + std::to_string(this->targets.size());
@@ -99,6 +106,21 @@
         this->nodes[node].process = this->nodes[node].files.start();
     }
 
+    // Ends of faults: actions for later, which runDue() carries out.
+    void schedule(TimePoint at, std::function<void()> action) { this->due.emplace_back(at, std::move(action)); }
+    void runDue(TimePoint now)
+    {
+        for (size_t i = 0; i < this->due.size();) {
+            if (now < this->due[i].first) {
+                ++i;
+                continue;
+            }
+            const auto action = std::move(this->due[i].second);
+            this->due.erase(this->due.begin() + static_cast<ptrdiff_t>(i));
+            action();
+        }
+    }
+
     // Sends one request on an open connection to the node, if there is one.
     // `parts` of the prompt, as ID:TOKENS entries; empty: not stated.
     std::shared_ptr<FleetCall> call(size_t node, const std::string& parts = "")
@@ -165,6 +187,7 @@
         this->nodes[node].process->send(signal);
     }
 
+    std::vector<std::pair<TimePoint, std::function<void()>>> due;
     std::string directory;
     edge::ConnectionPool connections { this->loop, {} };
     uint64_t lastCall = 0;
--- a/tests/edge/RequestLimitProgramTest.cpp
+++ b/tests/edge/RequestLimitProgramTest.cpp
@@ -59,30 +59,25 @@
     if (!fleet.runUntil([&] { return fleet.allReady(); }))
         return "a node did not get ready";
     fleet.nameLimit(0, 1 + static_cast<double>(pick(60)) / 10);
-    struct Recovery {
-        TimePoint at;
-        std::function<void()> action;
-    };
-    std::vector<Recovery> recoveries;
     const auto disturb = [&](TimePoint now) {
         const size_t node = pick(fleet.nodes.size());
         const TimePoint later = now + 300ms + 10ms * pick(150);
         switch (pick(6)) {
         case 0:
             fleet.kill(node);
-            recoveries.push_back({ later, [&fleet, node] { fleet.restart(node); } });
+            fleet.schedule(later, [&fleet, node] { fleet.restart(node); });
             break;
         case 1:
             fleet.freeze(node);
-            recoveries.push_back({ later, [&fleet, node] { fleet.resume(node); } });
+            fleet.schedule(later, [&fleet, node] { fleet.resume(node); });
             break;
         case 2:
             fleet.stop(node);
-            recoveries.push_back({ now + 5s, [&fleet, node] { fleet.restart(node); } });
+            fleet.schedule(now + 5s, [&fleet, node] { fleet.restart(node); });
             break;
         case 3:
             fleet.store.mode = standins::StoreMode::Busy;
-            recoveries.push_back({ later, [&fleet] { fleet.store.mode = standins::StoreMode::Up; } });
+            fleet.schedule(later, [&fleet] { fleet.store.mode = standins::StoreMode::Up; });
             break;
         default:
             fleet.nameLimit(pick(2), 0.5 + static_cast<double>(pick(80)) / 10);
@@ -97,19 +92,11 @@
             disturb(now);
             nextFault = now + 200ms + 10ms * pick(150);
         }
-        for (size_t i = 0; i < recoveries.size();) {
-            if (now < recoveries[i].at) {
-                ++i;
-                continue;
-            }
-            recoveries[i].action();
-            recoveries.erase(recoveries.begin() + static_cast<ptrdiff_t>(i));
-        }
+        fleet.runDue(now);
         fleet.call(pick(fleet.nodes.size()));
         fleet.runFor(1ms * (1 + pick(15)));
     }
-    for (const Recovery& recovery : recoveries)
-        recovery.action();
+    fleet.runDue(TimePoint::max());
     fleet.store.mode = standins::StoreMode::Up;
     const auto isEnded = [](const auto& call) { return call->answer.ended; };
     if (!fleet.runUntil([&] { return std::all_of(fleet.calls.begin(), fleet.calls.end(), isEnded); }, 15s))
--- a/tests/edge/StoreRestoreProgramTest.cpp
+++ b/tests/edge/StoreRestoreProgramTest.cpp
@@ -45,8 +45,7 @@
             }
             this->step(now);
         }
-        for (const auto& [at, action] : std::exchange(this->due, {}))
-            action();
+        this->fleet.runDue(TimePoint::max());
         this->writeAgain();
         const TimePoint calm = edge::bootTime() + EdgeFleet::contact + 2s;
         while (edge::bootTime() < calm)
@@ -67,15 +66,7 @@
             if (this->copies.size() > 9)
                 this->copies.pop_front();
         }
-        for (size_t i = 0; i < this->due.size();) {
-            if (now < this->due[i].first) {
-                ++i;
-                continue;
-            }
-            const auto action = this->due[i].second;
-            this->due.erase(this->due.begin() + static_cast<ptrdiff_t>(i));
-            action();
-        }
+        this->fleet.runDue(now);
         const bool isCrashing = ++this->sent % 16 == 0;
         const auto call = this->fleet.call(this->pick(this->fleet.nodes.size()),
             std::string("aa11:3,") + (isCrashing ? "dead:3," : "") + std::to_string(this->sent) + ":4");
@@ -97,19 +88,19 @@
         switch (this->pick(7)) {
         case 0:
             this->fleet.kill(node);
-            return this->due.push_back({ later, [again] { again(true); } });
+            return this->fleet.schedule(later, [again] { again(true); });
         case 1:
             this->fleet.freeze(node);
-            return this->due.push_back({ later, [again] { again(false); } });
+            return this->fleet.schedule(later, [again] { again(false); });
         case 2:
             this->fleet.stop(node);
-            return this->due.push_back({ now + 5s, [again] { again(true); } });
+            return this->fleet.schedule(now + 5s, [again] { again(true); });
         case 3:
         case 4:
             return this->restoreStore(now);
         default:
             this->version += 1 + this->pick(3);
-            return this->writeConfig();
+            return this->fleet.writeConfig(this->version);
         }
     }
 
@@ -121,29 +112,22 @@
         this->disturbed("store");
         this->fleet.store.mode = standins::StoreMode::Silent;
         const TimePoint back = now + 50ms + 10ms * this->pick(200);
-        this->due.push_back({ back, [this, copy = this->copies[this->pick(this->copies.size())]] {
-                                 this->fleet.store.model.restore(copy);
-                                 this->fleet.store.mode = standins::StoreMode::Up;
-                                 this->disturbed("store");
-                             } });
-        this->due.push_back({ back + 10ms * this->pick(60), [this] { this->writeAgain(); } });
+        this->fleet.schedule(back, [this, copy = this->copies[this->pick(this->copies.size())]] {
+            this->fleet.store.model.restore(copy);
+            this->fleet.store.mode = standins::StoreMode::Up;
+            this->disturbed("store");
+        });
+        this->fleet.schedule(back + 10ms * this->pick(60), [this] { this->writeAgain(); });
     }
     void writeAgain()
     {
         if (this->fleet.store.mode != standins::StoreMode::Up)
             return;
-        this->writeConfig();
+        this->fleet.writeConfig(this->version);
         for (size_t i = 0; i < this->fleet.targets.size(); ++i)
             this->fleet.store.model.put("servers/t" + std::to_string(i),
                 test::targetText("ready", ++this->heartbeats, test::loopbackAddress(this->fleet.targets[i]->address().port)));
     }
-    void writeConfig()
-    {
-        std::string text = test::configText(static_cast<int>(this->version), "r");
-        const std::string quota = R"("rate_per_s":310)";
-        text.replace(text.find(quota), quota.size(), R"("rate_per_s":1000000)");
-        this->fleet.store.model.put("op/config", text);
-    }
 
     void onArrival(const std::string& attempt)
     {
@@ -198,10 +182,9 @@
     int heartbeats = 1;
     size_t sent = 0;
     TimePoint copiedAt {};
-    std::deque<standins::StoreModel> copies;                      // of the last seconds
-    std::vector<std::pair<TimePoint, std::function<void()>>> due; // ends of faults
-    std::map<std::string, TimePoint> disturbedAt;                 // by node; and the store
-    std::set<std::string> crashing;                               // attempts
+    std::deque<standins::StoreModel> copies;      // of the last seconds
+    std::map<std::string, TimePoint> disturbedAt; // by node; and the store
+    std::set<std::string> crashing;               // attempts
     std::vector<TimePoint> crashes;
     size_t arrivalsAfterBound = 0;
 };
