--- a/src/edge/Beliefs.cpp
+++ b/src/edge/Beliefs.cpp
@@ -2,6 +2,7 @@
 #include "edge/Beliefs.h"
 
 #include "edge/RequestFields.h"
+#include "edge/StoreRevision.h"
 
 #include <nlohmann/json.hpp>
 
@@ -116,6 +117,9 @@
         { "moves", moves(relay) }, { "quarantinedParts", quarantinedParts(relay.quarantine, now) } };
     if (const CatalogPointer& catalog = relay.catalog()) {
         page["configurationVersion"] = catalog->version;
+        page["configurationFrom"] = catalog->source;
+        page["configurationEra"] = eraOf(catalog->revision);
+        page["configurationRevision"] = revisionInEra(catalog->revision);
         page["routes"] = routes(*catalog);
         page["workspaces"] = workspaces(relay, *catalog, now);
     }
--- a/src/edge/Catalog.h
+++ b/src/edge/Catalog.h
@@ -76,6 +76,7 @@
 public:
     uint64_t version = 0;  // set by the operators; grows, but may skip numbers
     uint64_t revision = 0; // of the store item that holds the configuration
+    std::string source;    // "store", or the peer that passed the configuration on
     std::vector<Route> routes;
     std::vector<Service> services;
     std::vector<Workspace> workspaces;
--- a/src/edge/ConfigCopy.cpp
+++ b/src/edge/ConfigCopy.cpp
@@ -13,7 +13,7 @@
     return catalog.version > this->version || (isLater && catalog.version == this->version);
 }
 
-void ConfigCopy::apply(const StoreItem& item)
+void ConfigCopy::apply(const StoreItem& item, std::string_view source)
 {
     if (!this->config.value.empty() && this->isInForce(item)) {
         this->config.revision = std::max(this->config.revision, item.revision);
@@ -25,21 +25,25 @@
     DecodedCatalog decoded = this->hooks.decode(item);
     if (!decoded.value) {
         this->unusable = hash;
-        return log(
-            LogLevel::Error, "configuration can't be read", { { "revision", revisionInEra(item.revision) }, { "reason", decoded.reason } });
+        return log(LogLevel::Error, "configuration can't be read",
+            { { "from", source }, { "era", eraOf(item.revision) }, { "revision", revisionInEra(item.revision) },
+                { "reason", decoded.reason } });
     }
     if (!this->isNewer(item, *decoded.value)) {
         this->unusable = hash;
         return log(LogLevel::Warn, "configuration ignored",
-            { { "revision", revisionInEra(item.revision) }, { "version", decoded.value->version },
+            { { "from", source }, { "era", eraOf(item.revision) }, { "revision", revisionInEra(item.revision) },
+                { "version", decoded.value->version }, { "inForceEra", eraOf(this->config.revision) },
                 { "inForceRevision", revisionInEra(this->config.revision) }, { "inForce", this->version } });
     }
     this->config = item;
     this->version = decoded.value->version;
     this->valueHash = hash;
     log(LogLevel::Info, "configuration in force",
-        { { "revision", revisionInEra(item.revision) }, { "version", decoded.value->version }, { "routes", decoded.value->routes.size() },
+        { { "from", source }, { "era", eraOf(item.revision) }, { "revision", revisionInEra(item.revision) },
+            { "version", decoded.value->version }, { "routes", decoded.value->routes.size() },
             { "workspaces", decoded.value->workspaces.size() } });
+    decoded.value->source = std::string(source);
     this->hooks.inForce(std::make_shared<const Catalog>(std::move(*decoded.value)));
 }
 
--- a/src/edge/ConfigCopy.h
+++ b/src/edge/ConfigCopy.h
@@ -26,7 +26,7 @@
     {
     }
 
-    void apply(const StoreItem& item); // a newer one only
+    void apply(const StoreItem& item, std::string_view source); // a newer one only
     // The store's configuration is the one in force, whatever its revision: it may have been written again.
     bool isInForce(const StoreItem& item) const { return item.value == this->config.value; }
     const StoreItem& item() const { return this->config; } // of the configuration in force
--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -684,7 +684,8 @@
             { "predictedFirstMs", this->predictedFirstEvent ? toMilliseconds(*this->predictedFirstEvent) : -1 },
             { "waitedMs", this->waitingSince ? toMilliseconds(now - *this->waitingSince) : 0 },
             { "occupancy", this->relay.placement.occupancy(this->service.hash, now) }, { "passedLimit", this->passedLimit },
-            { "catalogVersion", this->plan.catalog->version }, { "proofAgeMs", proofAge ? toMilliseconds(*proofAge) : -1 } });
+            { "catalogVersion", this->plan.catalog->version }, { "catalogFrom", this->plan.catalog->source },
+            { "proofAgeMs", proofAge ? toMilliseconds(*proofAge) : -1 } });
     this->relay.finished(this->shared_from_this());
 }
 
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -216,10 +216,11 @@
     events.complete = [this, body, weak = std::weak_ptr(connection), member] {
         if (const auto usedConnection = weak.lock())
             this->connections.release(usedConnection, bootTime());
-        const auto items = readItems(*body);
+        auto items = readItems(*body);
         if (!items)
             return log(LogLevel::Warn, "store items could not be parsed", { { "peer", member.node }, { "bytes", body->size() } });
         log(LogLevel::Info, "store items received from peer", { { "peer", member.node }, { "items", items->items.size() } });
+        items->from = member.node;
         this->hooks.itemsReceived(*items);
     };
     events.failed = [this, member, isNewer](ConnectionFault fault, bool) {
--- a/src/edge/PeerLink.h
+++ b/src/edge/PeerLink.h
@@ -35,6 +35,7 @@
 struct StoreItems {
     ItemRevisions upTo;
     std::vector<StoreItem> items;
+    std::string from {}; // the peer that passed them on
 };
 
 struct PeerLinkSettings {
--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -174,7 +174,9 @@
     const auto proofAge = this->freshness.age(now);
     log(LogLevel::Info, "request rejected",
         { { "request", id }, { "status", refusal.status }, { "reason", refusal.reason },
-            { "catalogVersion", this->current ? this->current->version : 0 }, { "proofAgeMs", proofAge ? toMilliseconds(*proofAge) : -1 },
+            { "catalogVersion", this->current ? this->current->version : 0 },
+            { "catalogFrom", this->current ? std::string_view(this->current->source) : std::string_view() },
+            { "proofAgeMs", proofAge ? toMilliseconds(*proofAge) : -1 },
             { "retryAfterMs", refusal.retryAfter ? toMilliseconds(*refusal.retryAfter) : -1 } });
     this->answerLocally(caller, id, refusal.status, refusal.reason, refusal.retryAfter);
 }
--- a/src/edge/TargetEntries.cpp
+++ b/src/edge/TargetEntries.cpp
@@ -87,6 +87,12 @@
         if (!present.contains(id) && known.entry.revision <= revision)
             missing.push_back(id);
     }
+    const size_t kept = isKept ? missing.size() : 0;
+    if (!missing.empty() && (!isKept || kept != this->keptMissing))
+        log(LogLevel::Info, "targets are missing in the store",
+            { { "missing", missing.size() }, { "listed", present.size() }, { "kept", kept }, { "era", eraOf(revision) },
+                { "storeRevision", revisionInEra(revision) } });
+    this->keptMissing = kept;
     if (isKept)
         return missing.empty();
     for (const std::string& id : missing)
--- a/src/edge/TargetEntries.h
+++ b/src/edge/TargetEntries.h
@@ -70,6 +70,7 @@
     std::map<std::string, Known> targets;        // by id
     std::map<std::string, Gone> gone;            // by id
     std::optional<StoreRevision> copiedUpTo = 0; // the copy holds no later one; empty: not known yet
+    size_t keptMissing = 0;                      // entries that the last read did not list and that were kept
 };
 
 } // namespace guavapond::edge
