Add a failing test of a store that has lost the entries of all targets

EdgeStoreRestoreTest, ServingTargetsAreKeptWhenTheCopyListsNone: expected 3 targets in use, found 0.

--- a/tests/edge/StoreRestoreTest.cpp
+++ b/tests/edge/StoreRestoreTest.cpp
@@ -150,6 +150,21 @@
     CHECK(this->usable.contains("new"));
 }
 
+// Guards against an outage of all services since a store that is back from a copy lists no target, and never will again.
+TEST(StoreRestore, ServingTargetsAreKeptWhenTheCopyListsNone)
+{
+    auto& model = this->store->model;
+    model.put("op/config", configText(1, "r"));
+    const auto copy = model;
+    for (const char* target : { "servers/t1", "servers/t2", "servers/t3" })
+        model.put(target, targetText("ready", 1));
+    this->startSync();
+    CHECK(this->runUntil([&] { return this->usable.size() == 3; }));
+    model.restore(copy);
+    this->runUntil([] { return false; }, 2500ms);
+    LONGS_EQUAL(3, this->usable.size());
+}
+
 // Guards against a node that goes on renewing a lease which now belongs to another writer, and is missing in the list of nodes.
 TEST(StoreRestore, NodeRegistersAgain)
 {
