Keep targets in use when the store has lost most of their entries

Cause: the entries lapsed in a first absence of the store, the copy that it came back from held none, and what targets wrote between the two absences was lost. A node believed the empty list once the grace of 2.3 s was over and dropped 13 targets that answered until that moment. Ruled out: entries that are there and not taken; the new line shows `listed` 0 in each read.

Change: after an outage or a loss of changes, a list that lacks more than half of the known targets is not believed. Only targets whose requests failed three times in a row are dropped, until most are listed again. A few missing entries count as before, so a target that left is not kept.

--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -98,6 +98,12 @@
     this->serviceOfTarget.erase(known);
 }
 
+bool Relay::isTargetUnresponsive(const std::string& id) const
+{
+    const auto known = this->serviceOfTarget.find(id);
+    return known != this->serviceOfTarget.end() && this->byService.at(known->second)->targets.isUnresponsive(id);
+}
+
 bool Relay::isReady() const
 {
     if (!this->current || !this->freshness.holds(bootTime()))
--- a/src/edge/Relay.h
+++ b/src/edge/Relay.h
@@ -81,6 +81,7 @@
     void setCatalog(CatalogPointer catalog);
     void upsertTarget(const TargetInfo& info);
     void removeTarget(const std::string& id);
+    bool isTargetUnresponsive(const std::string& id) const;
     void handle(const CallerPointer& caller, CallerRequest request);
     // Starts the move of a service to a new version, unless an order of the same or a later revision is known. `earliest` is the first
     // time at which the order may have been given; empty: it may be older than this process.
--- a/src/edge/TargetEntries.cpp
+++ b/src/edge/TargetEntries.cpp
@@ -87,14 +87,19 @@
         if (!present.contains(id) && known.entry.revision <= revision)
             missing.push_back(id);
     }
-    const size_t kept = isKept ? missing.size() : 0;
-    if (!missing.empty() && (!isKept || kept != this->keptMissing))
-        log(LogLevel::Info, "targets are missing in the store",
-            { { "missing", missing.size() }, { "listed", present.size() }, { "kept", kept }, { "era", eraOf(revision) },
-                { "storeRevision", revisionInEra(revision) } });
+    const size_t missingCount = missing.size();
+    if (missingCount * 2 <= this->targets.size())
+        this->mayHaveLapsed = this->mayHaveLapsed && isKept;
+    else if (this->mayHaveLapsed && !isKept)
+        std::erase_if(missing, [&](const std::string& id) { return !this->hooks.isUnresponsive(id); });
+    const size_t kept = isKept ? missingCount : missingCount - missing.size();
+    if (missingCount > 0 && (kept == 0 || kept != this->keptMissing))
+        log(kept > 0 && !isKept ? LogLevel::Warn : LogLevel::Info, "targets are missing in the store",
+            { { "missing", missingCount }, { "listed", present.size() }, { "kept", kept }, { "isWaiting", isKept },
+                { "era", eraOf(revision) }, { "storeRevision", revisionInEra(revision) } });
     this->keptMissing = kept;
     if (isKept)
-        return missing.empty();
+        return missingCount == 0;
     for (const std::string& id : missing)
         this->remove(id, revision, now);
     return true;
--- a/src/edge/TargetEntries.h
+++ b/src/edge/TargetEntries.h
@@ -3,7 +3,7 @@
 //
 // Index
 //   TargetEntry      an entry as the store holds it
-//   TargetEntries    apply, onChangesLost, onRead, removeMissing, removeOlder; changesAfter, digest
+//   TargetEntries    apply, onChangesLost, onStoreReturned, onRead, removeMissing, removeOlder; changesAfter, digest
 #pragma once
 
 #include "edge/StoreRevision.h"
@@ -26,6 +26,7 @@
         std::function<std::optional<TargetInfo>(const TargetEntry& entry)> decode;
         std::function<void(const TargetInfo&)> changed; // what an entry says of its target
         std::function<void(const std::string& id)> gone;
+        std::function<bool(const std::string& id)> isUnresponsive; // requests to the target fail, one after the other
     };
     explicit TargetEntries(Hooks hooks)
         : hooks(std::move(hooks))
@@ -36,9 +37,11 @@
     // The store is back from an older copy. Until an entry is written again it may say what was true before: it brings back nothing that
     // has left or drains.
     void onChangesLost() { this->copiedUpTo.reset(); }
-    void onRead(StoreRevision revision); // call with the store's revision before the entries of a read
+    void onStoreReturned() { this->mayHaveLapsed = true; } // the store was away, or lost changes: entries of living targets may be missing
+    void onRead(StoreRevision revision);                   // call with the store's revision before the entries of a read
     // Removes what is not among the ids that the store holds at `revision`. While `isKept`, entries that lapsed may still come back.
-    // Returns false if entries are missing and kept, so that the copy differs from the store's.
+    // Returns false if entries are missing and kept for that, so that the copy differs from the store's. After an outage a list that
+    // lacks most targets is not believed: only unresponsive ones are removed, until most are listed again.
     bool removeMissing(const std::set<std::string>& present, StoreRevision revision, bool isKept, TimePoint now);
     void removeOlder(const std::string& id, StoreRevision missingAt, TimePoint now); // a peer has found it missing at that revision
 
@@ -70,6 +73,7 @@
     std::map<std::string, Known> targets;        // by id
     std::map<std::string, Gone> gone;            // by id
     std::optional<StoreRevision> copiedUpTo = 0; // the copy holds no later one; empty: not known yet
+    bool mayHaveLapsed = false;                  // no read has listed most targets since the store was away
     size_t keptMissing = 0;                      // entries that the last read did not list and that were kept
 };
 
--- a/src/edge/TargetPool.cpp
+++ b/src/edge/TargetPool.cpp
@@ -12,13 +12,14 @@
 
 namespace {
 
-constexpr double sampleWeight = 0.15;        // of a new sample in a moving average
-constexpr double gapGrowthPerRequest = 0.03; // fraction by which an event takes longer for each request that runs at the target
-constexpr uint32_t minPromptSample = 500;    // tokens; shorter prompts give no usable measurement of the prefill speed
-constexpr double minPrefillFraction = 0.3;   // least part of the time to a first event that counts as prefill
-constexpr double minScoreJitter = 0.04;      // fraction; separates the choices of nodes that see the same loads
-constexpr uint32_t judgedAnswers = 12;       // last answers of a target that decide on a pause
-constexpr uint32_t failuresToPause = 4;      // error answers among them that pause the target
+constexpr double sampleWeight = 0.15;            // of a new sample in a moving average
+constexpr double gapGrowthPerRequest = 0.03;     // fraction by which an event takes longer for each request that runs at the target
+constexpr uint32_t minPromptSample = 500;        // tokens; shorter prompts give no usable measurement of the prefill speed
+constexpr double minPrefillFraction = 0.3;       // least part of the time to a first event that counts as prefill
+constexpr double minScoreJitter = 0.04;          // fraction; separates the choices of nodes that see the same loads
+constexpr uint32_t judgedAnswers = 12;           // last answers of a target that decide on a pause
+constexpr uint32_t failuresToBeUnresponsive = 3; // lost connections or silences in a row
+constexpr uint32_t failuresToPause = 4;          // error answers among them that pause the target
 constexpr uint32_t judgedAnswersMask = (1U << judgedAnswers) - 1;
 constexpr double newestAnswerWeight = 0.15;                         // in failedShare
 constexpr double failedShareHalfLifeSeconds = 3;                    // without an answer; lets the target be tried again
@@ -571,6 +572,13 @@
         this->targets.begin(), this->targets.end(), [&](const Target& t) { return !t.leaving && t.info.version == version; });
 }
 
+bool TargetPool::isUnresponsive(std::string_view id) const
+{
+    const auto found = this->byId.find(std::string(id));
+    return found != this->byId.end() && this->targets[found->second].probation
+        && this->targets[found->second].failures >= failuresToBeUnresponsive;
+}
+
 uint64_t TargetPool::inFlightOutside(std::string_view version) const
 {
     uint64_t count = 0;
--- a/tests/edge/StoreSyncWorld.h
+++ b/tests/edge/StoreSyncWorld.h
@@ -54,6 +54,7 @@
         hooks.catalog = [this](edge::CatalogPointer value) { this->catalog = std::move(value); };
         hooks.target = [this](const edge::TargetInfo& target) { this->usable[target.id] = !target.draining; };
         hooks.targetGone = [this](const std::string& id) { this->usable.erase(id); };
+        hooks.isTargetUnresponsive = [](const std::string&) { return false; };
         hooks.quarantine = [this](std::span<const edge::PartAge> list) { this->quarantine.assign(list.begin(), list.end()); };
         hooks.members = [this](std::span<const edge::Member> list) { this->members.assign(list.begin(), list.end()); };
         hooks.proof = [this](TimePoint time) { this->proof = time; };
