--- a/standins/edge/PlatformStore.cpp
+++ b/standins/edge/PlatformStore.cpp
@@ -173,7 +173,8 @@
 {
     ++this->calls;
     this->model.expire(edge::bootTime());
-    if (this->mode == StoreMode::Silent)
+    this->callers.insert(caller);
+    if (this->mode == StoreMode::Silent || this->silenced.contains(caller))
         return this->unanswered.push_back(caller);
     const auto respond = [&](unsigned status, std::string text) {
         auto message = edge::makeResponse({ status, std::move(text), "application/json", {} });
@@ -196,6 +197,8 @@
     respond(answer.status, answer.body.dump());
 }
 
+void PlatformStore::silenceOpenConnections() { this->silenced.merge(this->callers); }
+
 StoreModel::Answer PlatformStore::handle(
     const std::string& method, const std::string& path, const std::map<std::string, std::string>& query, const std::string& body)
 {
--- a/standins/edge/PlatformStore.h
+++ b/standins/edge/PlatformStore.h
@@ -10,6 +10,7 @@
 #include "edge/HttpListener.h"
 
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace guavapond::standins {
 
@@ -66,6 +67,7 @@
 
     void start() { this->listener.listen(); }
     uint16_t port() const { return this->listener.port(); }
+    void silenceOpenConnections(); // calls on them are no longer answered; new connections work
 
     StoreModel model;
     StoreMode mode = StoreMode::Up;
@@ -77,7 +79,10 @@
         const std::string& method, const std::string& path, const std::map<std::string, std::string>& query, const std::string& body);
 
     edge::HttpListener listener;
+    using Callers = std::set<std::weak_ptr<edge::CallerConnection>, std::owner_less<>>;
     std::vector<edge::CallerPointer> unanswered;
+    Callers callers; // that have made a call
+    Callers silenced;
 };
 
 } // namespace guavapond::standins
--- a/tests/edge/StoreSyncTest.cpp
+++ b/tests/edge/StoreSyncTest.cpp
@@ -113,6 +113,21 @@
     CHECK(usable.contains("a"));
 }
 
+// Guards against reads that wait for one silent connection after the other, so that a configuration is late.
+TEST(StoreSync, SilentConnectionsDelayAConfigurationByOneTimeoutOnly)
+{
+    store->model.put("op/config", configText(1, "r"));
+    startSync();
+    CHECK(runUntil([&] { return this->catalog != nullptr; }));
+    size_t answers = 0;
+    for (int i = 0; i < 8; ++i)
+        this->client->range("op/", "", false, [&](const CallResult<RangePage>&) { ++answers; });
+    CHECK(runUntil([&] { return answers == 8; }));
+    store->silenceOpenConnections();
+    store->model.put("op/config", configText(2, "r"));
+    CHECK(runUntil([&] { return this->catalog->version == 2; }, 1100ms)); // a call ends after 600 ms
+}
+
 // Guards against a short connection loss that delays the removal of targets.
 TEST(StoreSync, ShortConnectionLossDoesNotDelayRemoval)
 {
