--- a/standins/edge/PlatformStore.cpp
+++ b/standins/edge/PlatformStore.cpp
@@ -178,7 +178,8 @@
         return this->unanswered.push_back(caller);
     const auto respond = [&](unsigned status, std::string text) {
         auto message = edge::makeResponse({ status, std::move(text), "application/json", {} });
-        message.set("Store-Era", std::to_string(this->model.era));
+        for (const std::string& value : this->eraFields.value_or(std::vector { std::to_string(this->model.era) }))
+            message.insert("Store-Era", value);
         caller->sendResponse(std::move(message));
     };
     if (this->mode == StoreMode::Busy)
--- a/standins/edge/PlatformStore.h
+++ b/standins/edge/PlatformStore.h
@@ -72,6 +72,7 @@
     StoreModel model;
     StoreMode mode = StoreMode::Up;
     size_t calls = 0;
+    std::optional<std::vector<std::string>> eraFields; // values of the era's header fields, in place of the model's era
 
 private:
     void onCall(const edge::CallerPointer& caller, const edge::CallerRequest& request);
--- a/tests/edge/StoreRestoreTest.cpp
+++ b/tests/edge/StoreRestoreTest.cpp
@@ -180,6 +180,21 @@
     CHECK(model.items().at("guavapond/nodes/n1").lease != model.items().at("guavapond/nodes/n2").lease);
 }
 
+// Guards against a loss of changes that is not noticed since the eras of the store start at zero.
+TEST(StoreRestore, NodeRegistersAgainAfterTheFirstEraOfZero)
+{
+    auto& model = this->store->model;
+    model.era = 0;
+    model.put("op/config", configText(1, "r"));
+    const auto copy = model;
+    this->startSync();
+    CHECK(this->runUntil([&] { return model.items().contains("guavapond/nodes/n1"); }));
+    model.restore(copy);
+    const uint64_t other = model.grant(1min, bootTime()).body.at("lease").get<uint64_t>(); // the id of the lease that n1 had
+    CHECK(this->runUntil([&] { return model.items().contains("guavapond/nodes/n1"); }, 3s));
+    CHECK(model.items().at("guavapond/nodes/n1").lease != other);
+}
+
 // Guards against a move that starts anew, or whose end is unknown to the operators, since the store lost its status.
 TEST(StoreRestore, FinishedMoveStaysFinished)
 {
@@ -236,6 +251,42 @@
     CHECK(this->runUntil([&] { return this->usable.contains("t2"); }, 2s));
 }
 
+// Guards against reads that are given up, or taken for ones of another era, since the header is missing or of a bad form.
+TEST(StoreRestore, EraHeaderOfBadFormIsPassedOver)
+{
+    this->playThreeVersions();
+    int version = 3;
+    const std::vector<std::vector<std::string>> forms { {}, { "" }, { "-1" }, { "1.5" }, { "era" }, { "99999999999999999999999" },
+        { "1099511627776" }, { "1", "1" } };
+    for (const auto& fields : forms) {
+        this->store->eraFields = fields;
+        this->store->model.put("op/config", configText(++version, "r"));
+        CHECK_TEXT(this->isInForce(static_cast<uint64_t>(version)), fields.empty() ? "no header" : fields.front().c_str());
+    }
+    this->store->eraFields.reset();
+    const auto copy = this->store->model;
+    this->store->model.put("op/config", configText(++version, "r"));
+    CHECK(this->isInForce(static_cast<uint64_t>(version)));
+    this->store->model.restore(copy);
+    this->store->model.put("op/config", configText(++version, "r"));
+    CHECK(this->isInForce(static_cast<uint64_t>(version)));
+}
+
+// Guards against a configuration that goes back, or does not come into force, after two restores in a row.
+TEST(StoreRestore, ConfigurationAfterTwoRestoresIsTaken)
+{
+    const auto copy = this->playThreeVersions();
+    this->store->model.restore(copy);
+    this->store->model.put("op/config", configText(4, "r"));
+    this->store->model.restore(copy);
+    this->runUntil([] { return false; }, 100ms);
+    CHECK(this->version() >= 3);
+    this->store->model.put("op/config", configText(4, "r"));
+    CHECK(this->isInForce(4));
+    this->store->model.put("op/config", configText(7, "r"));
+    CHECK(this->isInForce(7));
+}
+
 // Guards against late answers of the era before: they are no proof, and tell nothing of what the copy holds.
 TEST(StoreRestore, AnswersOfAnEarlierEraProveNothing)
 {
