--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -558,7 +558,15 @@
     this->relay.updateQuarantine(now);
 }
 
-void Exchange::logFailedAttempt(AttemptOutcome outcome, NextStep step, TimePoint now) const
+RequestKey Exchange::requestKey()
+{
+    if (!this->key)
+        this->key = edge::requestKey(this->request.message.method_string(), this->request.message.target(),
+            this->plan.workspace ? std::string_view(this->plan.workspace->name) : std::string_view(), this->request.message.body());
+    return *this->key;
+}
+
+void Exchange::logFailedAttempt(AttemptOutcome outcome, NextStep step, TimePoint now)
 {
     // The parts that other requests hold too show what requests that fail alike have in common.
     std::string sharedParts;
@@ -567,7 +575,8 @@
     log(LogLevel::Info, "run failed",
         { { "request", this->request.message[this->relay.settings.headers.requestId] }, { "target", this->lastTarget },
             { "end", attemptOutcomeName(outcome) }, { "hadEvent", this->lastHadEvent }, { "sharedParts", sharedParts },
-            { "sends", this->life.sends() }, { "leftMs", toMilliseconds(this->life.remaining(now)) }, { "next", nextStepName(step) } });
+            { "requestKey", partText(this->requestKey()) }, { "sends", this->life.sends() },
+            { "leftMs", toMilliseconds(this->life.remaining(now)) }, { "next", nextStepName(step) } });
 }
 
 void Exchange::takeStep(NextStep step, std::string_view reason)
--- a/src/edge/Exchange.h
+++ b/src/edge/Exchange.h
@@ -81,6 +81,7 @@
     void countForMove(const Attempt& ended, TargetOutcome outcome, TimePoint now);
     void withdrawAsk();
     bool refuseQuarantined(bool isQuarantined, TimePoint now);
+    RequestKey requestKey(); // computed when it is first needed
     uint64_t promptHash() const { return this->plan.parts.empty() ? 0 : this->plan.parts.back().prefixHash; }
     void noteLostStream(AttemptOutcome outcome, TimePoint now);
     void send(const TargetPool::Choice& choice, bool countedByLimit, TimePoint now);
@@ -100,7 +101,7 @@
     void endAttempt(TargetOutcome outcome);
     void cancelAttempt(TargetOutcome outcome); // closes the connection of the attempt, if there is one
     void onAttemptEnded(AttemptOutcome outcome);
-    void logFailedAttempt(AttemptOutcome outcome, NextStep step, TimePoint now) const;
+    void logFailedAttempt(AttemptOutcome outcome, NextStep step, TimePoint now);
     void takeStep(NextStep step, std::string_view reason);
     void forwardFailure();
     http::response<http::string_body> bufferedAnswer();
@@ -135,6 +136,7 @@
     bool lastHadEvent = false;                   // the last attempt delivered an event
     AnswerForm form = AnswerForm::Buffered;
     bool isFinished = false;
+    std::optional<RequestKey> key;                            // see requestKey()
     std::optional<http::response<http::string_body>> failure; // failure answer of the last target that sent one
 };
 
--- a/src/edge/PromptQuarantine.h
+++ b/src/edge/PromptQuarantine.h
@@ -24,6 +24,7 @@
 namespace guavapond::edge {
 
 using PartKey = uint64_t;
+using RequestKey = uint64_t; // equal for repeats of a request: hash of its method, path, workspace and body; 0: none
 
 struct LostStream {
     uint64_t target = 0; // hash of the target's id
--- a/src/edge/RequestFields.cpp
+++ b/src/edge/RequestFields.cpp
@@ -86,4 +86,13 @@
     return error == std::errc() && end == id.data() + id.size() ? value : nameHash(lowerCase(id));
 }
 
+RequestKey requestKey(std::string_view method, std::string_view path, std::string_view caller, std::string_view body)
+{
+    // No field can hold the separator, and the body has a hash of its own, so that it is not copied.
+    std::string text;
+    for (const std::string_view field : { method, path, caller })
+        (text += field) += '\n';
+    return nameHash(text + std::to_string(nameHash(body)));
+}
+
 } // namespace guavapond::edge
--- a/src/edge/RequestFields.h
+++ b/src/edge/RequestFields.h
@@ -7,6 +7,7 @@
 //   parsePromptParts    ID:TOKENS entries, joined by commas
 //   sharedPartIds       the ids of those that other requests may hold too
 //   partKey, partText   key of a part by its id, and its text
+//   requestKey          what a request and its repeats have in common
 #pragma once
 
 #include "edge/PromptQuarantine.h"
@@ -41,5 +42,7 @@
 std::vector<std::string_view> sharedPartIds(std::string_view field);
 std::string partText(PartKey part);   // in hexadecimal
 PartKey partKey(std::string_view id); // its value, if it is a hexadecimal number of up to 64 bits; else a hash
+// `caller`: name of the workspace; empty for a request without a key.
+RequestKey requestKey(std::string_view method, std::string_view path, std::string_view caller, std::string_view body);
 
 } // namespace guavapond::edge
--- a/tests/edge/RequestFieldsTest.cpp
+++ b/tests/edge/RequestFieldsTest.cpp
@@ -40,3 +40,16 @@
     CHECK(sharedPartIds("5c1e07a2:800").empty());
     CHECK(sharedPartIds("").empty());
 }
+
+// Guards against repeats of a request that look different, and against requests of two callers or paths that look the same.
+TEST(RequestFields, RequestKeyTellsRepeatsFromOthers)
+{
+    const RequestKey key = requestKey("POST", "/a/1", "w1", "body");
+    CHECK(key == requestKey("POST", "/a/1", "w1", "body"));
+    CHECK(key != requestKey("PUT", "/a/1", "w1", "body"));
+    CHECK(key != requestKey("POST", "/a/2", "w1", "body"));
+    CHECK(key != requestKey("POST", "/a/1", "w2", "body"));
+    CHECK(key != requestKey("POST", "/a/1", "", "body"));
+    CHECK(key != requestKey("POST", "/a/1", "w1", "bodz"));
+    CHECK(requestKey("POST", "/a/1w", "1", "") != requestKey("POST", "/a/1", "w1", ""));
+}
