--- a/standins/edge/PlatformRunner.cpp
+++ b/standins/edge/PlatformRunner.cpp
@@ -66,6 +66,8 @@
 
 bool PlatformRunner::crashesOn(const Run& run) const
 {
+    if (!this->crashBody.empty() && run.request.body() == this->crashBody)
+        return true;
     return !this->crashPart.empty()
         && run.request[partsField].find(boost::beast::string_view(this->crashPart + ":")) != boost::beast::string_view::npos;
 }
--- a/standins/edge/PlatformRunner.h
+++ b/standins/edge/PlatformRunner.h
@@ -56,6 +56,7 @@
     std::vector<std::string> requestLimits;                                  // in all its answers, one field each; empty: none
     std::string retryAfter;                                                  // of its refusals, seconds; empty: none
     std::string crashPart;                                                   // crashes on prompts with this part; empty: on none
+    std::string crashBody;                                                   // crashes on requests with this body; empty: on none
     Duration downTime = std::chrono::milliseconds(500);                      // after a crash
     std::vector<Run> runs;                                                   // that began, in order
     std::function<void(const std::string& attempt)> onArrival = [](const auto&) {}; // a request arrived
