--- a/src/edge/Beliefs.cpp
+++ b/src/edge/Beliefs.cpp
@@ -99,11 +99,15 @@
     return list;
 }
 
-json quarantinedParts(const PromptQuarantine& quarantine, TimePoint now)
+// `requests`: whole requests; else parts of prompts.
+json quarantined(const PromptQuarantine& quarantine, bool requests, TimePoint now)
 {
     json list = json::array();
-    for (const PartAge& part : quarantine.list(now))
-        list.push_back({ { "part", partText(part.part) }, { "ageMs", inMilliseconds(part.age) } });
+    for (const PartAge& entry : quarantine.list(now)) {
+        if (entry.isRequest == requests)
+            list.push_back({ { requests ? "requestKey" : "part", partText(entry.part) }, { "ageMs", inMilliseconds(entry.age) },
+                { "keptBack", quarantine.keptBack(entry.part) } });
+    }
     return list;
 }
 
@@ -114,7 +118,8 @@
     const auto proofAge = relay.freshness.age(now);
     json page { { "node", node }, { "ready", relay.isReady() }, { "inFlight", relay.inFlight() },
         { "proofAgeMs", proofAge ? inMilliseconds(*proofAge) : -1 }, { "services", services(relay, now) }, { "nodes", nodes(peers, now) },
-        { "moves", moves(relay) }, { "quarantinedParts", quarantinedParts(relay.quarantine, now) } };
+        { "moves", moves(relay) }, { "quarantinedParts", quarantined(relay.quarantine, false, now) },
+        { "quarantinedRequests", quarantined(relay.quarantine, true, now) } };
     if (const CatalogPointer& catalog = relay.catalog()) {
         page["configurationVersion"] = catalog->version;
         page["configurationFrom"] = catalog->source;
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -3,6 +3,7 @@
 
 #include "adapters/Logging.h"
 #include "edge/Beliefs.h"
+#include "edge/RequestFields.h"
 
 namespace guavapond::edge {
 
@@ -24,6 +25,8 @@
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusUnavailable = 503;
 constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusWrongMethod = 405;
+constexpr std::string_view liftPath = "/quarantine/lift/"; // and the key of a request or the id of a part
 
 PeerLinkSettings peerSettings(const EdgeSettings& settings)
 {
@@ -107,6 +110,8 @@
     if (request.message.target() == this->paths.beliefs)
         return caller->sendResponse(makeResponse(
             { statusOk, nodeStatusPage(this->settings.node, this->requests, this->peerLink.table(), now), "application/json", {} }));
+    if (const std::string_view target = request.message.target(); target.starts_with(liftPath))
+        return this->onLift(caller, request.message.method(), target.substr(liftPath.size()));
     if (request.message.target() != this->paths.metrics)
         return caller->sendResponse(makeResponse({ statusNotFound, "", "", {} }));
     EdgeMetrics& gauges = this->counters;
@@ -140,6 +145,15 @@
     caller->sendResponse(makeResponse({ statusOk, gauges.page(), "text/plain; version=0.0.4", {} }));
 }
 
+void EdgeNode::onLift(const CallerPointer& caller, http::verb method, std::string_view key)
+{
+    if (method != http::verb::post)
+        return caller->sendResponse(makeResponse({ statusWrongMethod, "", "", {} }));
+    const bool isLifted = this->requests.quarantine.lift(partKey(key), bootTime());
+    log(LogLevel::Warn, "quarantine lifted by an operator", { { "key", key }, { "wasInQuarantine", isLifted } });
+    caller->sendResponse(makeResponse({ isLifted ? statusOk : statusNotFound, "", "", {} }));
+}
+
 void EdgeNode::stop(std::function<void()> whenDrained)
 {
     if (this->stoppingSince)
--- a/src/edge/EdgeNode.h
+++ b/src/edge/EdgeNode.h
@@ -37,7 +37,8 @@
     static RelaySettings relaySettings(const EdgeSettings& settings, const WireHeaders& headers);
     void onReady(const CallerPointer& caller, const CallerRequest& request);
     void onMetrics(const CallerPointer& caller, const CallerRequest& request);
-    void tick(); // periodic work
+    void onLift(const CallerPointer& caller, http::verb method, std::string_view key); // an operator ends a quarantine
+    void tick();                                                                       // periodic work
     void checkStop(TimePoint now);
     void logReadinessChange();
     void advanceMoves(TimePoint now); // updates the moves between versions and publishes their states
--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -17,7 +17,8 @@
 
 constexpr double maxRetryAfterSeconds = 1e6; // keeps the conversion to a duration in range
 
-constexpr std::string_view quarantineReason = "a part of the prompt crashes targets";
+constexpr std::string_view partReason = "a part of the prompt crashes targets";
+constexpr std::string_view requestReason = "the request crashes targets";
 
 constexpr unsigned misdirectedRequest = 421;
 constexpr unsigned badGateway = 502;
@@ -90,7 +91,7 @@
 void Exchange::requestPlace()
 {
     const TimePoint now = bootTime();
-    if (this->refuseQuarantined(this->relay.quarantine.blocks(this->plan.sharedParts, now), now))
+    if (this->refuseQuarantined(this->relay.quarantine.blocks(this->plan.sharedParts, now, this->suspectKey()), now))
         return;
     if (!this->maySend(now))
         return this->takeStep(this->life.onNoTarget(), "no young proof of the configuration");
@@ -110,13 +111,20 @@
         return false;
     this->relay.metrics.keptByQuarantine();
     this->retryAfter = this->relay.quarantine.retryAfter(this->plan.sharedParts, now);
-    this->takeStep(this->life.onNoTarget(), quarantineReason);
+    this->takeStep(this->life.onNoTarget(), this->quarantineReason(now));
     return true;
 }
 
+std::string_view Exchange::quarantineReason(TimePoint now)
+{
+    this->isRefusedForGood = this->relay.quarantine.isRequestBlocked(this->suspectKey(), now);
+    return this->isRefusedForGood ? requestReason : partReason;
+}
+
 void Exchange::endQuarantined(TimePoint now)
 {
-    if (!this->relay.quarantine.isBlocked(this->plan.sharedParts, now) || (this->attempt && this->attempt->firstEventAt))
+    if (!this->relay.quarantine.isBlocked(this->plan.sharedParts, now, this->suspectKey())
+        || (this->attempt && this->attempt->firstEventAt))
         return;
     this->withdrawAsk();
     if (!this->attempt) {
@@ -126,7 +134,7 @@
     this->cancelAttempt(TargetOutcome::Cancelled);
     this->takeStep(this->life.attemptEnded(
                        AttemptOutcome::Silent, [] { return false; }, now),
-        quarantineReason);
+        this->quarantineReason(now));
 }
 
 void Exchange::withdrawAsk()
@@ -144,7 +152,7 @@
     if (this->isFinished)
         return;
     const TimePoint now = bootTime();
-    if (this->refuseQuarantined(this->relay.quarantine.isBlocked(this->plan.sharedParts, now), now))
+    if (this->refuseQuarantined(this->relay.quarantine.isBlocked(this->plan.sharedParts, now, this->suspectKey()), now))
         return;
     this->relay.metrics.queueWaitEnded(now - *this->waitingSince);
     this->passedLimit = answer.passedLimit;
@@ -231,7 +239,7 @@
     events.beforeSend = [self] {
         const TimePoint sendTime = bootTime();
         return !self->isFinished && self->maySend(sendTime) && sendTime < self->life.deadline()
-            && !self->relay.quarantine.isBlocked(self->plan.sharedParts, sendTime);
+            && !self->relay.quarantine.isBlocked(self->plan.sharedParts, sendTime, self->suspectKey());
     };
     events.head = [self](const http::response_header<>& head) { return self->onHead(head); };
     events.body = [self](std::string_view bytes) { self->onBody(bytes); };
@@ -320,6 +328,9 @@
         this->attempt->verdict = AttemptOutcome::Failed; // the caller has a part of a stream, which only a stream can continue
     const bool isEvents = !this->attempt->verdict && this->plan.route->kind == RouteKind::Streaming && isEventStream(head);
     this->form = isEvents ? AnswerForm::Events : AnswerForm::Buffered;
+    const bool hasRun = !this->attempt->verdict || this->attempt->verdict == AttemptOutcome::Failed;
+    if (!isEvents && hasRun)
+        this->relay.quarantine.onBegan({}, bootTime(), this->suspectKey());
     return HeadVerdict::Accept;
 }
 
@@ -376,7 +387,7 @@
         this->targets().firstEvent(
             this->attempt->target, this->attempt->prefillPending, this->attempt->backlogTokens, now - this->attempt->sentAt, now);
         this->targets().recordCachedPrompt(this->attempt->target, this->plan.parts, now);
-        this->relay.quarantine.onBegan(this->plan.sharedParts, now);
+        this->relay.quarantine.onBegan(this->plan.sharedParts, now, this->suspectKey());
         RunSample sample;
         sample.backlogTokens = this->attempt->backlogTokens;
         sample.firstAfter = now - this->attempt->sentAt;
@@ -502,6 +513,8 @@
     const Attempt finished = std::move(*this->attempt);
     this->attempt.reset();
     this->lastHadEvent = finished.firstEventAt.has_value();
+    this->lastBegan = this->lastHadEvent || (finished.headSeen && this->form != AnswerForm::Events);
+    this->lastTargetLeft = this->targets().isLeaving(finished.target);
     this->countForMove(finished, outcome, now);
     this->plan.tryNewVersion = false; // a retry goes to the old version
     this->targets().ended(finished.target, finished.prefillPending, outcome, now - finished.sentAt, now);
@@ -541,7 +554,8 @@
     const TimePoint now = bootTime();
     this->noteLostStream(outcome, now);
     // A repeat of a request that seems to crash targets would only crash another one.
-    const bool isSuspect = !this->lastHadEvent && this->relay.quarantine.isSuspect(this->promptHash(), this->plan.sharedParts);
+    const bool isSuspect
+        = !this->lastHadEvent && this->relay.quarantine.isSuspect(this->promptHash(), this->plan.sharedParts, this->suspectKey());
     const NextStep step = this->life.attemptEnded(
         outcome, [&] { return !isSuspect && this->relay.secondTries.take(this->plan.service, now); }, now);
     if (this->plan.route->kind == RouteKind::Streaming && (outcome == AttemptOutcome::Broken || outcome == AttemptOutcome::Silent))
@@ -552,9 +566,10 @@
 
 void Exchange::noteLostStream(AttemptOutcome outcome, TimePoint now)
 {
-    if (outcome != AttemptOutcome::Broken || this->lastHadEvent)
+    // The end of a target that was leaving is no crash.
+    if (outcome != AttemptOutcome::Broken || this->lastBegan || this->lastTargetLeft)
         return;
-    this->relay.quarantine.onLost(nameHash(this->lastTarget), this->promptHash(), this->plan.sharedParts, now);
+    this->relay.quarantine.onLost(nameHash(this->lastTarget), this->promptHash(), this->plan.sharedParts, now, this->requestKey());
     this->relay.updateQuarantine(now);
 }
 
@@ -566,6 +581,8 @@
     return *this->key;
 }
 
+RequestKey Exchange::suspectKey() { return this->relay.quarantine.needsRequestKeys() ? this->requestKey() : 0; }
+
 void Exchange::logFailedAttempt(AttemptOutcome outcome, NextStep step, TimePoint now)
 {
     // The parts that other requests hold too show what requests that fail alike have in common.
@@ -587,6 +604,8 @@
     case NextStep::ForwardFailure:
         return this->forwardFailure();
     case NextStep::AnswerNotRun:
+        if (this->isRefusedForGood)
+            return this->answerLocally(serviceUnavailable, RequestResult::Refused, reason, std::nullopt);
         return this->answerLocally(serviceUnavailable, RequestResult::Refused, reason,
             std::max(this->retryAfter.value_or(Duration::zero()),
                 this->relay.retryDelay(this->relay.placement.occupancy(this->service.hash, bootTime()))));
--- a/src/edge/Exchange.h
+++ b/src/edge/Exchange.h
@@ -67,7 +67,7 @@
     void abandon();                      // for the shutdown of the relay: closes the connections without an answer to the caller
     bool isStalled(TimePoint now) const; // its target has been silent for too long, and the request may be retried
     void leaveStalledTarget();           // cancels the attempt and retries, if that is allowed
-    void endQuarantined(TimePoint now);  // cancels the attempt and fails the request, if its prompt holds a part in quarantine
+    void endQuarantined(TimePoint now);  // cancels the attempt and fails the request, if it or a part of its prompt is in quarantine
     void judgePace(TimePoint now);       // counts the attempt for a move of its service to a new version, if it is slow already
 
 private:
@@ -81,7 +81,9 @@
     void countForMove(const Attempt& ended, TargetOutcome outcome, TimePoint now);
     void withdrawAsk();
     bool refuseQuarantined(bool isQuarantined, TimePoint now);
+    std::string_view quarantineReason(TimePoint now);
     RequestKey requestKey(); // computed when it is first needed
+    RequestKey suspectKey(); // requestKey(), or 0 while it is not needed
     uint64_t promptHash() const { return this->plan.parts.empty() ? 0 : this->plan.parts.back().prefixHash; }
     void noteLostStream(AttemptOutcome outcome, TimePoint now);
     void send(const TargetPool::Choice& choice, bool countedByLimit, TimePoint now);
@@ -134,6 +136,9 @@
     std::optional<Duration> timeToFirstEvent;    // from the arrival of the request; empty: no event yet
     std::string lastTarget;                      // id of the target of the last attempt; empty: not sent yet
     bool lastHadEvent = false;                   // the last attempt delivered an event
+    bool lastBegan = false;                      // its answer had begun: an event, or the head of an answer without events
+    bool lastTargetLeft = false;                 // its target was leaving
+    bool isRefusedForGood = false;               // the request crashes targets, so that callers are not told to return
     AnswerForm form = AnswerForm::Buffered;
     bool isFinished = false;
     std::optional<RequestKey> key;                            // see requestKey()
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -330,10 +330,12 @@
         entry->set_prompt(lost.prompt);
         entry->set_age_us(lost.age.count());
         entry->mutable_parts()->Add(lost.parts.begin(), lost.parts.end());
+        entry->set_request(lost.request);
     }
     const auto add = [](wire::PartAge* entry, const PartAge& part) {
         entry->set_part(part.part);
         entry->set_age_us(part.age.count());
+        entry->set_is_request(part.isRequest);
     };
     for (const PartAge& part : report.begun)
         add(message.add_begun_parts(), part);
@@ -346,12 +348,13 @@
     QuarantineReport report;
     const auto age = [](int64_t us) { return std::clamp(Duration(us), Duration::zero(), maxReportedAge); };
     for (const auto& entry : message.lost_streams())
-        report.lost.push_back({ entry.target(), entry.prompt(), age(entry.age_us()), { entry.parts().begin(), entry.parts().end() } });
+        report.lost.push_back(
+            { entry.target(), entry.prompt(), age(entry.age_us()), { entry.parts().begin(), entry.parts().end() }, entry.request() });
     for (const auto& entry : message.begun_parts())
-        report.begun.push_back({ entry.part(), age(entry.age_us()) });
+        report.begun.push_back({ entry.part(), age(entry.age_us()), entry.is_request() });
     for (const auto& entry : message.quarantined_parts())
-        report.quarantined.push_back({ entry.part(), age(entry.age_us()) });
-    this->relay.quarantine.onPeerReport(report, now);
+        report.quarantined.push_back({ entry.part(), age(entry.age_us()), entry.is_request() });
+    this->relay.quarantine.onPeerReport(report, now, message.node());
 }
 
 void PeerLink::sendBeacons(TimePoint now)
--- a/src/edge/PromptQuarantine.cpp
+++ b/src/edge/PromptQuarantine.cpp
@@ -1,4 +1,4 @@
-// Counts the crashes in which a part was lost, and keeps the list of parts in quarantine.
+// Counts the crashes in which a part or a request was lost, and keeps the list of those in quarantine.
 #include "edge/PromptQuarantine.h"
 
 #include <algorithm>
@@ -7,7 +7,8 @@
 
 namespace {
 
-constexpr int forgottenAfter = 2; // quarantine times; no request has probed the part meanwhile
+constexpr int forgottenAfter = 2;      // quarantine times; no request has probed the suspect meanwhile
+constexpr size_t crashesOfSuspect = 2; // from here on a request is not sent a second time
 
 constexpr size_t maxPartsPerPrompt = 64; // that are looked at; keeps a prompt of very many parts from filling beacons and the memory
 
@@ -19,22 +20,36 @@
 
 // ---- What happened
 
-void PromptQuarantine::onBegan(std::span<const PartKey> parts, TimePoint now)
+void PromptQuarantine::onBegan(PartKey key, TimePoint now)
 {
-    for (const PartKey part : bounded(parts)) {
-        if (this->ownBegunAt.size() >= this->settings.maxParts && !this->ownBegunAt.contains(part))
-            std::erase_if(this->ownBegunAt, [&](const auto& item) { return now - item.second >= this->settings.knownTime / 2; });
-        if (this->ownBegunAt.size() < this->settings.maxParts || this->ownBegunAt.contains(part))
-            this->ownBegunAt[part] = now;
-        if (this->release(part, true))
-            this->releasedAt[part] = now;
-    }
+    if (this->ownBegunAt.size() >= this->settings.maxParts && !this->ownBegunAt.contains(key))
+        std::erase_if(this->ownBegunAt, [&](const auto& item) { return now - item.second >= this->settings.knownTime / 2; });
+    if (this->ownBegunAt.size() < this->settings.maxParts || this->ownBegunAt.contains(key))
+        this->ownBegunAt[key] = now;
+    if (this->release(key, true))
+        this->releasedAt[key] = now;
 }
 
-void PromptQuarantine::onLost(uint64_t target, uint64_t prompt, std::span<const PartKey> parts, TimePoint now)
+void PromptQuarantine::onBegan(std::span<const PartKey> parts, TimePoint now, RequestKey request)
 {
-    if (!parts.empty())
-        this->addLost(target, now, { prompt, { parts.begin(), parts.end() }, true }, now);
+    for (const PartKey part : bounded(parts))
+        this->onBegan(part, now);
+    // Sound requests are not remembered one by one.
+    if (request != 0 && this->isInQuestion(request))
+        this->onBegan(request, now);
+}
+
+bool PromptQuarantine::isInQuestion(RequestKey request) const
+{
+    return this->quarantined.contains(request) || std::any_of(this->crashes.begin(), this->crashes.end(), [&](const Crash& crash) {
+        return std::any_of(crash.lost.begin(), crash.lost.end(), [&](const Lost& lost) { return lost.request == request; });
+    });
+}
+
+void PromptQuarantine::onLost(uint64_t target, uint64_t prompt, std::span<const PartKey> parts, TimePoint now, RequestKey request)
+{
+    if (!parts.empty() || request != 0)
+        this->addLost(target, now, { prompt, { parts.begin(), parts.end() }, request, true }, now);
 }
 
 void PromptQuarantine::addLost(uint64_t target, TimePoint at, Lost lost, TimePoint now)
@@ -47,12 +62,13 @@
         this->crashes.push_back({ target, at, now, {} });
         crash = std::prev(this->crashes.end());
     }
-    const bool isKnown
-        = std::any_of(crash->lost.begin(), crash->lost.end(), [&](const Lost& known) { return known.prompt == lost.prompt; });
+    const bool isKnown = std::any_of(crash->lost.begin(), crash->lost.end(),
+        [&](const Lost& known) { return known.prompt == lost.prompt && known.request == lost.request; });
     lost.parts.resize(std::min(lost.parts.size(), maxPartsPerPrompt));
     if (isKnown || crash->lost.size() >= this->settings.maxLostPerCrash)
         return;
     crash->lost.push_back(std::move(lost));
+    this->lastLossAt = now;
     ++this->changeCount;
 }
 
@@ -74,11 +90,27 @@
 
 // ---- What follows from it
 
-bool PromptQuarantine::isExplained(const Crash& crash) const
+PromptQuarantine::Explanation PromptQuarantine::explanation(const Crash& crash) const
 {
-    return std::any_of(crash.lost.begin(), crash.lost.end(), [&](const Lost& lost) {
-        return std::any_of(lost.parts.begin(), lost.parts.end(), [&](PartKey part) { return this->quarantined.contains(part); });
-    });
+    bool byRequest = false;
+    for (const Lost& lost : crash.lost) {
+        if (std::any_of(lost.parts.begin(), lost.parts.end(), [&](PartKey part) { return this->quarantined.contains(part); }))
+            return Explanation::Part;
+        byRequest = byRequest || this->quarantined.contains(lost.request);
+    }
+    return byRequest ? Explanation::Request : Explanation::None;
+}
+
+// Connections may be lost without their target: an answer after them shows it. A target that starts again takes longer than that.
+void PromptQuarantine::judgeCrashes(TimePoint now)
+{
+    for (Crash& crash : this->crashes) {
+        if (crash.isJudged || now - crash.heardAt < this->settleTime)
+            continue;
+        crash.isJudged = true;
+        const auto answeredAt = this->lastAnswer ? this->lastAnswer(crash.target) : std::nullopt;
+        crash.isDismissed = answeredAt && *answeredAt > crash.at + this->settings.answerMargin;
+    }
 }
 
 void PromptQuarantine::Count::add(const Crash& crash, const Lost& lost, size_t partPosition, Duration spacing)
@@ -88,9 +120,11 @@
         this->prompts.push_back(lost.prompt);
     if (!contains(this->targets, crash.target))
         this->targets.push_back(crash.target);
+    this->in.push_back(&crash);
     if (this->countedAt && std::chrono::abs(crash.at - *this->countedAt) < spacing)
         return;
     this->countedAt = crash.at;
+    this->countedHeardAt.push_back(crash.heardAt);
     ++this->crashes;
 }
 
@@ -98,9 +132,13 @@
 {
     std::unordered_map<PartKey, Count> counts;
     for (const Crash& crash : this->crashes) {
-        if (this->isExplained(crash))
+        const Explanation explained = this->explanation(crash);
+        if (crash.isDismissed || explained == Explanation::Part)
             continue;
         for (const Lost& lost : crash.lost) {
+            // What has crashed the target is this request, but perhaps for a part that others have too.
+            if (explained == Explanation::Request && !this->quarantined.contains(lost.request))
+                continue;
             for (size_t i = 0; i < lost.parts.size(); ++i) {
                 if (this->hasBegunSince(lost.parts[i], crash.at))
                     continue;
@@ -114,6 +152,52 @@
     return counts;
 }
 
+// Of the crashes whose time has settled: until then peers may know of an answer that clears a request.
+std::unordered_map<RequestKey, PromptQuarantine::Count> PromptQuarantine::countRequests(TimePoint now) const
+{
+    std::unordered_map<RequestKey, Count> counts;
+    for (const Crash& crash : this->crashes) {
+        if (now - crash.heardAt < this->settleTime || crash.isDismissed || this->explanation(crash) != Explanation::None)
+            continue;
+        for (const Lost& lost : crash.lost) {
+            if (lost.request != 0 && !this->hasBegunSince(lost.request, crash.at))
+                counts[lost.request].add(crash, lost, 0, this->settings.requestCrashSpacing);
+        }
+    }
+    return counts;
+}
+
+// The requests that were lost most often, if that is often enough. Several at once were lost in the same crashes: before they are all
+// taken for culprits, there is time for the answers that clear the bystanders.
+std::vector<RequestKey> PromptQuarantine::culpritRequests(const std::unordered_map<RequestKey, Count>& counts, TimePoint now) const
+{
+    const Count* most = nullptr;
+    for (const auto& [request, count] : counts) {
+        if (count.crashes >= this->settings.minCrashes && count.targets.size() >= this->settings.minTargets
+            && (!most || count.crashes > most->crashes))
+            most = &count;
+    }
+    std::vector<RequestKey> culprits;
+    if (!most)
+        return culprits;
+    for (const auto& [request, count] : counts) {
+        if (count.in == most->in)
+            culprits.push_back(request);
+    }
+    const TimePoint provedAt = most->countedHeardAt[this->settings.minCrashes - 1];
+    if (culprits.size() > 1 && now - provedAt < this->settleTime + this->settings.rivalTime)
+        culprits.clear();
+    return culprits;
+}
+
+size_t PromptQuarantine::crashesOf(RequestKey request) const
+{
+    return static_cast<size_t>(std::count_if(this->crashes.begin(), this->crashes.end(), [&](const Crash& crash) {
+        return !crash.isDismissed && !this->hasBegunSince(request, crash.at)
+            && std::any_of(crash.lost.begin(), crash.lost.end(), [&](const Lost& lost) { return lost.request == request; });
+    }));
+}
+
 // Of the parts that are in as many crashes as any other, or one fewer, the most specific: keeping it out refuses the fewest requests. One
 // crash makes no difference, since a less specific part is also in the prompts of bystanders.
 std::optional<PartKey> PromptQuarantine::likeliest(const std::unordered_map<PartKey, Count>& counts, bool begun) const
@@ -151,33 +235,73 @@
     return std::nullopt;
 }
 
-void PromptQuarantine::quarantine(PartKey part, size_t crashCount, TimePoint since)
+void PromptQuarantine::convict(PartKey key, const Count& count, bool isRequest, TimePoint now)
 {
-    if (this->quarantined.size() >= this->settings.maxQuarantined && !this->quarantined.contains(part))
-        return;
-    this->quarantined[part] = { since, std::nullopt };
-    this->pendingChanges.push_back({ part, true, crashCount, crashCount > 0 });
+    std::vector<std::string_view> names;
+    for (const Crash* crash : count.in) {
+        for (const Lost& lost : crash->lost) {
+            const std::string_view name = lost.isOwn ? std::string_view("this node") : std::string_view(lost.seenBy);
+            if (std::find(names.begin(), names.end(), name) == names.end())
+                names.push_back(name);
+        }
+    }
+    std::string seenBy;
+    for (const std::string_view name : names)
+        (seenBy += seenBy.empty() ? "" : ",") += name;
+    this->quarantine(key, count.crashes, now, isRequest, std::move(seenBy));
+}
+
+void PromptQuarantine::quarantine(PartKey part, size_t crashCount, TimePoint since, bool isRequest, std::string seenBy)
+{
+    if (this->quarantined.size() >= this->settings.maxQuarantined && !this->quarantined.contains(part)) {
+        if (crashCount == 0)
+            return; // a peer's
+        const auto oldest = std::min_element(this->quarantined.begin(), this->quarantined.end(),
+            [](const auto& a, const auto& b) { return a.second.since < b.second.since; });
+        this->quarantined.erase(oldest);
+    }
+    const size_t kept = this->keptBack(part);
+    this->quarantined[part] = { since, std::nullopt, isRequest, kept };
+    this->pendingChanges.push_back({ part, true, crashCount, crashCount > 0, isRequest, std::move(seenBy) });
     ++this->changeCount;
 }
 
+size_t PromptQuarantine::keptBack(PartKey key) const
+{
+    const auto found = this->quarantined.find(key);
+    return found == this->quarantined.end() ? 0 : found->second.keptBack;
+}
+
 bool PromptQuarantine::release(PartKey part, bool isOwn)
 {
-    if (this->quarantined.erase(part) == 0)
+    const auto found = this->quarantined.find(part);
+    if (found == this->quarantined.end())
         return false;
-    this->pendingChanges.push_back({ part, false, 0, isOwn });
+    this->pendingChanges.push_back({ part, false, 0, isOwn, found->second.isRequest, {} });
+    this->quarantined.erase(found);
     ++this->changeCount;
     return true;
 }
 
+bool PromptQuarantine::lift(PartKey key, TimePoint now)
+{
+    if (!this->quarantined.contains(key))
+        return false;
+    this->onBegan(key, now); // what an answer would do
+    return true;
+}
+
 void PromptQuarantine::renewAfterProbe(TimePoint now)
 {
     for (const Crash& crash : this->crashes) {
         for (const Lost& lost : crash.lost) {
-            for (const PartKey part : lost.parts) {
-                const auto found = this->quarantined.find(part);
+            const auto renew = [&](PartKey key) {
+                const auto found = this->quarantined.find(key);
                 if (found != this->quarantined.end() && found->second.probedAt && crash.at >= *found->second.probedAt)
-                    this->quarantine(part, 1, now);
-            }
+                    this->quarantine(key, 1, now, found->second.isRequest);
+            };
+            std::for_each(lost.parts.begin(), lost.parts.end(), renew);
+            renew(lost.request);
         }
     }
 }
@@ -192,16 +316,37 @@
     std::erase_if(this->releasedAt, [&](const auto& item) { return now - item.second >= this->settings.releaseReportTime; });
 }
 
+// A part explains more than a request that holds it, so parts go first.
+void PromptQuarantine::convictAll(TimePoint now)
+{
+    // After that, what this node hears only clears suspects, unless more requests are lost.
+    if (this->decidedAt > this->lastLossAt + this->settleTime + this->settings.rivalTime)
+        return;
+    this->decidedAt = now;
+    for (size_t i = 0; i < this->settings.maxCrashes; ++i) {
+        const auto counts = this->countParts();
+        const auto culprit = this->nextCulprit(counts, now);
+        if (!culprit)
+            break;
+        this->convict(*culprit, counts.at(*culprit), false, now);
+    }
+    for (size_t i = 0; i < this->settings.maxCrashes; ++i) {
+        const auto counts = this->countRequests(now);
+        const auto culprits = this->culpritRequests(counts, now);
+        if (culprits.empty())
+            break;
+        for (const RequestKey request : culprits)
+            this->convict(request, counts.at(request), true, now);
+    }
+}
+
 std::vector<PromptQuarantine::Change> PromptQuarantine::decide(TimePoint now)
 {
     this->expire(now);
     if (!this->crashes.empty()) {
+        this->judgeCrashes(now);
         this->renewAfterProbe(now);
-        for (auto counts = this->countParts(); const auto culprit = this->nextCulprit(counts, now); counts = this->countParts()) {
-            if (this->quarantined.size() >= this->settings.maxQuarantined)
-                break;
-            this->quarantine(*culprit, counts.at(*culprit).crashes, now);
-        }
+        this->convictAll(now);
     }
     return std::exchange(this->pendingChanges, {});
 }
@@ -214,36 +359,47 @@
         && (!entry.probedAt || now - *entry.probedAt >= this->settings.probeTime);
 }
 
-bool PromptQuarantine::blocks(std::span<const PartKey> parts, TimePoint now)
+bool PromptQuarantine::blocks(std::span<const PartKey> parts, TimePoint now, RequestKey request)
 {
     if (this->quarantined.empty())
         return false;
-    const bool blocked = std::any_of(parts.begin(), parts.end(), [&](PartKey part) {
-        const auto found = this->quarantined.find(part);
-        return found != this->quarantined.end() && !this->allows(found->second, now);
-    });
-    if (blocked)
+    std::vector<Quarantine*> entries;
+    const auto add = [&](PartKey key) {
+        if (const auto found = this->quarantined.find(key); found != this->quarantined.end())
+            entries.push_back(&found->second);
+    };
+    std::for_each(parts.begin(), parts.end(), add);
+    if (request != 0)
+        add(request);
+    const auto blocking = std::find_if(entries.begin(), entries.end(), [&](const Quarantine* entry) { return !this->allows(*entry, now); });
+    if (blocking != entries.end()) {
+        ++(*blocking)->keptBack;
         return true;
-    for (const PartKey part : parts) {
-        if (const auto found = this->quarantined.find(part); found != this->quarantined.end())
-            found->second.probedAt = now;
     }
+    for (Quarantine* entry : entries)
+        entry->probedAt = now;
     return false;
 }
 
-bool PromptQuarantine::isBlocked(std::span<const PartKey> parts, TimePoint now) const
+bool PromptQuarantine::isBlockedBy(PartKey key, TimePoint now) const
 {
-    return std::any_of(parts.begin(), parts.end(), [&](PartKey part) {
-        const auto found = this->quarantined.find(part);
-        if (found == this->quarantined.end())
-            return false;
-        const auto& probedAt = found->second.probedAt;
-        return !probedAt || now - *probedAt >= this->settings.probeTime;
-    });
+    const auto found = this->quarantined.find(key);
+    if (found == this->quarantined.end())
+        return false;
+    const auto& probedAt = found->second.probedAt;
+    return !probedAt || now - *probedAt >= this->settings.probeTime;
 }
 
-bool PromptQuarantine::isSuspect(uint64_t prompt, std::span<const PartKey> parts) const
+bool PromptQuarantine::isBlocked(std::span<const PartKey> parts, TimePoint now, RequestKey request) const
 {
+    return (request != 0 && this->isBlockedBy(request, now))
+        || std::any_of(parts.begin(), parts.end(), [&](PartKey part) { return this->isBlockedBy(part, now); });
+}
+
+bool PromptQuarantine::isSuspect(uint64_t prompt, std::span<const PartKey> parts, RequestKey request) const
+{
+    if (request != 0 && this->crashesOf(request) >= crashesOfSuspect)
+        return true;
     return std::any_of(this->crashes.begin(), this->crashes.end(), [&](const Crash& crash) {
         return std::any_of(crash.lost.begin(), crash.lost.end(), [&](const Lost& lost) {
             return lost.prompt != prompt && std::any_of(lost.parts.begin(), lost.parts.end(), [&](PartKey part) {
@@ -278,19 +434,30 @@
     };
     for (const auto& [part, at] : this->releasedAt)
         ask(part);
-    for (size_t i = this->crashes.size(); i > 0; --i) { // the newest first
+    std::vector<std::pair<const Crash*, const Lost*>> own; // to be told, the newest first
+    for (size_t i = this->crashes.size(); i > 0; --i) {
         const Crash& crash = this->crashes[i - 1];
         const bool isNew = now - crash.heardAt < this->settings.reportTime + this->settleTime;
         if (!isNew)
             continue;
         for (const Lost& lost : crash.lost) {
             std::for_each(lost.parts.begin(), lost.parts.end(), ask);
-            if (lost.isOwn && result.lost.size() < this->settings.maxReportedStreams)
-                result.lost.push_back({ crash.target, lost.prompt, now - crash.at, lost.parts });
+            if (lost.request != 0)
+                ask(lost.request);
+            if (lost.isOwn)
+                own.emplace_back(&crash, &lost);
         }
     }
+    // What was lost before goes first, where not all fit into a report.
+    if (own.size() > this->settings.maxReportedStreams)
+        std::stable_partition(own.begin(), own.end(),
+            [&](const auto& item) { return item.second->request != 0 && this->crashesOf(item.second->request) >= crashesOfSuspect; });
+    own.resize(std::min(own.size(), this->settings.maxReportedStreams));
+    for (const auto& [crash, lost] : own)
+        result.lost.push_back({ crash->target, lost->prompt, now - crash->at, lost->parts, lost->request });
     result.quarantined = this->list(now);
-    result.quarantined.resize(std::min(result.quarantined.size(), this->settings.maxReportedParts));
+    std::sort(result.quarantined.begin(), result.quarantined.end(), [](const PartAge& a, const PartAge& b) { return a.age < b.age; });
+    result.quarantined.resize(std::min(result.quarantined.size(), this->settings.maxReportedParts)); // the store lists them all
     return result;
 }
 
@@ -298,15 +465,15 @@
 {
     std::vector<PartAge> result;
     for (const auto& [part, entry] : this->quarantined)
-        result.push_back({ part, now - entry.since });
+        result.push_back({ part, now - entry.since, entry.isRequest });
     return result;
 }
 
-void PromptQuarantine::onPeerReport(const QuarantineReport& report, TimePoint now)
+void PromptQuarantine::onPeerReport(const QuarantineReport& report, TimePoint now, std::string_view peer)
 {
     for (const LostStream& lost : report.lost) {
-        if (!lost.parts.empty())
-            this->addLost(lost.target, now - lost.age, { lost.prompt, lost.parts, false }, now);
+        if (!lost.parts.empty() || lost.request != 0)
+            this->addLost(lost.target, now - lost.age, { lost.prompt, lost.parts, lost.request, false, std::string(peer) }, now);
     }
     for (const PartAge& begun : report.begun) {
         if (this->peerBegunAt.size() >= this->settings.maxParts && !this->peerBegunAt.contains(begun.part))
@@ -325,7 +492,7 @@
         const bool isRenewed = known != this->quarantined.end() && since > known->second.since + this->settings.renewalMargin;
         const bool isReleased = this->hasBegunSince(entry.part, since - this->settings.renewalMargin);
         if ((known == this->quarantined.end() && !isReleased) || isRenewed)
-            this->quarantine(entry.part, 0, since);
+            this->quarantine(entry.part, 0, since, entry.isRequest);
     }
 }
 
--- a/src/edge/PromptQuarantine.h
+++ b/src/edge/PromptQuarantine.h
@@ -1,24 +1,27 @@
-// Finds prompt parts that crash targets, and keeps requests with such a part from all targets.
+// Finds prompt parts and whole requests that crash targets, and keeps them from all targets.
 //
-// A target that ends loses all its streams, so each crash has one culprit and several bystanders. A part that crashes targets shows in
-// two ways: it is in the prompt of a lost stream of crash after crash, in different prompts, and no stream with it ever delivers an
-// event. All nodes tell each other their lost streams, and, for the parts in question, when a stream with it last delivered an event.
-// Each node draws the conclusion by itself and passes it on, so that a node that starts later knows it too.
+// A target that ends loses all its requests, so each crash has one culprit and several bystanders. Two kinds of suspects are compared
+// over all crashes: a part of a prompt, which is lost in crash after crash in different prompts, and a request, which is lost itself each
+// time it is repeated. Neither ever delivers an event or gets an answer. All nodes tell each other their lost requests, and, for the
+// suspects, when one of them last began its answer. Each node draws the conclusion by itself and passes it on, so that a node that starts
+// later knows it too.
 //
 // Index
-//   LostStream           a stream whose target ended before its first event
-//   PartAge              a part, and how long ago something was seen of it
+//   LostStream           a request whose target ended before it began to answer
+//   PartAge              a suspect, and how long ago something was seen of it
 //   QuarantineReport     what a node tells its peers
 //   QuarantineSettings
-//   PromptQuarantine     onBegan, onLost, decide; blocks, isSuspect; report, onPeerReport
+//   PromptQuarantine     onBegan, onLost, decide; blocks, isBlocked, isSuspect, lift; report, onPeerReport
 //
-//   if (quarantine.blocks(parts, now))
+//   if (quarantine.blocks(parts, now, request))
 //       refuse the request
 #pragma once
 
 #include "core/Types.h"
 
 #include <deque>
+#include <functional>
+#include <string>
 #include <unordered_map>
 
 namespace guavapond::edge {
@@ -31,12 +34,14 @@
     uint64_t prompt = 0; // hash of the whole prompt; a repeat of the request has the same
     Duration age {};     // since its target ended
     std::vector<PartKey> parts;
+    RequestKey request = 0; // equal for repeats; 0: told by a node of an earlier version
     bool operator==(const LostStream&) const = default;
 };
 
 struct PartAge {
-    PartKey part = 0;
+    PartKey part = 0; // or the key of a request
     Duration age {};
+    bool isRequest = false;
     bool operator==(const PartAge&) const = default;
 };
 
@@ -52,6 +57,10 @@
     size_t minCrashesOfKnown = 6;                           // of a part that has delivered events before
     size_t minTargets = 2;                                  // that ended; one alone may be faulty itself
     Duration crashSpacing = std::chrono::milliseconds(300); // crashes closer together count as one: they may have a common outside cause
+    // The same for crashes of one request, which is at one target at a time: copies of it at several targets may have such a cause.
+    Duration requestCrashSpacing = std::chrono::milliseconds(50);
+    Duration rivalTime = std::chrono::seconds(1); // a request that shares its crashes with another one is decided on this much later
+    Duration answerMargin = std::chrono::milliseconds(50); // bytes that are read this long after a crash were under way before it
     Duration quarantineTime = std::chrono::minutes(10);
     Duration probeTime = std::chrono::seconds(30);    // after it one more request may probe whether the part still crashes targets
     Duration knownTime = std::chrono::minutes(10);    // how long crashes and events are remembered
@@ -70,14 +79,19 @@
 class PromptQuarantine {
 public:
     struct Change {
-        PartKey part = 0;
+        PartKey part = 0;           // or the key of a request
         bool isQuarantined = false; // false: released
         size_t crashes = 0;         // that led to it; 0: told by a peer
         bool isOwn = false;         // decided, or released, by what this node knows by itself
+        bool isRequest = false;
+        std::string seenBy; // the nodes that saw these crashes, joined by commas
     };
+    // Last byte of an answer of the target, by the hash of its id; empty: none.
+    using LastAnswer = std::function<std::optional<TimePoint>(uint64_t target)>;
 
-    explicit PromptQuarantine(const QuarantineSettings& settings)
+    explicit PromptQuarantine(const QuarantineSettings& settings, LastAnswer lastAnswer = {})
         : settings(settings)
+        , lastAnswer(std::move(lastAnswer))
     {
     }
 
@@ -85,63 +99,96 @@
     void setSettleTime(Duration value) { this->settleTime = value; }
     void setProbing(bool value) { this->isProbing = value; } // this node probes parts whose quarantine has ended; one node at a time does
 
-    void onBegan(std::span<const PartKey> parts, TimePoint now); // a stream with these parts delivered an event
-    void onLost(uint64_t target, uint64_t prompt, std::span<const PartKey> parts, TimePoint now);
+    // While it is false no key of a request is needed below. A key is a hash of the whole request, so it is not computed for nothing.
+    bool needsRequestKeys() const { return !this->crashes.empty() || !this->quarantined.empty(); }
+    // A stream with these parts delivered an event, or the request got an answer.
+    void onBegan(std::span<const PartKey> parts, TimePoint now, RequestKey request = 0);
+    void onLost(uint64_t target, uint64_t prompt, std::span<const PartKey> parts, TimePoint now, RequestKey request = 0);
     std::vector<Change> decide(TimePoint now); // call often; returns what has changed since the last call
 
-    bool blocks(std::span<const PartKey> parts, TimePoint now);          // false may start the probe of a part
-    bool isBlocked(std::span<const PartKey> parts, TimePoint now) const; // for a request that passed blocks(): starts no probe
-    // A part was lost in a crash with another prompt as well, and is not known to have delivered an event.
-    bool isSuspect(uint64_t prompt, std::span<const PartKey> parts) const;
+    bool blocks(std::span<const PartKey> parts, TimePoint now, RequestKey request = 0); // false may start the probe of a suspect
+    // The same for a request that passed blocks(): starts no probe.
+    bool isBlocked(std::span<const PartKey> parts, TimePoint now, RequestKey request = 0) const;
+    bool isRequestBlocked(RequestKey request, TimePoint now) const { return this->isBlocked({}, now, request); }
+    // A part was lost in a crash with another prompt as well, and is not known to have delivered an event; or the request was lost in two
+    // crashes and has not been answered since.
+    bool isSuspect(uint64_t prompt, std::span<const PartKey> parts, RequestKey request = 0) const;
     Duration retryAfter(std::span<const PartKey> parts, TimePoint now) const; // until the quarantine ends
+    bool lift(PartKey key, TimePoint now);                                    // by an operator; false: not in quarantine
     size_t size() const { return this->quarantined.size(); }
     Duration quarantineTime() const { return this->settings.quarantineTime; }
-    std::vector<PartAge> list(TimePoint now) const; // parts in quarantine, and since when
+    std::vector<PartAge> list(TimePoint now) const; // suspects in quarantine, and since when
+    size_t keptBack(PartKey key) const;             // requests that this node kept from targets for it
 
     QuarantineReport report(TimePoint now) const;
-    void onPeerReport(const QuarantineReport& report, TimePoint now);
+    void onPeerReport(const QuarantineReport& report, TimePoint now, std::string_view peer = {});
     uint64_t changes() const { return this->changeCount; } // grows with each change of report() but for ages
 
 private:
     struct Lost {
         uint64_t prompt = 0;
         std::vector<PartKey> parts;
-        bool isOwn = false; // seen by this node
+        RequestKey request = 0;
+        bool isOwn = false;    // seen by this node
+        std::string seenBy {}; // the peer that told of it
     };
     struct Crash {
         uint64_t target = 0;
         TimePoint at {};
         TimePoint heardAt {}; // when this node first knew of it
         std::vector<Lost> lost;
+        bool isJudged = false;    // whether it is a crash
+        bool isDismissed = false; // the target went on answering: connections were lost, not the target
     };
     struct Quarantine {
         TimePoint since {};
-        std::optional<TimePoint> probedAt; // a request was let through to probe the part
+        std::optional<TimePoint> probedAt {}; // a request was let through to probe the suspect
+        bool isRequest = false;
+        size_t keptBack = 0; // requests, by this node
     };
     struct Count {
-        std::vector<uint64_t> prompts;      // different ones
-        std::vector<uint64_t> targets;      // different ones
-        size_t crashes = 0;                 // apart from each other by crashSpacing
-        std::optional<TimePoint> countedAt; // the last of these
-        size_t position = 0;                // in the prompt; later parts are more specific
-        TimePoint heardAt {};               // of the first crash
+        std::vector<uint64_t> prompts;         // different ones
+        std::vector<uint64_t> targets;         // different ones
+        size_t crashes = 0;                    // apart from each other by crashSpacing
+        std::optional<TimePoint> countedAt;    // the last of these
+        size_t position = 0;                   // in the prompt; later parts are more specific
+        TimePoint heardAt {};                  // of the first crash
+        std::vector<TimePoint> countedHeardAt; // when this node first knew of each crash that counts
+        std::vector<const Crash*> in;          // the crashes
         void add(const Crash& crash, const Lost& lost, size_t partPosition, Duration spacing);
     };
 
     void addLost(uint64_t target, TimePoint at, Lost lost, TimePoint now);
     std::optional<TimePoint> begunAt(PartKey part) const; // last event of a stream with the part, at any node
     bool hasBegunSince(PartKey part, TimePoint time) const;
-    bool isExplained(const Crash& crash) const; // by a part that is in quarantine
+    enum class Explanation : uint8_t {
+        None,
+        Request, // a request in quarantine was lost in the crash
+        Part,    // a part in quarantine was
+    };
+    Explanation explanation(const Crash& crash) const;
+    void judgeCrashes(TimePoint now);
     std::unordered_map<PartKey, Count> countParts() const;
+    std::unordered_map<RequestKey, Count> countRequests(TimePoint now) const;
+    std::vector<RequestKey> culpritRequests(const std::unordered_map<RequestKey, Count>& counts, TimePoint now) const;
+    size_t crashesOf(RequestKey request) const; // in which it was lost without an answer since
+    bool isInQuestion(RequestKey request) const;
     std::optional<PartKey> likeliest(const std::unordered_map<PartKey, Count>& counts, bool begun) const;
     std::optional<PartKey> nextCulprit(const std::unordered_map<PartKey, Count>& counts, TimePoint now) const;
-    void quarantine(PartKey part, size_t crashes, TimePoint since);
+    void convictAll(TimePoint now);
+    void convict(PartKey key, const Count& count, bool isRequest, TimePoint now);
+    void quarantine(PartKey part, size_t crashes, TimePoint since, bool isRequest, std::string seenBy = {});
     bool release(PartKey part, bool isOwn); // false: it was not in quarantine
+    void onBegan(PartKey key, TimePoint now);
+    bool isBlockedBy(PartKey key, TimePoint now) const;
     void renewAfterProbe(TimePoint now);
     void expire(TimePoint now);
     bool allows(const Quarantine& entry, TimePoint now) const; // one probe
 
     QuarantineSettings settings;
+    LastAnswer lastAnswer;   // empty: no crash is dismissed
+    TimePoint lastLossAt {}; // when this node last heard of a lost request
+    TimePoint decidedAt {};  // last time at which the crashes were compared
     Duration settleTime {};
     bool isProbing = true;
     std::deque<Crash> crashes;                          // oldest first
--- a/src/edge/QuarantineRecord.cpp
+++ b/src/edge/QuarantineRecord.cpp
@@ -28,7 +28,7 @@
     if (!change.isQuarantined && change.isOwn)
         this->hooks.remove(change.part);
     else if (change.isQuarantined && this->hooks.isWriter(now))
-        this->write({ change.part, Duration::zero() });
+        this->write({ change.part, Duration::zero(), change.isRequest });
 }
 
 void QuarantineRecord::write(const PartAge& part)
--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -306,12 +306,25 @@
         exchange->leaveStalledTarget();
 }
 
+std::optional<TimePoint> Relay::lastAnswerAt(uint64_t targetHash) const
+{
+    for (const auto& [name, service] : this->byService) {
+        if (const auto target = service->targets.find(targetHash))
+            return service->targets.lastAnswerAt(*target);
+    }
+    return std::nullopt;
+}
+
 void Relay::updateQuarantine(TimePoint now)
 {
     const auto changes = this->quarantine.decide(now);
     for (const PromptQuarantine::Change& change : changes) {
-        log(LogLevel::Warn, change.isQuarantined ? "prompt part quarantined" : "prompt part released",
-            { { "part", partText(change.part) }, { "crashes", change.crashes }, { "from", change.isOwn ? "this node" : "peer" } });
+        const std::string_view message = change.isRequest ? (change.isQuarantined ? "request quarantined" : "request released")
+            : change.isQuarantined                        ? "prompt part quarantined"
+                                                          : "prompt part released";
+        log(LogLevel::Warn, message,
+            { { change.isRequest ? "requestKey" : "part", partText(change.part) }, { "crashes", change.crashes },
+                { "from", change.isOwn ? "this node" : "peer" }, { "seenBy", change.seenBy } });
     }
     std::for_each(changes.begin(), changes.end(), this->quarantineChanged);
     const bool isAnyNew = std::any_of(changes.begin(), changes.end(), [](const auto& change) { return change.isQuarantined; });
--- a/src/edge/Relay.h
+++ b/src/edge/Relay.h
@@ -119,7 +119,7 @@
     Freshness freshness;
     WorkspaceQuota quota;
     SecondTryBudget secondTries;
-    PromptQuarantine quarantine { {} };
+    PromptQuarantine quarantine { {}, [this](uint64_t target) { return this->lastAnswerAt(target); } };
     Placement placement;
 
 private:
@@ -128,6 +128,7 @@
     Placement::Hooks placementHooks();
     void finished(const std::shared_ptr<Exchange>& exchange);
     void updateQuarantine(TimePoint now);
+    std::optional<TimePoint> lastAnswerAt(uint64_t targetHash) const; // of the target, to this node
     const std::string& chooseService(const Route& route);
     struct Refusal {
         unsigned status = 503;
--- a/src/edge/TargetPool.cpp
+++ b/src/edge/TargetPool.cpp
@@ -360,7 +360,11 @@
     t.prefillTokens += demand.promptTokens;
 }
 
-void TargetPool::progress(Index target, TimePoint now) { this->targets[target].lastProgress = now; }
+void TargetPool::progress(Index target, TimePoint now)
+{
+    this->targets[target].lastProgress = now;
+    this->targets[target].answeredAt = now;
+}
 
 void TargetPool::firstEvent(Index target, uint32_t promptTokens, uint32_t backlogTokens, Duration afterStart, TimePoint now)
 {
--- a/src/edge/TargetPool.h
+++ b/src/edge/TargetPool.h
@@ -185,8 +185,9 @@
     const TargetInfo& info(Index target) const { return this->targets[target].info; }
     bool isStalled(Index target, TimePoint now) const;   // silent for longer than maxSilence of its predicted first event
     Duration silence(Index target, TimePoint now) const; // time since the last byte of any answer
-    Duration maxSilence(Duration predictedFirst) const;  // longest silence of a healthy target, given the predicted time to a first event
-    bool hasVersion(std::string_view version) const;     // a target of this version is not leaving
+    std::optional<TimePoint> lastAnswerAt(Index target) const { return this->targets[target].answeredAt; } // to this node; last byte
+    Duration maxSilence(Duration predictedFirst) const; // longest silence of a healthy target, given the predicted time to a first event
+    bool hasVersion(std::string_view version) const;    // a target of this version is not leaving
     uint64_t inFlightOutside(std::string_view version) const; // this node's requests at targets of other versions
     size_t usableCount() const;                               // targets that are not leaving
     bool isUnresponsive(std::string_view id) const;           // requests to it have failed one after the other, without an answer since
@@ -230,7 +231,8 @@
         TimePoint pausedUntil {};
         bool probation = false; // was paused and has not answered since
         TimePoint lastProgress {};
-        TimePoint warmAt {}; // until then the target is slow after its start
+        std::optional<TimePoint> answeredAt; // last byte of an answer to this node
+        TimePoint warmAt {};                 // until then the target is slow after its start
         RequestLimit requestLimit;
     };
     struct CacheEntry {
--- a/tests/edge/EdgeFleet.h
+++ b/tests/edge/EdgeFleet.h
@@ -123,7 +123,8 @@
 
     // Sends one request on an open connection to the node, if there is one.
     // `parts` of the prompt, as ID:TOKENS entries; empty: not stated.
-    std::shared_ptr<FleetCall> call(size_t node, const std::string& parts = "", const std::string& body = "text")
+    std::shared_ptr<FleetCall> call(
+        size_t node, const std::string& parts = "", const std::string& body = "text", const std::string& path = "/x/stream")
     {
         auto call = std::make_shared<FleetCall>();
         call->node = node;
@@ -144,7 +145,7 @@
                 this->connections.release(used, edge::bootTime());
         };
         events.failed = [call](edge::ConnectionFault, bool) { call->answer.ended = true; };
-        connection->start("POST /x/stream HTTP/1.1\r\nHost: a.example\r\nGuavapond-Attempt-Id: " + call->attempt
+        connection->start("POST " + path + " HTTP/1.1\r\nHost: a.example\r\nGuavapond-Attempt-Id: " + call->attempt
                 + "\r\nGuavapond-Key: k\r\nGuavapond-Token-Count: 10,5\r\nGuavapond-Deadline-Ms: 5000\r\n"
                 + (parts.empty() ? "" : "Guavapond-Prompt-Prefix: " + parts + "\r\n") + "Content-Length: " + std::to_string(body.size())
                 + "\r\n\r\n",
--- a/tests/edge/RequestQuarantineProgramTest.cpp
+++ b/tests/edge/RequestQuarantineProgramTest.cpp
@@ -15,9 +15,10 @@
 
 // What arrives at the targets while one request in eight is the one that crashes them. Sound requests share all but their body.
 struct RepeatedTraffic {
-    RepeatedTraffic(size_t nodes, bool statesParts)
+    RepeatedTraffic(size_t nodes, bool statesParts, std::string path = "/x/stream")
         : fleet(nodes)
         , statesParts(statesParts)
+        , path(std::move(path))
     {
         for (int i = 0; i < 8; ++i) {
             this->fleet.addTarget();
@@ -45,7 +46,7 @@
             const std::string body = isCrashing ? "dead" : std::to_string(this->sent);
             // Nodes change with each repeat.
             const size_t node = (this->sent + this->sent / requestsPerRepeat) % this->fleet.nodes.size();
-            const auto call = this->fleet.call(node, this->statesParts ? "aa11:3," + body + ":4" : "", body);
+            const auto call = this->fleet.call(node, this->statesParts ? "aa11:3," + body + ":4" : "", body, this->path);
             if (isCrashing) {
                 this->crashing.insert(call->attempt);
                 this->repeats.push_back(call);
@@ -74,6 +75,7 @@
 
     EdgeFleet fleet;
     bool statesParts;
+    std::string path;
     size_t sent = 0;
     std::set<std::string> crashing; // attempts
     std::vector<std::shared_ptr<test::FleetCall>> repeats;
@@ -102,6 +104,45 @@
     CHECK_EQUAL_TEXT(traffic.sound.size(), static_cast<size_t>(served), "sound requests that were served");
 }
 
+// Guards against a refusal that sends callers round again, or that says less than the node knows.
+TEST(RequestQuarantineProgram, CallersOfARefusedRequestAreNotToldToReturn)
+{
+    RepeatedTraffic traffic(3, true);
+    CHECK(traffic.start());
+    traffic.play(5s);
+    const auto& answer = traffic.repeats.back()->answer;
+    CHECK(traffic.fleet.runUntil([&] { return answer.ended; }));
+    CHECK_EQUAL(503, answer.status);
+    CHECK(answer.body.find("the request crashes targets") != std::string::npos);
+    CHECK_EQUAL(0, answer.fields.count(edge::http::field::retry_after));
+}
+
+// Guards against a verdict that is forgotten when all processes end, so that the request crashes targets anew.
+TEST(RequestQuarantineProgram, RestartOfAllNodesKeepsTheVerdict)
+{
+    RepeatedTraffic traffic(3, true);
+    CHECK(traffic.start());
+    traffic.play(4s);
+    const size_t crashes = traffic.crashes.size();
+    CHECK(crashes >= crashesBeforeBound);
+    for (size_t node = 0; node < traffic.fleet.nodes.size(); ++node)
+        traffic.fleet.kill(node);
+    for (size_t node = 0; node < traffic.fleet.nodes.size(); ++node)
+        traffic.fleet.restart(node);
+    CHECK(traffic.fleet.runUntil([&] { return traffic.fleet.allReady(); }));
+    traffic.play(3s);
+    CHECK_EQUAL_TEXT(crashes, traffic.crashes.size(), "crashes after the restart");
+}
+
+// Guards against the same request at a plain service, whose answers have no events.
+TEST(RequestQuarantineProgram, RepeatsOfAPlainRequestStopReachingTargets)
+{
+    RepeatedTraffic traffic(3, false, "/x/plain");
+    CHECK(traffic.start());
+    traffic.play(8s);
+    traffic.checkBound();
+}
+
 // Guards against the same request being missed since it states no parts of its prompt.
 TEST(RequestQuarantineProgram, RepeatsWithoutPartsStopReachingTargets)
 {
