--- a/tests/edge/PromptQuarantineTest.cpp
+++ b/tests/edge/PromptQuarantineTest.cpp
@@ -109,6 +109,18 @@
     CHECK_EQUAL(0, this->quarantine.size());
 }
 
+// Guards against a sound part that is quarantined after many crashes of others, between which its streams deliver events.
+TEST(PromptQuarantine, SoundPartIsNotQuarantinedByCrashesOfOthers)
+{
+    this->began({ other });
+    for (int i = 0; i < 30; ++i) {
+        this->crash({ other });
+        CHECK_EQUAL(0, this->quarantine.size());
+        this->began({ other });
+        this->now += 100ms;
+    }
+}
+
 // Guards against a part that becomes fatal after an update of the targets, and was fine before.
 TEST(PromptQuarantine, PartThatWorkedBeforeNeedsMoreCrashes)
 {
