Break a stream off when the next target answers it with anything but events

It can happen here: a target that answers the rest of a stream with 2xx and no event stream had its body put into the stream, up to the end; error statuses were caught already.

Cause: only the status of the next answer decided whether it may continue a stream that has begun, not its type.

Test: RelayTest StreamThatHasBegunGoesOnWithEventsOrBreaksOff, eight kinds of answer. Failed before at a long text with status 200 (found in the caller's body) and passes now.

--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -324,8 +324,9 @@
         return HeadVerdict::Reject;
     if (!this->attempt->verdict && head.count(this->relay.settings.headers.requestLimit) == 0)
         this->onLimitAnswer(std::nullopt, head.result_int());
-    if (!this->attempt->verdict && this->life.state() == RequestState::Answering && head.result_int() >= 300)
-        this->attempt->verdict = AttemptOutcome::Failed; // the caller has a part of a stream, which only a stream can continue
+    // The caller has a part of a stream, which only a stream can continue.
+    if (!this->attempt->verdict && this->life.state() == RequestState::Answering && (head.result_int() >= 300 || !isEventStream(head)))
+        this->attempt->verdict = AttemptOutcome::Failed;
     const bool isEvents = !this->attempt->verdict && this->plan.route->kind == RouteKind::Streaming && isEventStream(head);
     this->form = isEvents ? AnswerForm::Events : AnswerForm::Buffered;
     const bool hasRun = !this->attempt->verdict || this->attempt->verdict == AttemptOutcome::Failed;
--- a/standins/edge/ScriptedServer.cpp
+++ b/standins/edge/ScriptedServer.cpp
@@ -20,7 +20,8 @@
     this->acceptor.async_accept([this](boost::system::error_code error, tcp::socket socket) {
         if (error)
             return;
-        this->read(std::make_shared<Peer>(std::move(socket)));
+        ++this->connections;
+        this->read(this->peers.emplace_back(std::make_shared<Peer>(std::move(socket))));
         this->accept();
     });
 }
@@ -38,6 +39,13 @@
         });
 }
 
+void ScriptedServer::push(const std::string& text)
+{
+    boost::system::error_code ignored; // the other side may have closed it
+    for (const auto& peer : this->peers)
+        net::write(peer->socket, net::buffer(text), ignored);
+}
+
 void ScriptedServer::repeat(const std::shared_ptr<Peer>& peer)
 {
     net::async_write(peer->socket, net::buffer(this->filler), [this, peer](boost::system::error_code error, size_t bytes) {
@@ -54,7 +62,7 @@
     constexpr std::string_view place = "{id}";
     const size_t at = head.find(field);
     const std::string id = at == std::string::npos ? "" : head.substr(at + field.size(), head.find('\r', at) - at - field.size());
-    peer->output = this->bytes;
+    peer->output = this->requests <= this->first.size() ? this->first[this->requests - 1] : this->bytes;
     for (size_t found = peer->output.find(place); found != std::string::npos; found = peer->output.find(place))
         peer->output.replace(found, place.size(), id);
     net::async_write(peer->socket, net::buffer(peer->output), [this, peer](boost::system::error_code error, size_t) {
@@ -64,6 +72,8 @@
             return this->read(peer);
         if (this->end == ScriptedEnd::Repeat)
             return this->repeat(peer);
+        if (this->end == ScriptedEnd::Stall)
+            return;
         if (this->end == ScriptedEnd::Reset)
             peer->socket.set_option(net::socket_base::linger(true, 0));
         peer->socket.close();
--- a/standins/edge/ScriptedServer.h
+++ b/standins/edge/ScriptedServer.h
@@ -14,6 +14,7 @@
     KeepOpen,
     Close,
     Reset,
+    Stall,  // nothing more is read on the connection
     Repeat, // the filler again and again until the other side closes
 };
 
@@ -23,6 +24,10 @@
     ScriptedServer(edge::net::io_context& loop, std::string bytes, ScriptedEnd end, std::string filler = {});
 
     edge::Address address() const { return { "127.0.0.1", this->acceptor.local_endpoint().port() }; }
+    void push(const std::string& text); // on all open connections, without a request
+
+    std::vector<std::string> first; // answers to the first requests, in place of the bytes
+    size_t connections = 0;
     size_t requests = 0;
     size_t repeated = 0; // bytes of the filler that were sent
     bool closed = false; // the other side closed a connection that the filler was sent on
@@ -42,6 +47,7 @@
     void repeat(const std::shared_ptr<Peer>& peer);
     void answer(const std::shared_ptr<Peer>& peer, const std::string& head);
 
+    std::vector<std::shared_ptr<Peer>> peers;
     std::string bytes;
     ScriptedEnd end;
     std::string filler;
--- a/tests/edge/RelayTest.cpp
+++ b/tests/edge/RelayTest.cpp
@@ -262,6 +262,40 @@
     }
 }
 
+// Guards against the error of the next target, or an orderly end, in the middle of a stream that has begun.
+TEST(Relay, StreamThatHasBegunGoesOnWithEventsOrBreaksOff)
+{
+    const auto answer = [](const std::string& status, const std::string& fields, const std::string& body) {
+        return "HTTP/1.1 " + status + "\r\nGuavapond-Attempt-Id: {id}\r\nGuavapond-Response-Seal: s\r\n" + fields
+            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    };
+    const std::string plain = "Content-Type: text/plain\r\n";
+    const std::vector<std::pair<const char*, std::string>> rows {
+        { "500", answer("500 Internal Server Error", plain, "intruder") },
+        { "404", answer("404 Not Found", plain, "intruder") },
+        { "302", answer("302 Found", plain + "Location: /intruder\r\n", "intruder") },
+        { "503 that has not run", answer("503 Service Unavailable", "Guavapond-Not-Executed: 1\r\n", "intruder") },
+        { "200 with a text", answer("200 OK", plain, "intruder") },
+        { "200 without a type", answer("200 OK", "", "intruder") },
+        { "200 with a long text", answer("200 OK", plain, std::string(2'000'000, 'i') + "intruder") },
+        { "204", "HTTP/1.1 204 No Content\r\nGuavapond-Attempt-Id: {id}\r\nGuavapond-Response-Seal: s\r\n\r\n" },
+    };
+    for (const auto& [name, bytes] : rows) {
+        EdgeWorld fresh;
+        fresh.setCatalog(fresh.catalog());
+        standins::RunnerSettings settings { .id = "r1", .address = {}, .events = 5, .eventGap = 60ms };
+        fresh.addRunner(settings, 4, "").fault = RunnerFault::BreaksMidway;
+        const auto caller = fresh.send("/resume/stream/x", "m1");
+        CHECK_TEXT(fresh.runUntil([&] { return !caller->body.empty(); }), name);
+        standins::ScriptedServer server(fresh.loop, bytes, standins::ScriptedEnd::KeepOpen);
+        fresh.addTarget("r2", server.address());
+        CHECK_TEXT(fresh.runUntilEnded(caller), name);
+        CHECK_EQUAL_TEXT(1, server.requests, name);
+        CHECK_TEXT(caller->body == "id: 1\ndata: piece 1\n\n", name);
+        CHECK_FALSE_TEXT(caller->complete, name);
+    }
+}
+
 // Guards against requests that wait until the route's timeout while all slots are taken, run although they were refused, or are refused
 // without Retry-After.
 TEST(Relay, RefusesRequestsWhenTargetsAreFull)
