Take an unnamed refusal on a connection that has served for no answer

It can happen here where the refusal names no request: a copy before the real answer was taken for the refusal of the request under way. A copy that names its request was skipped already; one on an idle connection, or behind a whole answer, closes the connection already.

Cause: a missing request id counted as the own one. Now such a refusal on a connection that has served is an invalid answer, so the outcome is unknown; on a new connection it can only be this request's.

--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -253,6 +253,10 @@
 {
     const WireHeaders& names = this->relay.settings.headers;
     const unsigned status = head.result_int();
+    const bool isRefusal = status == misdirectedRequest || head.count(names.notRun) > 0;
+    // On a connection that has served a request, a refusal that names none may be a copy of an earlier one.
+    if (isRefusal && this->attempt->reusedConnection && head.count(names.requestId) == 0)
+        return AttemptOutcome::Invalid;
     if (status == misdirectedRequest)
         return AttemptOutcome::Moved;
     if (head.count(names.notRun) > 0)
--- a/standins/edge/PlatformRunner.cpp
+++ b/standins/edge/PlatformRunner.cpp
@@ -99,11 +99,13 @@
     if (now == RunnerFault::OtherOwner || (!expected.empty() && expected != this->settings.id)) {
         auto answer = edge::makeResponse({ 421, "", "", {} });
         answer.set(instanceField, this->settings.id);
+        answer.set(idField, attempt);
         return caller->sendResponse(std::move(answer));
     }
     if (now == RunnerFault::Declines) {
         auto answer = edge::makeResponse({ 503, "", "", {} });
         answer.set(notRunField, "1");
+        answer.set(idField, attempt);
         this->onAnswer(attempt);
         for (const std::string& limit : this->requestLimits)
             answer.insert(limitField, limit);
--- a/tests/edge/RelayTest.cpp
+++ b/tests/edge/RelayTest.cpp
@@ -262,6 +262,56 @@
     }
 }
 
+// Guards against a copy of an earlier refusal that is taken for the answer to a request which runs, or has run, at the target.
+TEST(Relay, CopyOfARefusalRefusesNoOtherRequest)
+{
+    const std::string own = "HTTP/1.1 200 OK\r\nGuavapond-Attempt-Id: {id}\r\nGuavapond-Response-Seal: s\r\nContent-Length: 5\r\n\r\nyours";
+    const auto refusal = [](const std::string& status, const std::string& fields) {
+        return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: 0\r\n\r\n";
+    };
+    const std::string unnamed = refusal("503 Service Unavailable", "Guavapond-Not-Executed: 1\r\n");
+    const std::string unnamedMove = refusal("421 Misdirected Request", "");
+    const std::string ofFirst = refusal("503 Service Unavailable", "Guavapond-Not-Executed: 1\r\nGuavapond-Attempt-Id: c1\r\n");
+    struct Row {
+        const char* name;
+        std::string toFirst;
+        std::string whileIdle;
+        std::string toSecond;
+        unsigned secondStatus;
+    };
+    const std::vector<Row> rows {
+        { "before the answer, of the first request", own, "", ofFirst + own, 200 },
+        { "before the answer, without an id", own, "", unnamed + own, 502 },
+        { "before the answer, 421 without an id", own, "", unnamedMove + own, 502 },
+        { "in one packet with the answer before it", own + unnamed, "", own, 200 },
+        { "on the idle connection", own, unnamed, own, 200 },
+    };
+    for (const Row& row : rows) {
+        EdgeWorld fresh;
+        fresh.setCatalog(fresh.catalog());
+        standins::ScriptedServer server(fresh.loop, row.toSecond, standins::ScriptedEnd::KeepOpen);
+        server.first = { row.toFirst };
+        fresh.addTarget("r1", server.address());
+        const auto first = fresh.send("/once/x", "c1");
+        CHECK_TEXT(fresh.runUntilEnded(first), row.name);
+        CHECK_EQUAL_TEXT(200, first->status, row.name);
+        if (*row.whileIdle.c_str() != 0) {
+            server.push(row.whileIdle);
+            fresh.runFor(50ms);
+        }
+        const auto second = fresh.send("/once/x", "c2");
+        CHECK_TEXT(fresh.runUntilEnded(second), row.name);
+        CHECK_EQUAL_TEXT(row.secondStatus, second->status, row.name);
+    }
+    EdgeWorld fresh;
+    fresh.setCatalog(fresh.catalog());
+    standins::ScriptedServer server(fresh.loop, unnamed, standins::ScriptedEnd::KeepOpen);
+    fresh.addTarget("r1", server.address());
+    const auto answer = fresh.send("/once/x", "c1");
+    CHECK(fresh.runUntilEnded(answer));
+    CHECK_EQUAL_TEXT(503, answer->status, "on a new connection it can only be this request's");
+}
+
 // Guards against the error of the next target, or an orderly end, in the middle of a stream that has begun.
 TEST(Relay, StreamThatHasBegunGoesOnWithEventsOrBreaksOff)
 {
