Keep no connection on which the rest of an answered request is still due

Cause: a connection counted as reusable once the answer was whole, whatever was left to send.

Test: RelayTest RefusalBeforeTheBodyIsSentEndsTheConnection failed before (the second request waited on the first connection), passes now.

--- a/src/edge/HttpClient.cpp
+++ b/src/edge/HttpClient.cpp
@@ -134,8 +134,10 @@
         return this->fail(ConnectionFault::Cancelled);
     const auto self = this->shared_from_this();
     this->anyByteSent = true;
+    this->sending = true;
     const std::array<net::const_buffer, 2> buffers { net::buffer(this->head), net::buffer(this->body) };
     net::async_write(this->socket, buffers, [self](boost::system::error_code error, size_t sent) {
+        self->sending = false;
         if (!error || !self->open)
             return;
         if (sent == 0)
@@ -236,8 +238,9 @@
         this->resetParser();
         return true;
     }
-    if (this->input.size() > 0)
-        this->reusable = false; // bytes after the response belong to no request
+    // Bytes after the response belong to no request, and none may follow a request that was answered before it was whole.
+    if (this->input.size() > 0 || this->sending)
+        this->reusable = false;
     this->finishResponse();
     return this->open && this->busy;
 }
--- a/src/edge/HttpClient.h
+++ b/src/edge/HttpClient.h
@@ -102,6 +102,7 @@
     bool paused = false;
     bool busy = false;                 // a request is in progress
     bool anyByteSent = false;          // of the current request, to the kernel
+    bool sending = false;              // the current request is not yet with the kernel as a whole
     bool headSeen = false;             // the head of the current response was parsed
     bool skipping = false;             // the current response belongs to an earlier request
     size_t skippedBytes = 0;           // since the current request started
--- a/tests/edge/RelayTest.cpp
+++ b/tests/edge/RelayTest.cpp
@@ -312,6 +312,22 @@
     CHECK_EQUAL_TEXT(503, answer->status, "on a new connection it can only be this request's");
 }
 
+// Guards against the next request on a connection on which the rest of a long one, refused before it was whole, is still due.
+TEST(Relay, RefusalBeforeTheBodyIsSentEndsTheConnection)
+{
+    const std::string refusal
+        = "HTTP/1.1 503 Service Unavailable\r\nGuavapond-Not-Executed: 1\r\nGuavapond-Attempt-Id: {id}\r\nContent-Length: "
+          "0\r\n\r\n";
+    standins::ScriptedServer server(world.loop, refusal, standins::ScriptedEnd::Stall);
+    world.addTarget("r1", server.address());
+    const auto first = world.send("/once/x", "e1", "Guavapond-Key: key-1\r\n", "POST", std::string(3'900'000, 'x'));
+    CHECK(world.runUntilEnded(first));
+    CHECK_EQUAL(503, first->status);
+    const auto second = world.send("/once/x", "e2");
+    CHECK(world.runUntil([&] { return second->ended || server.connections == 2; }, 2s));
+    CHECK_EQUAL(2, server.connections);
+}
+
 // Guards against the error of the next target, or an orderly end, in the middle of a stream that has begun.
 TEST(Relay, StreamThatHasBegunGoesOnWithEventsOrBreaksOff)
 {
