Let one odd item of the store cost only itself

It can happen here in part: an entry of the range without a key, with another type or revision failed the whole read, so that the list was not followed; and numbers that the library converts silently were believed (slots -1 as 4,294,967,295, ports 65,536 and -1 of a node, fractions, a start of 1e30). Deep nesting, 1e400 and bytes that are no UTF-8 already cost the entry alone.

--- a/cmake/Edge.cmake
+++ b/cmake/Edge.cmake
@@ -22,7 +22,8 @@
 target_include_directories(guavapondEdge PUBLIC src)
 target_compile_definitions(guavapondEdge PUBLIC BOOST_BEAST_USE_STD_STRING_VIEW BOOST_ASIO_NO_DEPRECATED)
 target_link_libraries(guavapondEdge PUBLIC guavapondBeacon guavapondExplain guavapondLogging PkgConfig::XXHASH prometheus-cpp::core
-    tomlplusplus::tomlplusplus Threads::Threads PRIVATE guavapondWarnings)
+    tomlplusplus::tomlplusplus Threads::Threads
+    PRIVATE OpenSSL::Crypto guavapondWarnings)
 if(GUAVAPOND_SANITIZE)
     # gcc 12 reports fields of boost::optional inside Boost.Beast under the sanitizers only.
     target_compile_options(guavapondEdge PUBLIC -Wno-maybe-uninitialized)
@@ -31,7 +32,7 @@
 list(FILTER PLATFORM_SOURCES EXCLUDE REGEX "Main.cpp$")
 add_library(guavapondPlatform STATIC ${PLATFORM_SOURCES})
 target_include_directories(guavapondPlatform PUBLIC ${CMAKE_SOURCE_DIR})
-target_link_libraries(guavapondPlatform PUBLIC guavapondEdge PRIVATE OpenSSL::Crypto guavapondWarnings)
+target_link_libraries(guavapondPlatform PUBLIC guavapondEdge PRIVATE guavapondWarnings)
 add_executable(guavapond-edge platform/Main.cpp)
 target_link_libraries(guavapond-edge PRIVATE guavapondPlatform guavapondWarnings CLI11::CLI11)
 
--- /dev/null
+++ b/src/edge/JsonFields.h
@@ -0,0 +1,45 @@
+// Reads values of JSON that others wrote. The library converts numbers silently: a negative or too large one would become another one.
+//
+// Index
+//   JsonFieldError   a value of another type, or out of range
+//   wholeNumber
+//   jsonField        a value of any type, whole numbers with their range
+#pragma once
+
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <utility>
+
+namespace guavapond::edge {
+
+class JsonFieldError : public std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+// Throws JsonFieldError unless the value is a whole number that T holds. "13.0" is one.
+template <typename T> T wholeNumber(const nlohmann::json& value)
+{
+    if (value.is_number_unsigned() && std::in_range<T>(value.get<uint64_t>()))
+        return value.get<T>();
+    if (value.is_number_integer() && !value.is_number_unsigned() && std::in_range<T>(value.get<int64_t>()))
+        return value.get<T>();
+    constexpr double exactLimit = 9007199254740992.0; // 2^53: a fraction beyond it may stand for another number
+    if (value.is_number_float()) {
+        const auto number = value.get<double>();
+        if (std::abs(number) < exactLimit && number == std::trunc(number) && std::in_range<T>(static_cast<int64_t>(number)))
+            return static_cast<T>(number);
+    }
+    throw JsonFieldError("a whole number in range is needed");
+}
+
+// Throws JsonFieldError or the library's exception if the value is not a T.
+template <typename T> T jsonField(const nlohmann::json& value)
+{
+    if constexpr (std::is_integral_v<T> && !std::is_same_v<T, bool>)
+        return wholeNumber<T>(value);
+    else
+        return value.get<T>();
+}
+
+} // namespace guavapond::edge
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -38,6 +38,16 @@
     return inEra(object.value(std::string(eraName), uint64_t { 0 }), object.at(name).get<uint64_t>());
 }
 
+void readItem(const json& item, std::vector<StoreItem>& items)
+{
+    try {
+        items.push_back({ item.at("key").get<std::string>(), item.at("value").get<std::string>(), readRevision(item, "revision", "era"),
+            item.at("gone").get<bool>() });
+    } catch (const json::exception& error) { // the others hold
+        log(LogLevel::Warn, "store item of a peer could not be parsed", { { "reason", error.what() } });
+    }
+}
+
 // Parses the items that a peer serves; empty: the text is not a valid list of items.
 std::optional<StoreItems> readItems(const std::string& text)
 {
@@ -45,10 +55,8 @@
     try {
         const json object = json::parse(text);
         result.upTo = { readRevision(object, "operators", operatorsEra), readRevision(object, "targets", targetsEra) };
-        for (const json& item : object.at("items")) {
-            result.items.push_back({ item.at("key").get<std::string>(), item.at("value").get<std::string>(),
-                readRevision(item, "revision", "era"), item.at("gone").get<bool>() });
-        }
+        for (const json& item : object.at("items"))
+            readItem(item, result.items);
     } catch (const json::exception&) {
         return std::nullopt;
     }
--- a/standins/edge/PlatformStore.cpp
+++ b/standins/edge/PlatformStore.cpp
@@ -209,8 +209,12 @@
         return found == query.end() ? std::string() : found->second;
     };
     const auto idAfter = [&](std::string_view prefix) { return std::stoull(path.substr(prefix.size())); };
-    if (method == "GET" && path == "/-/kv-range")
-        return this->model.range(parameter("prefix"), parameter("after"));
+    if (method == "GET" && path == "/-/kv-range") {
+        StoreModel::Answer answer = this->model.range(parameter("prefix"), parameter("after"));
+        for (const json& entry : this->oddEntries)
+            answer.body["entries"].push_back(entry);
+        return answer;
+    }
     if (method == "POST" && path == "/-/kv-txn")
         return this->model.transact(json::parse(body));
     if (method == "POST" && path == "/-/kv-lease")
--- a/standins/edge/PlatformStore.h
+++ b/standins/edge/PlatformStore.h
@@ -72,6 +72,7 @@
     StoreModel model;
     StoreMode mode = StoreMode::Up;
     size_t calls = 0;
+    std::vector<nlohmann::json> oddEntries;            // in each range, after the model's
     std::optional<std::vector<std::string>> eraFields; // values of the era's header fields, in place of the model's era
 
 private:
--- a/tests/edge/StoreSyncTest.cpp
+++ b/tests/edge/StoreSyncTest.cpp
@@ -56,6 +56,84 @@
     LONGS_EQUAL(1, usable.size());
 }
 
+// Guards against one odd entry that ends the process, stops the reading of the list, or is taken for a target.
+TEST(StoreSync, OddEntryCostsOnlyItself)
+{
+    const auto entry
+        = [](const std::string& fields) { return R"({"service":"s1","zone":"z","version":"v1","state":"ready",)" + fields + "}"; };
+    const std::string address = R"("address":"10.0.0.9:8080")";
+    const std::string slots = R"("slots":13)";
+    const std::vector<std::pair<const char*, std::string>> odd {
+        { "nested", std::string(100'000, '[') },
+        { "nested-slots", entry(address + R"(,"slots":)" + std::string(10'000, '[') + "1" + std::string(10'000, ']')) },
+        { "slots-huge", entry(address + R"(,"slots":1e400)") },
+        { "slots-64", entry(address + R"(,"slots":99999999999999999999999)") },
+        { "slots-33", entry(address + R"(,"slots":4294967297)") },
+        { "slots-negative", entry(address + R"(,"slots":-1)") },
+        { "slots-fraction", entry(address + R"(,"slots":2.5)") },
+        { "slots-text", entry(address + R"(,"slots":"13")") },
+        { "port-0", entry(slots + R"(,"address":"10.0.0.9:0")") },
+        { "port-65536", entry(slots + R"(,"address":"10.0.0.9:65536")") },
+        { "port-negative", entry(slots + R"(,"address":"10.0.0.9:-1")") },
+        { "port-text", entry(slots + R"(,"address":"10.0.0.9:http")") },
+        { "no-port", entry(slots + R"(,"address":"10.0.0.9")") },
+        { "warm-up-text", entry(address + "," + slots + R"(,"cold_left_ms":"long")") },
+        { "born-huge", entry(address + "," + slots + R"(,"born":1e30)") },
+        { "born-fraction", entry(address + "," + slots + R"(,"born":1.5)") },
+        { "not-utf-8", entry(address + "," + slots + ",\"note\":\"\xff\xfe\"") },
+        { "long", std::string(700'000, 'x') },
+        { "empty", "" },
+    };
+    store->model.put("op/config", configText(1, "r"));
+    store->model.put("servers/a-sound", targetText("ready", 1));
+    for (const auto& [id, value] : odd)
+        store->model.put(std::string("servers/") + id, value);
+    // Fields that are twice there or huge, and harmless: the last one counts, a longer warm-up is cut.
+    store->model.put("servers/twice", entry(address + "," + slots + R"(,"slots":7)"));
+    store->model.put("servers/warm", entry(address + "," + slots + R"(,"cold_left_ms":1e300)"));
+    store->model.put("servers/z-sound", targetText("ready", 1));
+    store->model.put(
+        "servers/nested-more", entry(address + "," + slots + R"(,"more":)" + std::string(10'000, '[') + std::string(10'000, ']')));
+    using nlohmann::json;
+    store->oddEntries = { json("text"), json::object(), { { "key", 5 }, { "value", "" }, { "revision", 5 } },
+        { { "key", "servers/padding" }, { "value", "====" }, { "revision", 5 } },
+        { { "key", "servers/no-base64" }, { "value", "?" }, { "revision", 5 } }, { { "key", "servers/no-revision" }, { "value", "" } },
+        { { "key", "servers/odd-revision" }, { "value", "" }, { "revision", -1 } } };
+    startSync();
+    CHECK(runUntil([&] { return this->usable.contains("a-sound") && this->usable.contains("z-sound"); }));
+    CHECK(
+        runUntil([&] { return this->usable.contains("twice") && this->usable.contains("warm") && this->usable.contains("nested-more"); }));
+    for (const auto& [id, value] : odd)
+        CHECK_FALSE_TEXT(this->usable.contains(id), id);
+    store->model.put("servers/b-sound", targetText("ready", 1));
+    CHECK_TEXT(runUntil([&] { return this->usable.contains("b-sound"); }), "the list is followed further");
+}
+
+// Guards against an odd entry among the nodes, the quarantines or the moves that ends the process or hides the others.
+TEST(StoreSync, OddEntriesOfTheSystemCostOnlyThemselves)
+{
+    auto& model = store->model;
+    model.put("op/config", configText(1, "r"));
+    model.put("op/rollout/odd", R"({"service":"odd","target":"v2","duration_s":1e300})");
+    model.put("op/rollout/s1", R"({"service":"s1","target":"v2","duration_s":20})");
+    int number = 0;
+    for (const char* port : { "0", "65536", "-1", "\"7600\"", "1e400", "7600.5" })
+        model.put("guavapond/nodes/odd" + std::to_string(++number), std::string(R"({"node":"odd","ip":"10.0.0.3","port":)") + port + "}");
+    model.put("guavapond/nodes/odd-ip", R"({"node":"odd","ip":"nowhere","port":7600})");
+    model.put("guavapond/nodes/odd-nested", std::string(100'000, '{'));
+    model.put("guavapond/nodes/n2", R"({"node":"n2","ip":"10.0.0.2","port":7600})");
+    for (const char* part : { "-1", "1e30", "1.5", "\"dead\"" })
+        model.put("guavapond/quarantine/odd" + std::to_string(++number), std::string(R"({"since_unix_ms":1,"part":)") + part + "}");
+    model.put("guavapond/quarantine/odd", R"({"since_unix_ms":1e300,"part":5})");
+    model.put("guavapond/quarantine/1", R"({"since_unix_ms":1,"part":1})");
+    startSync();
+    CHECK(runUntil([&] { return this->order.has_value() && this->members.size() >= 2; }));
+    STRCMP_EQUAL("s1", this->order->service.c_str());
+    for (const edge::Member& member : this->members)
+        CHECK_TEXT(member.node != "odd", member.node.c_str());
+    CHECK_EQUAL(1, this->quarantine.size());
+}
+
 // Guards against an older or invalid configuration that replaces the one in force, and against an invalid one that counts as proof that the
 // configuration is current.
 TEST(StoreSync, AcceptsOnlyNewerValidConfigurations)
