Take a waiting request out of the home's queue before its key is freed

What callers would see: undefined behaviour when a caller leaves while its request waits at a home; at worst an entry that stays in the queue, or a process that ends.

Cause: PlacementHome::withdraw passes a reference into the map of keys, and removeWaiting erased that entry before it used the key.

Change: the queue is told first.

--- a/src/edge/PlacementHome.cpp
+++ b/src/edge/PlacementHome.cpp
@@ -57,9 +57,10 @@
     const auto found = this->waitingByKey.find(key);
     if (found == this->waitingByKey.end())
         return;
+    this->queue.remove(key);
+    // `key` may refer to what this erases.
     this->keysByRequest.erase({ found->second.request.node, found->second.request.id });
     this->waitingByKey.erase(found);
-    this->queue.remove(key);
 }
 
 void PlacementHome::withdraw(uint64_t node, uint64_t id)
