--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -8,7 +8,8 @@
 
 constexpr int clients = 12;
 constexpr double trafficSeconds = 12;
-constexpr int spoiledOneIn = 50; // answers of the faulty runner: x = 0.02 of them
+constexpr double spoiledSeconds = 5; // from the start of the script, where for_s = 5.5 is the longest
+constexpr int spoiledOneIn = 50;     // answers of the faulty runner: x = 0.02 of them
 constexpr int restartDelayMs = 300; // a process that exits is restarted after a short delay
 constexpr int allowed = 3;       // LOST: more than three times
 
@@ -18,7 +19,7 @@
 {
     static std::atomic<int> answers { 0 };
     while (const auto request = connection.read(false, 60000)) {
-        if (!hasTrouble() || runner.isOther(*request) || ++answers % spoiledOneIn != 0) {
+        if (!hasTrouble() || seconds() > spoiledSeconds || runner.isOther(*request) || ++answers % spoiledOneIn != 0) {
             if (!runner.answer(connection, *request))
                 return;
             continue;
