Reserve no memory for a length that a peer announces

Cause: the parsers of both sides collected bodies in http::string_body, whose reader reserves the announced length as soon as the first byte of a body is there. On the client's side nothing bounded it; on the listener's side only the operators' limit on a body did, so that a head and one byte held as much memory as the largest body that is allowed.

Evidence: EdgeAnswerLengthTest (new) ends with std::bad_alloc in AnnouncedLengthReservesNoMemory and in AnnouncedLengthOfARequestReservesNoMemory before this change. Ruled out: chunk sizes (the parser hands chunks on as they come), and lengths over 2^64 or with signs, blanks or letters (an error of the parser; MalformedLengthIsNoAnswer passed before and after).

Change: ReceivedBody, a body type that grows with the bytes that arrive. The client hands each piece on and keeps none, and the listener still refuses what is over the operators' limit.

--- a/src/edge/HttpClient.h
+++ b/src/edge/HttpClient.h
@@ -12,6 +12,7 @@
 //   bootTime, connectionFaultName, tuneSocket
 #pragma once
 
+#include "edge/ReceivedBody.h"
 #include "edge/TargetPool.h"
 
 #include <boost/asio.hpp>
@@ -91,7 +92,7 @@
     Address remote;
     ConnectionSettings settings;
     boost::beast::flat_buffer input;
-    std::optional<http::response_parser<http::string_body>> parser;
+    std::optional<http::response_parser<ReceivedBody>> parser;
     std::shared_ptr<const ResponseHooks> events; // shared, so that a callback may close the connection that calls it
     std::string head;
     std::string body;
--- a/src/edge/HttpListener.cpp
+++ b/src/edge/HttpListener.cpp
@@ -146,7 +146,8 @@
     this->handling = true;
     ++this->timerGeneration; // while it is handled, only the deadline of the request itself applies
     this->timer.cancel();
-    CallerRequest request { this->parser->release(), bootTime() };
+    http::request<ReceivedBody> received = this->parser->release();
+    CallerRequest request { http::request<http::string_body>(std::move(received.base()), std::move(received.body())), bootTime() };
     this->parser.reset();
     this->version = request.message.version();
     this->keepAlive = request.message.keep_alive();
--- a/src/edge/HttpListener.h
+++ b/src/edge/HttpListener.h
@@ -75,7 +75,7 @@
     HttpListener& listener;
     net::steady_timer timer;
     boost::beast::flat_buffer input;
-    std::optional<http::request_parser<http::string_body>> parser;
+    std::optional<http::request_parser<ReceivedBody>> parser;
     std::function<void()> disconnectHook;
     std::function<void()> drainedHook;
     std::string output;           // queued until the current write ends
--- /dev/null
+++ b/tests/edge/AnswerLengthTest.cpp
@@ -0,0 +1,96 @@
+// Lengths that a peer names in its messages: none of them may decide how much memory the node takes, or end more than its own connection.
+#include "EdgeWorld.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace guavapond;
+using namespace guavapond::edge;
+using namespace std::chrono_literals;
+
+TEST_GROUP(AnswerLength) {};
+
+namespace {
+
+const std::string ownHead = "HTTP/1.1 200 OK\r\nGuavapond-Attempt-Id: {id}\r\nGuavapond-Response-Seal: s\r\n";
+
+struct Row {
+    std::string fields; // that say how long the body is
+    std::string body;
+    unsigned status; // of the caller's answer
+};
+
+// A request that the target answers with `row` while another target has a request in progress.
+void checkRow(const Row& row)
+{
+    EdgeWorld world;
+    world.setCatalog(world.catalog());
+    standins::ScriptedServer server(world.loop, ownHead + row.fields + "\r\n" + row.body, standins::ScriptedEnd::Close);
+    world.addTarget("spoiling", server.address());
+    const auto spoiled = world.send("/once/x", "a1");
+    CHECK_TEXT(world.runUntilEnded(spoiled), row.fields.c_str());
+    CHECK_EQUAL_TEXT(row.status, spoiled->status, row.fields.c_str());
+    if (row.status == 200)
+        STRCMP_EQUAL_TEXT("yours", spoiled->body.c_str(), row.fields.c_str());
+    world.relay.removeTarget("spoiling");
+    world.addRunner("sound");
+    const auto sound = world.send("/once/x", "a2");
+    CHECK_TEXT(world.runUntilEnded(sound), row.fields.c_str());
+    CHECK_EQUAL_TEXT(200, sound->status, row.fields.c_str());
+}
+
+} // namespace
+
+// Guards against an announced length that sizes memory: 10^15 bytes end the process with std::bad_alloc, and all its requests with it.
+TEST(AnswerLength, AnnouncedLengthReservesNoMemory)
+{
+    for (const char* length : { "1000000000000000", "9223372036854775807", "9223372036854775808", "18446744073709551615" })
+        checkRow({ std::string("Content-Length: ") + length + "\r\n", "yours", 502 });
+}
+
+// Guards against lengths that parsers read differently, and against an answer that is passed on as whole although its length is not
+// certain.
+TEST(AnswerLength, MalformedLengthIsNoAnswer)
+{
+    const Row rows[] = {
+        { "Content-Length: 5\r\n", "yours", 200 },
+        { "Content-Length:   5  \r\n", "yours", 200 },
+        { "Content-Length: 6\r\n", "yours", 502 },
+        { "Content-Length: -1\r\n", "yours", 502 },
+        { "Content-Length: +5\r\n", "yours", 502 },
+        { "Content-Length: 0x5\r\n", "yours", 502 },
+        { "Content-Length: 1e400\r\n", "yours", 502 },
+        { "Content-Length: 5 5\r\n", "yours", 502 },
+        { "Content-Length: \r\n", "yours", 502 },
+        { "Content-Length: 18446744073709551616\r\n", "yours", 502 },
+        { "Content-Length: 5\r\nContent-Length: 4\r\n", "yours", 502 },
+        { "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", "5\r\nyours\r\n0\r\n\r\n", 502 },
+        { "Transfer-Encoding: chunked\r\n", "5\r\nyours\r\n0\r\n\r\n", 200 },
+        { "Transfer-Encoding: chunked\r\n", "ffffffffffffffff\r\nyours\r\n0\r\n\r\n", 502 },
+        { "Transfer-Encoding: chunked\r\n", "7fffffffffffffff\r\nyours\r\n0\r\n\r\n", 502 },
+        { "Transfer-Encoding: chunked\r\n", "10000000000000000\r\nyours\r\n0\r\n\r\n", 502 },
+        { "Transfer-Encoding: chunked\r\n", "-5\r\nyours\r\n0\r\n\r\n", 502 },
+        { "Transfer-Encoding: chunked\r\n", "0x5\r\nyours\r\n0\r\n\r\n", 502 },
+        { "Transfer-Encoding: chunked\r\n", "\r\nyours\r\n0\r\n\r\n", 502 },
+    };
+    for (const Row& row : rows)
+        checkRow(row);
+}
+
+// Guards against a caller that makes the node reserve the whole body that the limits allow, with a head alone.
+TEST(AnswerLength, AnnouncedLengthOfARequestReservesNoMemory)
+{
+    EdgeWorld world;
+    Catalog catalog = world.catalog();
+    catalog.limits.bodyBytes = 1'000'000'000'000'000;
+    world.setCatalog(std::move(catalog));
+    world.addRunner("sound");
+    const auto unfinished = callNode(world.loop, { "127.0.0.1", world.listener.port() }, "POST /once/x",
+        std::string("Host: ") + EdgeWorld::host
+            + "\r\nGuavapond-Attempt-Id: a1\r\nGuavapond-Key: key-1\r\nContent-Length: 900000000000000\r\n",
+        "its first bytes", world.callers);
+    world.runFor(50ms);
+    const auto sound = world.send("/once/x", "a2");
+    CHECK(world.runUntilEnded(sound));
+    CHECK_EQUAL(200, sound->status);
+    CHECK_FALSE(unfinished->ended);
+}
