End only one connection when its handler throws

Callers of guavapond-edge lost all their connections whenever anything threw while one answer, request or datagram was handled: the exception left the event loop and the process ended.

Cause: no handler of a connection caught anything, and Main.cpp caught boost::system::system_error only, which it reported as "an address can't be used" whenever it came.

Change: handlers of ClientConnection and CallerConnection, callbacks of an Exchange and datagrams of peers are contained: the exception is logged with its part and reason, counted (guavapond_edge_exceptions_total), and ends that connection. A request whose bytes were sent is answered 502 or broken off, never "not run"; its target is judged as after any garbled answer. Placement clears its processing flag by scope, since a home whose queue had thrown would not have served it again (found by the test: 503 for good).

--- a/src/edge/EdgeMetrics.cpp
+++ b/src/edge/EdgeMetrics.cpp
@@ -1,6 +1,8 @@
 // Implements the metrics of an edge node with prometheus-cpp.
 #include "edge/EdgeMetrics.h"
 
+#include "adapters/Logging.h"
+
 #include <array>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -46,6 +48,10 @@
                                        .Help("Requests refused for a prompt part that crashes targets")
                                        .Register(this->registry)
                                        .Add({});
+    Family<Counter>& exceptions = BuildCounter()
+                                      .Name("guavapond_edge_exceptions_total")
+                                      .Help("Exceptions that ended one connection or one request, by part")
+                                      .Register(this->registry);
     Family<Counter>& storeCalls
         = BuildCounter().Name("guavapond_edge_store_calls_total").Help("Calls to the store, by call and result").Register(this->registry);
     Family<Histogram>& seconds = BuildHistogram()
@@ -144,6 +150,17 @@
 
 void EdgeMetrics::keptByQuarantine() { this->state->quarantinedRequests.Increment(); }
 
+void EdgeMetrics::exceptionContained(std::string_view part, const std::exception& error)
+{
+    log(LogLevel::Error, "exception", { { "part", part }, { "reason", error.what() } });
+    this->state->exceptions.Add({ { "part", std::string(part) } }).Increment();
+}
+
+std::function<void(std::string_view, const std::exception&)> EdgeMetrics::exceptionHook()
+{
+    return [this](std::string_view part, const std::exception& error) { this->exceptionContained(part, error); };
+}
+
 void EdgeMetrics::setGauge(std::string_view name, std::string_view help, double value)
 {
     prometheus::BuildGauge().Name(std::string(name)).Help(std::string(help)).Register(this->state->registry).Add({}).Set(value);
--- a/src/edge/EdgeMetrics.h
+++ b/src/edge/EdgeMetrics.h
@@ -4,12 +4,13 @@
 //   RequestResult   how a request ended
 //   LimitedSend     how a request that goes to a target with a request limit was placed
 //   EdgeMetrics     requestEnded, runFailed, streamLost, queueWaitEnded, storeCall, requestLimitChanged, sentToLimited, keptByLimit,
-//   keptByQuarantine, setGauge, page
+//   keptByQuarantine, exceptionContained, setGauge, page
 #pragma once
 
 #include "edge/RequestLife.h"
 #include "edge/RequestLimit.h"
 
+#include <functional>
 #include <memory>
 
 namespace guavapond::edge {
@@ -51,6 +52,9 @@
     void sentToLimited(LimitedSend kind);   // a place that was taken from a request limit was used
     void keptByLimit(bool placedElsewhere); // a request was kept from a target by its request limit; false: it found no place
     void keptByQuarantine();                // a request was refused for a prompt part that crashes targets
+    // Logs and counts an exception that ended one connection, one request or one message, and nothing else.
+    void exceptionContained(std::string_view part, const std::exception& error);
+    std::function<void(std::string_view part, const std::exception& error)> exceptionHook();
     void setGauge(std::string_view name, std::string_view help, double value); // creates the gauge on first use
     std::string page() const;                                                  // all metrics in the Prometheus text format
 
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -66,15 +66,18 @@
     , requests(loop, relaySettings(settings, headers), this->counters, std::move(random))
     , peerLink(loop, peerSettings(settings), this->requests, std::move(peerHooks), incarnation)
     , callers(
-          loop, { settings.callers, maxCallerConnections(settings) },
+          loop,
+          { .address = settings.callers,
+              .maxConnections = maxCallerConnections(settings),
+              .exceptionContained = this->counters.exceptionHook() },
           [this](const CallerPointer& caller, CallerRequest request) { this->requests.handle(caller, std::move(request)); },
           [this] { return this->requests.callerLimits(); })
     , ready(
-          loop, { settings.ready, 64 },
+          loop, { .address = settings.ready, .maxConnections = 64, .exceptionContained = this->counters.exceptionHook() },
           [this](const CallerPointer& caller, const CallerRequest& request) { this->onReady(caller, request); },
           [] { return CallerLimits {}; })
     , metricsListener(
-          loop, { settings.metrics, 16 },
+          loop, { .address = settings.metrics, .maxConnections = 16, .exceptionContained = this->counters.exceptionHook() },
           [this](const CallerPointer& caller, const CallerRequest& request) { this->onMetrics(caller, request); },
           [] { return CallerLimits {}; })
     , timer(loop)
--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -100,7 +100,8 @@
     this->waitingSince = now;
     this->isPlacing = true;
     const uint64_t id = this->relay.placement.request(
-        this->placeAsk(now), [self = this->shared_from_this()](const PlacementAnswer& answer) { self->onPlaced(answer); }, now);
+        this->placeAsk(now),
+        [self = this->shared_from_this()](const PlacementAnswer& answer) { self->contain([&] { self->onPlaced(answer); }); }, now);
     if (this->isPlacing)
         this->askId = id;
 }
@@ -241,10 +242,14 @@
         return !self->isFinished && self->maySend(sendTime) && sendTime < self->life.deadline()
             && !self->relay.quarantine.isBlocked(self->plan.sharedParts, sendTime, self->suspectKey());
     };
-    events.head = [self](const http::response_header<>& head) { return self->onHead(head); };
-    events.body = [self](std::string_view bytes) { self->onBody(bytes); };
-    events.complete = [self] { self->onComplete(); };
-    events.failed = [self](ConnectionFault fault, bool anyByteSent) { self->onFailed(fault, anyByteSent); };
+    events.head = [self](const http::response_header<>& head) {
+        HeadVerdict verdict = HeadVerdict::Reject;
+        self->contain([&] { verdict = self->onHead(head); });
+        return verdict;
+    };
+    events.body = [self](std::string_view bytes) { self->contain([&] { self->onBody(bytes); }); };
+    events.complete = [self] { self->contain([&] { self->onComplete(); }); };
+    events.failed = [self](ConnectionFault fault, bool anyByteSent) { self->contain([&] { self->onFailed(fault, anyByteSent); }); };
     this->attempt->connection->start(this->requestHead(target, now), this->request.message.body(),
         this->request.message.method() != http::verb::head, std::move(events));
 }
@@ -505,11 +510,36 @@
     }
     if (staleConnection)
         this->relay.connections.drop(this->targets().info(this->attempt->target).address);
-    if (fault == ConnectionFault::Malformed)
+    const bool isInvalid = fault == ConnectionFault::Malformed || fault == ConnectionFault::Internal;
+    if (isInvalid)
         this->endAttempt(TargetOutcome::Failed);
     else
         this->endAttempt(staleConnection ? TargetOutcome::Cancelled : TargetOutcome::Broken);
-    this->onAttemptEnded(fault == ConnectionFault::Malformed ? AttemptOutcome::Invalid : AttemptOutcome::Broken);
+    this->onAttemptEnded(isInvalid ? AttemptOutcome::Invalid : AttemptOutcome::Broken);
+}
+
+void Exchange::contain(const std::function<void()>& step)
+{
+    try {
+        step();
+    } catch (const std::exception& error) {
+        this->onException(error);
+    }
+}
+
+void Exchange::onException(const std::exception& error)
+{
+    constexpr std::string_view reason = "internal error";
+    this->relay.metrics.exceptionContained("request", error);
+    if (this->isFinished)
+        return;
+    this->cancelAttempt(TargetOutcome::Failed);
+    if (this->life.state() == RequestState::Answering)
+        return this->abortAnswer(reason);
+    const bool mayHaveRun = this->life.state() == RequestState::Sent || this->life.mayHaveRun();
+    if (mayHaveRun)
+        return this->answerLocally(badGateway, RequestResult::Unknown, reason, std::nullopt);
+    this->answerLocally(serviceUnavailable, RequestResult::Refused, reason, std::nullopt);
 }
 
 void Exchange::endAttempt(TargetOutcome outcome)
--- a/src/edge/HttpClient.cpp
+++ b/src/edge/HttpClient.cpp
@@ -44,7 +44,7 @@
 
 std::string_view connectionFaultName(ConnectionFault fault)
 {
-    static constexpr std::array<std::string_view, 4> names { "unreachable", "closed", "malformed", "withdrawn" };
+    static constexpr std::array<std::string_view, 5> names { "unreachable", "closed", "malformed", "withdrawn", "internal" };
     return names.at(static_cast<size_t>(fault));
 }
 
@@ -106,27 +106,32 @@
     this->timer.expires_after(this->settings.connectTimeout);
     this->timer.async_wait([self](boost::system::error_code error) {
         if (!error && self->open && !self->connected)
-            self->fail(ConnectionFault::Unreachable);
+            self->contain([&] { self->fail(ConnectionFault::Unreachable); });
     });
     boost::system::error_code badAddress;
     const auto ip = net::ip::make_address(this->remote.ip, badAddress);
     if (badAddress) {
-        net::post(this->loop, [self] { self->fail(ConnectionFault::Unreachable); });
+        net::post(this->loop, [self] { self->contain([&] { self->fail(ConnectionFault::Unreachable); }); });
         return;
     }
     this->socket.async_connect({ ip, this->remote.port }, [self](boost::system::error_code error) {
         if (!self->open)
             return;
         self->timer.cancel();
-        if (error)
-            return self->fail(ConnectionFault::Unreachable);
-        self->connected = true;
-        tuneSocket(self->socket, self->settings);
-        self->read();
-        self->send();
+        self->contain([&] { self->onConnected(error); });
     });
 }
 
+void ClientConnection::onConnected(boost::system::error_code error)
+{
+    if (error)
+        return this->fail(ConnectionFault::Unreachable);
+    this->connected = true;
+    tuneSocket(this->socket, this->settings);
+    this->read();
+    this->send();
+}
+
 void ClientConnection::send()
 {
     const auto hooks = this->events;
@@ -142,7 +147,7 @@
             return;
         if (sent == 0)
             self->anyByteSent = false;
-        self->fail(ConnectionFault::Closed);
+        self->contain([&] { self->fail(ConnectionFault::Closed); });
     });
 }
 
@@ -154,27 +159,30 @@
     const auto self = this->shared_from_this();
     this->socket.async_read_some(this->input.prepare(readBufferBytes), [self](boost::system::error_code error, size_t count) {
         self->reading = false;
-        if (!self->open)
-            return;
-        self->input.commit(count);
-        if (!error) {
-            self->onBytes();
-            self->read();
-            return;
-        }
-        // A response without a length ends when the server closes the connection. A reset never completes a response.
-        if (error == net::error::eof && self->busy && self->headSeen) {
-            boost::system::error_code incomplete;
-            self->parser->put_eof(incomplete);
-            if (!incomplete && self->parser->is_done()) {
-                self->reusable = false;
-                return self->finishResponse();
-            }
-        }
-        self->fail(ConnectionFault::Closed);
+        if (self->open)
+            self->contain([&] { self->onRead(error, count); });
     });
 }
 
+void ClientConnection::onRead(boost::system::error_code error, size_t count)
+{
+    this->input.commit(count);
+    if (!error) {
+        this->onBytes();
+        return this->read();
+    }
+    // A response without a length ends when the server closes the connection. A reset never completes a response.
+    if (error == net::error::eof && this->busy && this->headSeen) {
+        boost::system::error_code incomplete;
+        this->parser->put_eof(incomplete);
+        if (!incomplete && this->parser->is_done()) {
+            this->reusable = false;
+            return this->finishResponse();
+        }
+    }
+    this->fail(ConnectionFault::Closed);
+}
+
 void ClientConnection::onBytes()
 {
     const auto self = this->shared_from_this();
@@ -270,6 +278,18 @@
         hooks->failed(fault, sent);
 }
 
+void ClientConnection::contain(const std::function<void()>& step)
+{
+    const auto self = this->shared_from_this();
+    try {
+        step();
+    } catch (const std::exception& error) {
+        if (this->settings.exceptionContained)
+            this->settings.exceptionContained("connection to a server", error);
+        this->fail(ConnectionFault::Internal);
+    }
+}
+
 void ClientConnection::close()
 {
     if (!this->open)
--- a/src/edge/HttpClient.h
+++ b/src/edge/HttpClient.h
@@ -4,6 +4,7 @@
 //
 // Index
 //   ConnectionFault    why a request failed
+//   ExceptionHook      told of an exception that ended one connection
 //   HeadVerdict        what to do with a received response head
 //   ResponseHooks      callbacks of one request
 //   ConnectionSettings timeouts and limits
@@ -34,9 +35,14 @@
     Closed,      // the connection was closed by the server or lost
     Malformed,   // the received bytes are not a valid response
     Cancelled,   // beforeSend returned false; nothing was sent
+    Internal,    // this process threw an exception while it handled the request or its response
 };
 std::string_view connectionFaultName(ConnectionFault fault); // in lower_snake_case
 
+// Called with the part of the program and the exception that ended a connection. An exception in the handler of one connection ends that
+// connection only, whatever the peer has sent.
+using ExceptionHook = std::function<void(std::string_view part, const std::exception& error)>;
+
 enum class HeadVerdict : uint8_t {
     Accept, // the response belongs to the current request
     Skip,   // it belongs to an earlier request: discard it and wait for the next response
@@ -58,6 +64,7 @@
     size_t maxInformationalResponses = 16;                            // 1xx responses before the final response
     size_t maxUnparsedBytes = 128 * 1024;                             // of a response head or chunk header that is not yet complete
     Duration keepAliveProbeInterval = std::chrono::seconds(1);        // between TCP keep-alive probes on a silent connection
+    ExceptionHook exceptionContained;                                 // may be empty
 };
 
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
@@ -78,12 +85,15 @@
 
 private:
     void connect();
+    void onConnected(boost::system::error_code error);
     void send();
     void read();
+    void onRead(boost::system::error_code error, size_t count);
     void onBytes();
     bool parse(); // false: needs more input, or the request has ended
     void finishResponse();
     void fail(ConnectionFault fault);
+    void contain(const std::function<void()>& step); // runs a handler; an exception fails the request and closes the connection
     void resetParser();
 
     net::io_context& loop;
--- a/src/edge/HttpListener.cpp
+++ b/src/edge/HttpListener.cpp
@@ -73,13 +73,27 @@
     this->timer.async_wait([self = this->shared_from_this(), use, generation](boost::system::error_code error) {
         if (error || !self->open || generation != self->timerGeneration)
             return;
-        if (use == TimerUse::Head || use == TimerUse::Body)
-            self->refuse(http::status::request_timeout, "the request did not arrive in time");
-        else
-            self->close();
+        self->contain([&] {
+            if (use == TimerUse::Head || use == TimerUse::Body)
+                self->refuse(http::status::request_timeout, "the request did not arrive in time");
+            else
+                self->close();
+        });
     });
 }
 
+void CallerConnection::contain(const std::function<void()>& step)
+{
+    const auto self = this->shared_from_this();
+    try {
+        step();
+    } catch (const std::exception& error) {
+        if (this->listener.settings.exceptionContained)
+            this->listener.settings.exceptionContained("connection of a caller", error);
+        this->closeIncomplete();
+    }
+}
+
 void CallerConnection::read()
 {
     if (this->reading || !this->open || (this->handling && this->input.size() >= maxPipelinedBytes))
@@ -88,17 +102,21 @@
     this->socket.async_read_some(
         this->input.prepare(readBufferBytes), [self = this->shared_from_this()](boost::system::error_code error, size_t count) {
             self->reading = false;
-            if (!self->open)
-                return;
-            if (error)
-                return self->close();
-            self->input.commit(count);
-            if (!self->handling)
-                self->parse();
-            self->read();
+            if (self->open)
+                self->contain([&] { self->onRead(error, count); });
         });
 }
 
+void CallerConnection::onRead(boost::system::error_code error, size_t count)
+{
+    if (error)
+        return this->close();
+    this->input.commit(count);
+    if (!this->handling)
+        this->parse();
+    this->read();
+}
+
 void CallerConnection::parse()
 {
     if (this->closeAfterWrite)
@@ -228,12 +246,17 @@
 }
 
 void CallerConnection::abortResponse()
+{
+    this->disconnectHook = {};
+    this->closeIncomplete();
+}
+
+void CallerConnection::closeIncomplete()
 {
     // Without chunked encoding, closing the connection marks the end of the response, so only a reset shows that it is incomplete.
     boost::system::error_code ignored; // the socket is closed even if the option can't be set
     if (!this->chunked)
         this->socket.set_option(net::socket_base::linger(true, 0), ignored);
-    this->disconnectHook = {};
     this->close();
 }
 
@@ -271,16 +294,20 @@
     net::async_write(this->socket, net::buffer(this->writing), [self = this->shared_from_this()](boost::system::error_code error, size_t) {
         self->isWriting = false;
         self->writing.clear();
-        if (!self->open)
-            return;
-        if (error)
-            return self->close();
-        if (self->output.empty() && self->drainedHook)
-            self->drainedHook();
-        self->write();
+        if (self->open)
+            self->contain([&] { self->onWritten(error); });
     });
 }
 
+void CallerConnection::onWritten(boost::system::error_code error)
+{
+    if (error)
+        return this->close();
+    if (this->output.empty() && this->drainedHook)
+        this->drainedHook();
+    this->write();
+}
+
 void CallerConnection::close()
 {
     if (!this->open)
--- a/src/edge/HttpListener.h
+++ b/src/edge/HttpListener.h
@@ -25,6 +25,7 @@
     Address address;
     size_t maxConnections = 4000;                     // further connections wait in the kernel's accept queue
     Duration writeTimeout = std::chrono::seconds(10); // closes the connection of a caller that does not read the end of its response
+    ExceptionHook exceptionContained {};              // may be empty
 };
 
 struct LocalResponse {
@@ -62,12 +63,16 @@
         Body,
         Write,
     };
+    void contain(const std::function<void()>& step); // runs a handler; an exception closes the connection
     void read();
+    void onRead(boost::system::error_code error, size_t count);
     void parse();
     void onRequestComplete();
+    void closeIncomplete();                                    // so that the caller sees that its answer is not whole
     void refuse(http::status status, std::string_view reason); // answers an invalid request with an error and closes the connection
     void finish();
     void write();
+    void onWritten(boost::system::error_code error);
     void arm(TimerUse use, Duration bound);
     void setConnectionFields(http::fields& fields);
 
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -75,10 +75,14 @@
     , socket(loop)
     , buffer(datagramBytes)
     , itemsListener(
-          loop, { settings.address, 64, std::chrono::seconds(5) },
+          loop,
+          { .address = settings.address,
+              .maxConnections = 64,
+              .writeTimeout = std::chrono::seconds(5),
+              .exceptionContained = relay.edgeMetrics().exceptionHook() },
           [this](const CallerPointer& caller, const CallerRequest& request) { this->answerItems(caller, request.message.target()); },
           [] { return CallerLimits {}; })
-    , connections(loop, {})
+    , connections(loop, { .exceptionContained = relay.edgeMetrics().exceptionHook() })
 {
     this->relay.placement.setSelf({ settings.node, settings.failureDomain }, incarnation);
     this->relay.onPlacementMessage(
@@ -110,11 +114,20 @@
             return;
         // An error here comes from an earlier send to a node that is gone; it does not affect later datagrams.
         if (!error)
-            this->onDatagram(bytes);
+            this->receiveDatagram(bytes);
         this->receive();
     });
 }
 
+void PeerLink::receiveDatagram(size_t bytes)
+{
+    try {
+        this->onDatagram(bytes);
+    } catch (const std::exception& error) { // it costs this datagram; peers repeat what they tell
+        this->relay.edgeMetrics().exceptionContained("datagram of a peer", error);
+    }
+}
+
 void PeerLink::onDatagram(size_t bytes)
 {
     wire::Beacon message;
--- a/src/edge/PeerLink.h
+++ b/src/edge/PeerLink.h
@@ -81,6 +81,7 @@
 
 private:
     void receive();
+    void receiveDatagram(size_t bytes);
     void onDatagram(size_t bytes);
     void onPlacement(std::string_view bytes, TimePoint now);
     void sendPlacement(const std::string& node, const PlacementMessage& content);
--- a/src/edge/Placement.cpp
+++ b/src/edge/Placement.cpp
@@ -12,6 +12,22 @@
 
 namespace {
 
+// Sets a flag until the end of a scope.
+class ScopedFlag {
+public:
+    explicit ScopedFlag(bool& flag)
+        : flag(flag)
+    {
+        this->flag = true;
+    }
+    ~ScopedFlag() { this->flag = false; }
+    ScopedFlag(const ScopedFlag&) = delete;
+    ScopedFlag& operator=(const ScopedFlag&) = delete;
+
+private:
+    bool& flag;
+};
+
 constexpr Duration occupancyTtl = std::chrono::seconds(1); // how long the occupancy in a home's answer is used
 constexpr uint32_t maxOwnWithoutHome = 1;                  // most requests of this node at a target when it places a request without a home
 
@@ -166,7 +182,7 @@
     local->processAgain = true;
     if (local->isProcessing)
         return;
-    local->isProcessing = true;
+    const ScopedFlag processing(local->isProcessing); // an exception must not leave the queue unserved for good
     while (local->processAgain) {
         local->processAgain = false;
         for (const PlacementAnswer& answer : local->home->processQueue(now)) {
@@ -182,7 +198,6 @@
                 local->home->updateLoads(this->selfHash, answer.grant, {}, now);
         }
     }
-    local->isProcessing = false;
 }
 
 void Placement::handleAnswer(const PlacementAnswer& answer, const std::string& from, uint64_t homeIncarnation, TimePoint now)
--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -22,6 +22,13 @@
 
 } // namespace
 
+ConnectionSettings Relay::connectionSettings(const RelaySettings& settings) const
+{
+    ConnectionSettings result = settings.connections;
+    result.exceptionContained = this->metrics.exceptionHook();
+    return result;
+}
+
 Relay::Relay(net::io_context& loop, const RelaySettings& initial, EdgeMetrics& metrics, std::function<double()> random)
     : freshness(initial.keyProofMaxAge)
     , quota(bootTime())
@@ -30,7 +37,7 @@
     , loop(loop)
     , metrics(metrics)
     , random(std::move(random))
-    , connections(loop, initial.connections)
+    , connections(loop, this->connectionSettings(initial))
 {
     this->configure(initial);
 }
--- a/src/edge/Relay.h
+++ b/src/edge/Relay.h
@@ -113,6 +113,7 @@
         this->sendPlacement = std::move(hook);
     }
     void onQuarantineChange(std::function<void(const PromptQuarantine::Change&)> hook) { this->quarantineChanged = std::move(hook); }
+    EdgeMetrics& edgeMetrics() { return this->metrics; }
     uint64_t connectionsOpened() const { return this->connections.opened(); }
     const std::map<std::string, std::unique_ptr<ServiceTargets>>& services() const { return this->byService; }
 
@@ -124,6 +125,7 @@
 
 private:
     friend class Exchange;
+    ConnectionSettings connectionSettings(const RelaySettings& settings) const;
     ServiceTargets& service(const std::string& name);
     Placement::Hooks placementHooks();
     void finished(const std::shared_ptr<Exchange>& exchange);
--- a/tests/edge/EdgeWorld.h
+++ b/tests/edge/EdgeWorld.h
@@ -20,7 +20,11 @@
     static constexpr const char* host = "paint.example";
 
     EdgeWorld()
-        : relay(this->loop, settings(), this->metrics, [this] { return this->uniform(this->generator); })
+        : relay(this->loop, settings(), this->metrics,
+            [this] {
+                this->beforeRandom();
+                return this->uniform(this->generator);
+            })
         , listener(
               this->loop, { { "127.0.0.1", 0 }, 100 },
               [this](const CallerPointer& caller, CallerRequest request) { this->relay.handle(caller, std::move(request)); },
@@ -134,6 +138,7 @@
     net::io_context loop;
     std::mt19937_64 generator { 3 };
     std::uniform_real_distribution<double> uniform { 0, 1 };
+    std::function<void()> beforeRandom = [] {}; // may throw, for an exception within the handling of a request
     EdgeMetrics metrics;
     Relay relay;
     HttpListener listener;
