Bound what is read whole from the store and from peers

A store, or whoever has taken its address, that answers without end would have filled the memory of a node, which the kernel ends then with all its requests; the smallest VMs have 110 MB.

Cause: answers of the store and store items of peers are collected whole before they are parsed, with no bound. Answers of targets are not affected: they are passed on from 1 MiB on, and failures over it are dropped.

Evidence: AnswerLengthTest AnswerOfTheStoreIsBounded, with an announced length, with chunks, with one endless chunk and without a length; before the change each read until the call's time-out. Beast's own body limit does not do: with body bytes behind the head in one buffer an eager parser goes on over its error, so the call still ended as "no_answer" after 5 s.

--- a/src/edge/HttpClient.cpp
+++ b/src/edge/HttpClient.cpp
@@ -44,7 +44,7 @@
 
 std::string_view connectionFaultName(ConnectionFault fault)
 {
-    static constexpr std::array<std::string_view, 5> names { "unreachable", "closed", "malformed", "withdrawn", "internal" };
+    static constexpr std::array<std::string_view, 6> names { "unreachable", "closed", "malformed", "withdrawn", "too_large", "internal" };
     return names.at(static_cast<size_t>(fault));
 }
 
@@ -76,11 +76,12 @@
 {
     this->parser.emplace();
     this->parser->header_limit(maxResponseHeadBytes);
-    this->parser->body_limit(boost::none);
+    this->parser->body_limit(boost::none); // maxBodyBytes is checked here: an eager parser loses its own error when body bytes follow
     this->parser->eager(true);
     this->parser->skip(!this->expectsBody);
     this->headSeen = false;
     this->skipping = false;
+    this->bodyBytes = 0;
 }
 
 void ClientConnection::start(std::string requestHead, std::string requestBody, bool withBody, ResponseHooks hooks)
@@ -203,9 +204,8 @@
     boost::system::error_code error;
     const size_t used = this->parser->put(this->input.data(), error);
     this->input.consume(used);
-    if (this->skipping && (this->skippedBytes += used) > this->settings.maxSkippedBytes)
-        error = http::error::body_limit;
-    if (error && error != http::error::need_more) {
+    const bool skipsTooMuch = this->skipping && (this->skippedBytes += used) > this->settings.maxSkippedBytes;
+    if (skipsTooMuch || (error && error != http::error::need_more)) {
         this->fail(ConnectionFault::Malformed);
         return false;
     }
@@ -233,6 +233,11 @@
             this->serverIdleLimit = std::max(*limit - idleMargin, Duration::zero());
     }
     std::string& piece = this->parser->get().body();
+    this->bodyBytes += piece.size();
+    if (this->isBodyTooLong()) {
+        this->fail(ConnectionFault::TooLarge);
+        return false;
+    }
     if (!piece.empty()) {
         if (!this->skipping)
             hooks->body(piece);
@@ -253,6 +258,13 @@
     return this->open && this->busy;
 }
 
+bool ClientConnection::isBodyTooLong() const
+{
+    if (!this->settings.maxBodyBytes || !this->headSeen || this->skipping)
+        return false;
+    return std::max(this->bodyBytes, this->parser->content_length().value_or(0)) > *this->settings.maxBodyBytes;
+}
+
 void ClientConnection::finishResponse()
 {
     this->busy = false;
--- a/src/edge/HttpClient.h
+++ b/src/edge/HttpClient.h
@@ -35,6 +35,7 @@
     Closed,      // the connection was closed by the server or lost
     Malformed,   // the received bytes are not a valid response
     Cancelled,   // beforeSend returned false; nothing was sent
+    TooLarge,    // the body of the response is longer than maxBodyBytes
     Internal,    // this process threw an exception while it handled the request or its response
 };
 std::string_view connectionFaultName(ConnectionFault fault); // in lower_snake_case
@@ -64,7 +65,8 @@
     size_t maxInformationalResponses = 16;                            // 1xx responses before the final response
     size_t maxUnparsedBytes = 128 * 1024;                             // of a response head or chunk header that is not yet complete
     Duration keepAliveProbeInterval = std::chrono::seconds(1);        // between TCP keep-alive probes on a silent connection
-    ExceptionHook exceptionContained;                                 // may be empty
+    std::optional<uint64_t> maxBodyBytes; // of a response; empty: no limit, for bodies that are passed on in pieces
+    ExceptionHook exceptionContained;     // may be empty
 };
 
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
@@ -90,7 +92,8 @@
     void read();
     void onRead(boost::system::error_code error, size_t count);
     void onBytes();
-    bool parse(); // false: needs more input, or the request has ended
+    bool parse();               // false: needs more input, or the request has ended
+    bool isBodyTooLong() const; // that of the current response, received or announced
     void finishResponse();
     void fail(ConnectionFault fault);
     void contain(const std::function<void()>& step); // runs a handler; an exception fails the request and closes the connection
@@ -116,6 +119,7 @@
     bool sending = false;              // the current request is not yet with the kernel as a whole
     bool headSeen = false;             // the head of the current response was parsed
     bool skipping = false;             // the current response belongs to an earlier request
+    uint64_t bodyBytes = 0;            // of the body of the current response
     size_t skippedBytes = 0;           // since the current request started
     size_t informationalResponses = 0; // 1xx responses to the current request
     bool expectsBody = true;
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -15,6 +15,7 @@
 using nlohmann::json;
 
 constexpr size_t datagramBytes = 64 * 1024;
+constexpr uint64_t maxFetchedBytes = 16 << 20; // of store items from a peer: the configuration and the entries of all targets
 constexpr std::string_view itemsPath = "/store-items";
 constexpr std::string_view smallAnswerOnly = "small=1";     // the requester can read the store, so a long answer isn't worth the transfer
 constexpr Duration maxReportedAge = std::chrono::hours(24); // keeps a damaged beacon from dating anything out of range
@@ -82,7 +83,7 @@
               .exceptionContained = relay.edgeMetrics().exceptionHook() },
           [this](const CallerPointer& caller, const CallerRequest& request) { this->answerItems(caller, request.message.target()); },
           [] { return CallerLimits {}; })
-    , connections(loop, { .exceptionContained = relay.edgeMetrics().exceptionHook() })
+    , connections(loop, { .maxBodyBytes = maxFetchedBytes, .exceptionContained = relay.edgeMetrics().exceptionHook() })
 {
     this->relay.placement.setSelf({ settings.node, settings.failureDomain }, incarnation);
     this->relay.onPlacementMessage(
--- a/tests/edge/AnswerLengthTest.cpp
+++ b/tests/edge/AnswerLengthTest.cpp
@@ -1,6 +1,8 @@
 // Lengths that a peer names in its messages: none of them may decide how much memory the node takes, or end more than its own connection.
 #include "EdgeWorld.h"
 
+#include "platform/StoreClient.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace guavapond;
@@ -94,3 +96,31 @@
     CHECK_EQUAL(200, sound->status);
     CHECK_FALSE(unfinished->ended);
 }
+
+// Guards against an answer of the store, which is read as a whole, that fills the node's memory: announced, in chunks, or without end.
+TEST(AnswerLength, AnswerOfTheStoreIsBounded)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+    const std::string filler(4000, 'x');
+    constexpr size_t kernelBuffers = 12 << 20; // loopback sockets take megabytes before the writer has to wait
+    const std::vector<std::pair<std::string, std::string>> rows {
+        { head + "Content-Length: 1000000000000000\r\n\r\n", filler },
+        { head + "Transfer-Encoding: chunked\r\n\r\n", "fa0\r\n" + filler + "\r\n" },
+        { head + "Transfer-Encoding: chunked\r\n\r\nffffffffffff\r\n", filler },
+        { head + "\r\n", filler },
+    };
+    for (const auto& [bytes, repeated] : rows) {
+        net::io_context loop;
+        EdgeMetrics metrics;
+        standins::ScriptedServer server(loop, bytes, standins::ScriptedEnd::Repeat, repeated);
+        platform::StoreClient store(loop, server.address(), 5s, metrics);
+        std::optional<platform::CallResult<platform::RangePage>> result;
+        store.range("op/", "", false, [&](platform::CallResult<platform::RangePage> read) { result = std::move(read); });
+        const TimePoint end = bootTime() + 10s;
+        while (!result && bootTime() < end)
+            loop.run_for(1ms);
+        CHECK_TEXT(result && !result->value, bytes.c_str());
+        STRCMP_EQUAL_TEXT("too_large", std::string(platform::callFailureName(result->reason)).c_str(), bytes.c_str());
+        CHECK_TEXT(server.repeated < platform::maxAnswerBytes + kernelBuffers, bytes.c_str());
+    }
+}
