Take the end of a skipped answer for no answer

Cause: a connection on which an earlier answer is skipped has a parsed head, so the end of the connection completed that answer as one that ends with its connection, and the request that waited was reported as complete, with the empty head of an answer that never came.

Change: while an answer is skipped, the end of the connection fails the request as lost. An order may have run: 502; a lookup runs at another target.

--- a/src/edge/HttpClient.cpp
+++ b/src/edge/HttpClient.cpp
@@ -172,8 +172,9 @@
         this->onBytes();
         return this->read();
     }
-    // A response without a length ends when the server closes the connection. A reset never completes a response.
-    if (error == net::error::eof && this->busy && this->headSeen) {
+    // A response without a length ends when the server closes the connection, but the end of a skipped one is not that of the response
+    // which is due. A reset never completes a response.
+    if (error == net::error::eof && this->busy && this->headSeen && !this->skipping) {
         boost::system::error_code incomplete;
         this->parser->put_eof(incomplete);
         if (!incomplete && this->parser->is_done()) {
--- a/standins/edge/ScriptedServer.h
+++ b/standins/edge/ScriptedServer.h
@@ -27,6 +27,8 @@
     void push(const std::string& text); // on all open connections, without a request
 
     std::vector<std::string> first; // answers to the first requests, in place of the bytes
+    std::string keptFirst;          // answer to the first request, after which its connection stays open whatever the end; empty: none
+    std::function<void()> onRequest = [] {};
     size_t connections = 0;
     size_t requests = 0;
     size_t repeated = 0; // bytes of the filler that were sent
