Let nothing be taken that a planned stop drops

Cause: 3.2 s after SIGTERM the node looked once whether a request or a connection was there, then ended its entry in the store, and stopped its event loop when the store had answered (4 ms, up to 1.5 s if it doesn't). Until then it accepted connections, passed requests on, and dropped them with the loop. At the end of the grace the same hook ended the loop with requests in progress. Besides, the bound for late requests was set by a timer, so that a node that was suspended in its stop took requests by the old one; a new connection could be closed as idle before its first request arrived; and an answer could be destroyed by the reset that closing a socket with unread bytes causes.

The listening socket closes before the last look, after what the kernel has accepted was taken from it; the node leaves the store when no connection is open any more; nothing can arrive after that. Late requests that can't end before the stop are refused at once, with "Connection: close" and a Retry-After that depends on how full the service is elsewhere; those that are admitted carry the end of the stop as their deadline to the target. At the end of the grace each request in progress is answered with what is true of it. Connections close only when the caller has had its answer (half-closed first, 500 ms at most), and a new one has a second for its first request.

--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -13,13 +13,7 @@
 // Subtracted from the key revocation bound to cover clock rounding. Network delay needs no allowance, because the age of a proof counts
 // from the start of the call that fetched it.
 constexpr Duration revocationMargin = std::chrono::milliseconds(250);
-// Time after which the load balancer has stopped using a node that is not ready: it checks once a second and removes a node after two
-// failed checks.
-constexpr Duration balancerRemovalTime = std::chrono::milliseconds(3200);
-// For this long after a shutdown began, the load balancer may still send new connections, so all requests are accepted.
-constexpr Duration acceptAllTime = std::chrono::milliseconds(2700);
-constexpr Duration stopMargin = std::chrono::milliseconds(300); // the shutdown completes this long before stopGrace ends
-constexpr uint32_t reservedDescriptors = 260;                   // file descriptors for files, the store and peers
+constexpr uint32_t reservedDescriptors = 260; // file descriptors for files, the store and peers
 constexpr double callerDescriptorShare = 0.6; // fraction of the remaining descriptors for callers; the rest is for targets
 constexpr Duration moveWriterDelay = std::chrono::milliseconds(300); // per node ahead in the order of writers; time for a store call
 constexpr unsigned statusOk = 200;
@@ -103,7 +97,7 @@
 {
     if (request.message.target() != this->paths.ready)
         return caller->sendResponse(makeResponse({ statusNotFound, "", "", {} }));
-    const bool isReady = !this->stoppingSince && this->requests.isReady();
+    const bool isReady = !this->stopSequence.isStopping() && this->requests.isReady();
     caller->sendResponse(makeResponse({ isReady ? statusOk : statusUnavailable, "", "", {} }));
 }
 
@@ -157,12 +151,13 @@
     caller->sendResponse(makeResponse({ isLifted ? statusOk : statusNotFound, "", "", {} }));
 }
 
-void EdgeNode::stop(std::function<void()> whenDrained)
+void EdgeNode::stop(StopHooks hooks)
 {
-    if (this->stoppingSince)
+    if (this->stopSequence.isStopping())
         return;
-    this->stoppingSince = bootTime();
-    this->drainedHook = std::move(whenDrained);
+    this->stopHooks = std::move(hooks);
+    this->stopSequence.begin(this->settings.stopGrace, bootTime());
+    this->requests.setStop(*this->stopSequence.bounds());
     this->callers.disableKeepAlive();
     this->peerLink.setStopping();
     this->peerLink.forceBeacon();
@@ -171,34 +166,53 @@
             { "graceMs", toMilliseconds(this->settings.stopGrace) } });
 }
 
-void EdgeNode::checkStop(TimePoint now)
+void EdgeNode::entryRemoved() { this->stopSequence.entryRemoved(); }
+
+void EdgeNode::advanceStop(TimePoint now)
 {
-    if (!this->stoppingSince || !this->drainedHook)
+    if (!this->stopSequence.isStopping())
         return;
-    const Duration elapsed = now - *this->stoppingSince;
-    if (elapsed > acceptAllTime)
-        this->requests.setStopTime(*this->stoppingSince + this->settings.stopGrace - stopMargin);
-    if (elapsed > balancerRemovalTime)
-        this->callers.closeIdle();
-    const bool idle = elapsed > balancerRemovalTime && this->requests.inFlight() == 0 && this->callers.connections() == 0;
-    if (!idle && elapsed < this->settings.stopGrace - stopMargin)
+    if (this->stopSequence.phase() >= StopPhase::Draining)
+        this->callers.closeIdle(now);
+    const auto load = [this] { return NodeLoad { this->requests.inFlight(), this->callers.connections() }; };
+    while (this->stopSequence.advance(load(), now)) {
+        const StopPhase phase = this->stopSequence.phase();
+        log(LogLevel::Info, "stop phase",
+            { { "phase", stopPhaseName(phase) }, { "ms", toMilliseconds(this->stopSequence.elapsed(now)) },
+                { "inFlight", this->requests.inFlight() }, { "connections", this->callers.connections() } });
+        this->enterStopPhase(phase);
+    }
+    if (now >= this->stopSequence.bounds()->answerBy)
+        this->requests.endAll();
+}
+
+void EdgeNode::enterStopPhase(StopPhase phase)
+{
+    switch (phase) {
+    case StopPhase::Closing:
+        return this->callers.stopAccepting();
+    case StopPhase::Leaving:
+        this->callers.closeAll();
+        return this->stopHooks.removeEntry();
+    case StopPhase::Ended:
+        return this->stopHooks.ended();
+    case StopPhase::Serving:
+    case StopPhase::Announcing:
+    case StopPhase::Draining:
         return;
-    log(LogLevel::Info, "drained", { { "ms", toMilliseconds(elapsed) }, { "cutOff", this->requests.inFlight() } });
-    const auto hook = std::move(this->drainedHook);
-    this->drainedHook = {};
-    hook();
+    }
 }
 
 void EdgeNode::logReadinessChange()
 {
-    const bool isReady = !this->stoppingSince && this->requests.isReady();
+    const bool isReady = !this->stopSequence.isStopping() && this->requests.isReady();
     if (isReady == this->wasReady)
         return;
     this->wasReady = isReady;
     const auto age = this->requests.freshness.age(bootTime());
     log(LogLevel::Info, isReady ? "ready" : "not ready",
         { { "hasConfiguration", this->requests.catalog() != nullptr }, { "proofAgeMs", age ? toMilliseconds(*age) : -1 },
-            { "stopping", this->stoppingSince.has_value() } });
+            { "stopping", this->stopSequence.isStopping() } });
 }
 
 void EdgeNode::orderMove(const MoveOrder& order, std::optional<TimePoint> earliest)
@@ -235,7 +249,7 @@
     this->peerLink.tick();
     this->logReadinessChange();
     this->advanceMoves(now);
-    this->checkStop(now);
+    this->advanceStop(now);
     this->timer.expires_after(tickInterval);
     this->timer.async_wait([this](boost::system::error_code error) {
         if (!error)
--- a/src/edge/EdgeNode.h
+++ b/src/edge/EdgeNode.h
@@ -3,10 +3,12 @@
 //
 // Index
 //   EdgePaths    URL paths of the node's own pages
-//   EdgeNode     start, stop, applySettings, orderMove, onMoveResult
+//   StopHooks    what the node's owner does in a planned stop
+//   EdgeNode     start, stop, entryRemoved, applySettings, orderMove, onMoveResult
 #pragma once
 
 #include "edge/EdgeSettings.h"
+#include "edge/StopSequence.h"
 
 namespace guavapond::edge {
 
@@ -16,14 +18,19 @@
     std::string beliefs = "/beliefs"; // on the metrics listener: what this node assumes about targets and peers, as JSON
 };
 
+struct StopHooks {
+    std::function<void()> removeEntry; // the node's own, from the store; calls entryRemoved() when that is done
+    std::function<void()> ended;       // the process may exit
+};
+
 class EdgeNode {
 public:
     EdgeNode(net::io_context& loop, const EdgeSettings& settings, const WireHeaders& headers, const EdgePaths& paths,
         PeerLink::Hooks peerHooks, uint64_t incarnation, std::function<double()> random);
 
-    void start(); // throws boost::system::system_error if an address can't be used
-    // Shuts down gracefully: calls `drained` when no request or connection is left, or shortly before stopGrace ends.
-    void stop(std::function<void()> drained);
+    void start();               // throws boost::system::system_error if an address can't be used
+    void stop(StopHooks hooks); // the planned stop, see StopSequence; a second call does nothing
+    void entryRemoved();
     void applySettings(const EdgeSettings& settings); // applies changed limits; changed addresses need a restart
 
     Relay& relay() { return this->requests; }
@@ -39,7 +46,8 @@
     void onMetrics(const CallerPointer& caller, const CallerRequest& request);
     void onLift(const CallerPointer& caller, http::verb method, std::string_view key); // an operator ends a quarantine
     void tick();                                                                       // periodic work
-    void checkStop(TimePoint now);
+    void advanceStop(TimePoint now);
+    void enterStopPhase(StopPhase phase);
     void logReadinessChange();
     void advanceMoves(TimePoint now); // updates the moves between versions and publishes their states
 
@@ -53,8 +61,8 @@
     HttpListener ready;
     HttpListener metricsListener;
     net::steady_timer timer;
-    std::optional<TimePoint> stoppingSince;                       // empty: not stopping
-    std::function<void()> drainedHook;                            // of stop(); empty after it was called
+    StopSequence stopSequence;
+    StopHooks stopHooks;
     std::function<void(const MoveOrder&, MoveState)> publishMove; // writes the state to the store; repeating it is harmless
     bool wasReady = false;                                        // at the last logReadinessChange
 };
--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -659,17 +659,22 @@
     this->finish(RequestResult::FailureRelayed, "the target failed");
 }
 
-void Exchange::onDeadline()
+void Exchange::onDeadline() { this->endUnfinished("timeout"); }
+
+void Exchange::endForStop() { this->endUnfinished("the node is stopping"); }
+
+void Exchange::endUnfinished(std::string_view reason)
 {
     if (this->isFinished)
         return;
     const NextStep step = this->life.onDeadline();
     this->cancelAttempt(TargetOutcome::Cancelled);
     if (step == NextStep::AbortAnswer)
-        return this->abortAnswer("timeout");
+        return this->abortAnswer(reason);
     if (step == NextStep::AnswerUnknown)
-        return this->answerLocally(gatewayTimeout, RequestResult::Unknown, "timeout", std::nullopt);
-    this->answerLocally(serviceUnavailable, RequestResult::Refused, "timeout before any target had room", this->relay.retryDelay(1));
+        return this->answerLocally(gatewayTimeout, RequestResult::Unknown, reason, std::nullopt);
+    this->answerLocally(
+        serviceUnavailable, RequestResult::Refused, std::string(reason) + " before any target had room", this->relay.retryDelay(1));
 }
 
 void Exchange::onCallerGone()
--- a/src/edge/Exchange.h
+++ b/src/edge/Exchange.h
@@ -5,7 +5,7 @@
 //   ExchangePlan    results of admission
 //   Attempt         one send of the request to a target
 //   AnswerForm      how the body of the answer is relayed
-//   Exchange        begin, abandon, isStalled, leaveStalledTarget, endQuarantined, judgePace
+//   Exchange        begin, endForStop, abandon, isStalled, leaveStalledTarget, endQuarantined, judgePace
 #pragma once
 
 #include "edge/EventScanner.h"
@@ -64,6 +64,7 @@
     Exchange(Relay& relay, CallerPointer caller, CallerRequest request, ExchangePlan plan);
 
     void begin();
+    void endForStop();                   // the process ends: answers the caller with what is true of the request
     void abandon();                      // for the shutdown of the relay: closes the connections without an answer to the caller
     bool isStalled(TimePoint now) const; // its target has been silent for too long, and the request may be retried
     void leaveStalledTarget();           // cancels the attempt and retries, if that is allowed
@@ -110,6 +111,7 @@
     void forwardFailure();
     http::response<http::string_body> bufferedAnswer();
     void onDeadline();
+    void endUnfinished(std::string_view reason);
     void onCallerGone();
     void beginAnswer();
     http::response_header<> callerHead(const http::response_header<>& head) const;
--- a/src/edge/HttpListener.cpp
+++ b/src/edge/HttpListener.cpp
@@ -10,6 +10,8 @@
 constexpr size_t readBufferBytes = 16 * 1024;
 constexpr size_t maxPipelinedBytes = 64 * 1024;                      // of pipelined requests while one is being handled
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50); // at maxConnections or after an error, e.g. no free descriptor
+constexpr Duration lingerTime = std::chrono::milliseconds(500);      // for the caller to read the end of its answer and to close
+constexpr Duration firstRequestTime = std::chrono::seconds(1);       // for a new connection to send a request, before it counts as idle
 constexpr unsigned http11 = 11;                                      // HTTP/1.1 in the notation of Boost.Beast
 
 template <typename Header> void appendHead(std::string& output, const Header& head)
@@ -62,10 +64,21 @@
 void CallerConnection::start()
 {
     tuneSocket(this->socket, {});
+    this->openedAt = bootTime();
     this->arm(TimerUse::Idle, this->listener.limits().idleTimeout);
     this->read();
 }
 
+bool CallerConnection::isIdle(TimePoint now) const
+{
+    if (!this->open || this->handling || this->receiving || this->isLingering || this->unsentBytes() > 0)
+        return false;
+    if (!this->hasAnswered && now - this->openedAt < firstRequestTime)
+        return false;
+    boost::system::error_code ignored; // a socket that is lost has nothing to read
+    return this->input.size() == 0 && this->socket.available(ignored) == 0;
+}
+
 void CallerConnection::arm(TimerUse use, Duration bound)
 {
     const uint64_t generation = ++this->timerGeneration;
@@ -265,6 +278,7 @@
     this->disconnectHook = {};
     this->drainedHook = {};
     this->handling = false;
+    this->hasAnswered = true;
     this->receiving = false;
     this->chunked = false;
     this->write();
@@ -286,7 +300,7 @@
         return;
     if (this->output.empty()) {
         if (this->closeAfterWrite && !this->handling)
-            this->close();
+            this->closeWhenRead();
         return;
     }
     this->isWriting = true;
@@ -299,6 +313,19 @@
     });
 }
 
+// Closing a socket with bytes that were not read resets the connection, and a reset makes the other side drop what it has not read yet.
+// So only the sending half is closed first, and what still arrives is discarded until the caller closes too.
+void CallerConnection::closeWhenRead()
+{
+    if (this->isLingering)
+        return;
+    this->isLingering = true;
+    boost::system::error_code ignored; // the caller may have closed the connection first; then the next read says so
+    this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+    this->arm(TimerUse::Linger, lingerTime);
+    this->read();
+}
+
 void CallerConnection::onWritten(boost::system::error_code error)
 {
     if (error)
@@ -356,30 +383,57 @@
         return this->retry.async_wait([this](boost::system::error_code) { this->accept(); });
     }
     this->acceptor.async_accept([this](boost::system::error_code error, tcp::socket socket) {
+        if (!error)
+            this->add(std::move(socket));
         if (!this->accepting)
             return;
         if (error) {
             this->retry.expires_after(acceptRetryDelay);
             return this->retry.async_wait([this](boost::system::error_code) { this->accept(); });
         }
-        const auto connection = std::make_shared<CallerConnection>(std::move(socket), *this);
-        this->openConnections.insert(connection);
-        connection->start();
         this->accept();
     });
 }
 
+void HttpListener::add(tcp::socket socket)
+{
+    const auto connection = std::make_shared<CallerConnection>(std::move(socket), *this);
+    this->openConnections.insert(connection);
+    connection->start();
+}
+
 void HttpListener::disableKeepAlive() { this->keepAliveEnabled = false; }
 
-void HttpListener::closeIdle()
+void HttpListener::closeIdle(TimePoint now)
 {
     const std::set<CallerPointer> snapshot = this->openConnections; // since close() erases from `openConnections`
     for (const CallerPointer& connection : snapshot) {
-        if (connection->isIdle())
+        if (connection->isIdle(now))
             connection->close();
     }
 }
 
+void HttpListener::closeAll()
+{
+    const std::set<CallerPointer> snapshot = this->openConnections; // since close() erases from `openConnections`
+    for (const CallerPointer& connection : snapshot)
+        connection->close();
+}
+
+void HttpListener::stopAccepting()
+{
+    // Connections that wait in the kernel are reset when the socket closes, with the requests that they may have sent already.
+    boost::system::error_code none;
+    this->acceptor.non_blocking(true, none);
+    while (!none) {
+        tcp::socket socket(this->loop);
+        this->acceptor.accept(socket, none);
+        if (!none)
+            this->add(std::move(socket));
+    }
+    this->shutDown();
+}
+
 void HttpListener::shutDown()
 {
     this->accepting = false;
--- a/src/edge/HttpListener.h
+++ b/src/edge/HttpListener.h
@@ -53,7 +53,8 @@
     void onDisconnect(std::function<void()> hook) { this->disconnectHook = std::move(hook); } // called if the caller leaves before the end
     void onDrained(std::function<void()> hook) { this->drainedHook = std::move(hook); }       // called when all pending output was written
     size_t unsentBytes() const { return this->output.size() + this->writing.size(); }
-    bool isIdle() const { return this->open && !this->handling && !this->receiving && this->unsentBytes() == 0; }
+    // No request is in progress or on its way: nothing of one was received, and a new connection has had time to send its first.
+    bool isIdle(TimePoint now) const;
     void close();
 
 private:
@@ -62,6 +63,7 @@
         Head,
         Body,
         Write,
+        Linger,
     };
     void contain(const std::function<void()>& step); // runs a handler; an exception closes the connection
     void read();
@@ -72,6 +74,7 @@
     void refuse(http::status status, std::string_view reason); // answers an invalid request with an error and closes the connection
     void finish();
     void write();
+    void closeWhenRead(); // once the caller has received all output
     void onWritten(boost::system::error_code error);
     void arm(TimerUse use, Duration bound);
     void setConnectionFields(http::fields& fields);
@@ -97,6 +100,9 @@
     bool chunked = false;   // the current stream uses chunked transfer encoding
     bool isWriting = false;
     bool closeAfterWrite = false;
+    bool isLingering = false; // all output is with the kernel; the connection is open until the caller closes it too
+    bool hasAnswered = false; // at least one request
+    TimePoint openedAt {};
     bool isHeadRequest = false; // a response to HEAD has no body
 };
 
@@ -108,16 +114,19 @@
 
     HttpListener(net::io_context& loop, const ListenerSettings& settings, Handler handler, std::function<CallerLimits()> limits);
 
-    void listen();           // throws boost::system::system_error if the address can't be used
-    void disableKeepAlive(); // each connection is closed after its next response
-    void closeIdle();        // closes connections without a request in progress
-    void shutDown();         // stops accepting; open connections stay
+    void listen();                 // throws boost::system::system_error if the address can't be used
+    void disableKeepAlive();       // each connection is closed after its next response
+    void closeIdle(TimePoint now); // closes connections that are idle, see CallerConnection::isIdle
+    void closeAll();
+    void stopAccepting(); // takes the connections that the kernel has accepted already, then no more; open connections stay
+    void shutDown();      // stops accepting at once; open connections stay
     size_t connections() const { return this->openConnections.size(); }
     uint16_t port() const { return this->acceptor.local_endpoint().port(); }
 
 private:
     friend class CallerConnection;
     void accept();
+    void add(tcp::socket socket);
 
     net::io_context& loop;
     ListenerSettings settings;
--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -196,6 +196,20 @@
 
 Duration Relay::retryDelay(double occupancy) { return retryAfter(this->settings.admission, occupancy, this->random()); }
 
+// Targets are shared, so that another node has room at once unless the service is full.
+Duration Relay::retryDelayElsewhere(const std::string& service, TimePoint now)
+{
+    const double occupancy = this->placement.occupancy(nameHash(service), now);
+    return occupancy < fullServiceOccupancy ? Duration::zero() : this->retryDelay(occupancy);
+}
+
+void Relay::endAll()
+{
+    const std::vector<std::shared_ptr<Exchange>> present(this->exchanges.begin(), this->exchanges.end());
+    for (const auto& exchange : present)
+        exchange->endForStop();
+}
+
 void Relay::handle(const CallerPointer& caller, CallerRequest request)
 {
     const TimePoint now = bootTime();
@@ -256,8 +270,12 @@
     }
     if (const auto limit = parseNumber<int64_t>(request.message[names.callerLimit]))
         plan.callerLimit = std::chrono::milliseconds(std::clamp<int64_t>(*limit, 0, 24 * 3600 * 1000));
-    if (this->stopsAt && now + std::min(plan.route->timeout, plan.callerLimit.value_or(plan.route->timeout)) > *this->stopsAt)
-        return Refusal { 503, "the node is stopping", Duration::zero() };
+    if (this->stop) {
+        const Duration limit = std::min(plan.route->timeout, plan.callerLimit.value_or(plan.route->timeout));
+        if (!this->stop->admits(now + limit, now))
+            return Refusal { 503, "the node is stopping", this->retryDelayElsewhere(plan.service, now) };
+        plan.callerLimit = std::min(limit, this->stop->answerBy - now);
+    }
     const auto tokens = parseTokenCount(request.message[names.tokenCount]);
     plan.tokens = 1;
     if (plan.workspace && plan.workspace->countsTokens)
--- a/src/edge/Relay.h
+++ b/src/edge/Relay.h
@@ -16,6 +16,7 @@
 #include "edge/Placement.h"
 #include "edge/PromptQuarantine.h"
 #include "edge/SecondTryBudget.h"
+#include "edge/StopSequence.h"
 #include "edge/VersionMove.h"
 #include "edge/WorkspaceQuota.h"
 
@@ -99,8 +100,8 @@
     std::vector<LeavingTarget> leavingTargets() const;
     void tick(); // call every few milliseconds: serves the queue, cancels stalled attempts, closes idle connections
 
-    // From now on only requests whose deadline is not after `end`, the planned end of the process, are admitted.
-    void setStopTime(TimePoint end) { this->stopsAt = end; }
+    void setStop(const StopBounds& bounds) { this->stop = bounds; } // a planned stop has begun
+    void endAll();        // answers each request in progress with what is true of it, because the process ends
     bool isReady() const; // has a configuration with a valid proof, and a usable target
     void configure(const RelaySettings& value);
     CallerLimits callerLimits() const;
@@ -142,7 +143,8 @@
     void reject(const CallerPointer& caller, const CallerRequest& request, const Refusal& refusal);
     void answerLocally(const CallerPointer& caller, std::string_view requestId, unsigned status, std::string_view reason,
         std::optional<Duration> retryAfter);
-    Duration retryDelay(double occupancy); // Retry-After of a refused request
+    Duration retryDelay(double occupancy);                                   // Retry-After of a refused request
+    Duration retryDelayElsewhere(const std::string& service, TimePoint now); // of one that this node can't take but others can
 
     net::io_context& loop;
     RelaySettings settings;
@@ -163,7 +165,7 @@
     // A part of each workspace's quota is kept for its urgent requests. Off while a service is full: then ranks decide who is served.
     bool reservesTokens = true;
     TimePoint lastHousekeeping {};
-    std::optional<TimePoint> stopsAt; // planned end of the process; empty: none
+    std::optional<StopBounds> stop; // empty: no stop is planned
 };
 
 } // namespace guavapond::edge
--- a/tests/edge/RelayTest.cpp
+++ b/tests/edge/RelayTest.cpp
@@ -393,7 +393,7 @@
         [&](const CallerPointer& caller, const CallerRequest&) {
             listener->disableKeepAlive();
             caller->sendResponse(makeResponse({ 200, std::string(bytes, 'x'), "text/plain", {} }));
-            listener->closeIdle();
+            listener->closeIdle(bootTime());
         },
         [] { return CallerLimits {}; });
     listener->listen();
@@ -418,7 +418,9 @@
 TEST(Relay, RefusesRequestsDueAfterStopTime)
 {
     world.addRunner("r1");
-    world.relay.setStopTime(bootTime() + 2500ms);
+    StopBounds bounds;
+    bounds.answerBy = bootTime() + 2500ms;
+    world.relay.setStop(bounds);
     const auto dueAfterStop = world.send("/stream/x", "e1");
     const auto dueBeforeStop = world.send("/once/x", "e2", "Guavapond-Key: key-1\r\nGuavapond-Deadline-Ms: 300\r\n");
     CHECK(world.runUntilEnded(dueAfterStop));
