Bound the idle time that a server names

"Keep-Alive: timeout=" overflowed when it became a duration, which is undefined, and left the connection with an idle limit out of any range.

Evidence: AnswerLengthTest NumbersInFieldsAreBounded failed for that value before the change and for no other of Keep-Alive, Retry-After or Server-Limit (0, -1, 2^63, 2^64 - 1, 1e400, hexadecimal, empty, nan, inf). RequestOverTheLimitIsRefused passed before as well: the listener's limit holds with head and body in one packet.

Change: the number is clamped to 0 to 3600 s.

--- a/src/edge/HttpClient.cpp
+++ b/src/edge/HttpClient.cpp
@@ -14,6 +14,7 @@
 constexpr size_t readBufferBytes = 16 * 1024;
 constexpr uint32_t maxResponseHeadBytes = 64 * 1024;
 constexpr Duration idleMargin = std::chrono::seconds(1); // an idle connection is no longer used this long before the server closes it
+constexpr int64_t maxKeepAliveSeconds = 3600;            // keeps the conversion to a duration in range
 constexpr int keepAliveProbes = 2;                       // without a reply, until the connection counts as lost
 constexpr int firstFinalStatus = 200;                    // lower status codes are informational; a further response follows
 
@@ -28,7 +29,7 @@
     const std::string_view digits = field.substr(at + name.size());
     if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec != std::errc())
         return std::nullopt;
-    return std::chrono::seconds(seconds);
+    return std::chrono::seconds(std::clamp<int64_t>(seconds, 0, maxKeepAliveSeconds));
 }
 
 template <int Level, int Name> using IntegerOption = net::detail::socket_option::integer<Level, Name>;
--- a/tests/edge/AnswerLengthTest.cpp
+++ b/tests/edge/AnswerLengthTest.cpp
@@ -8,6 +8,7 @@
 using namespace guavapond;
 using namespace guavapond::edge;
 using namespace std::chrono_literals;
+using standins::ScriptedEnd;
 
 TEST_GROUP(AnswerLength) {};
 
@@ -26,7 +27,7 @@
 {
     EdgeWorld world;
     world.setCatalog(world.catalog());
-    standins::ScriptedServer server(world.loop, ownHead + row.fields + "\r\n" + row.body, standins::ScriptedEnd::Close);
+    standins::ScriptedServer server(world.loop, ownHead + row.fields + "\r\n" + row.body, ScriptedEnd::Close);
     world.addTarget("spoiling", server.address());
     const auto spoiled = world.send("/once/x", "a1");
     CHECK_TEXT(world.runUntilEnded(spoiled), row.fields.c_str());
@@ -97,6 +98,68 @@
     CHECK_FALSE(unfinished->ended);
 }
 
+// Guards against a limit on a body that doesn't hold when the head and the first bytes of the body arrive in one packet.
+TEST(AnswerLength, RequestOverTheLimitIsRefused)
+{
+    EdgeWorld world;
+    Catalog catalog = world.catalog();
+    catalog.limits.bodyBytes = 1000;
+    world.setCatalog(std::move(catalog));
+    auto& runner = world.addRunner("sound");
+    const std::string body(2000, 'x');
+    const auto announced = world.send("/once/x", "a1", "Guavapond-Key: key-1\r\n", "POST", body);
+    const auto chunked = callNode(world.loop, { "127.0.0.1", world.listener.port() }, "POST /once/x",
+        std::string("Host: ") + EdgeWorld::host + "\r\nGuavapond-Attempt-Id: a2\r\nGuavapond-Key: key-1\r\nTransfer-Encoding: chunked\r\n",
+        "7d0\r\n" + body + "\r\n0\r\n\r\n", world.callers);
+    const auto small = callNode(world.loop, { "127.0.0.1", world.listener.port() }, "POST /once/x",
+        std::string("Host: ") + EdgeWorld::host + "\r\nGuavapond-Attempt-Id: a3\r\nGuavapond-Key: key-1\r\nContent-Length: 1000000\r\n",
+        "few", world.callers);
+    for (const auto& answer : { announced, chunked, small }) {
+        CHECK(world.runUntilEnded(answer));
+        CHECK_EQUAL(413, answer->status);
+    }
+    CHECK_EQUAL(0, runner.runs.size());
+}
+
+// Guards against a number in a field of an answer that overflows, and so spoils the connection's limits or the target's state.
+TEST(AnswerLength, NumbersInFieldsAreBounded)
+{
+    for (const char* value : { "0", "-1", "1e400", "9223372036854775808", "18446744073709551615", "99999999999999", "0x10", "", "nan" }) {
+        net::io_context loop;
+        standins::ScriptedServer server(loop,
+            "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=" + std::string(value) + "\r\nContent-Length: 5\r\n\r\nyours", ScriptedEnd::KeepOpen);
+        const auto connection = std::make_shared<ClientConnection>(loop, server.address(), ConnectionSettings {});
+        bool isComplete = false;
+        ResponseHooks events;
+        events.head = [](const http::response_header<>&) { return HeadVerdict::Accept; };
+        events.body = [](std::string_view) {};
+        events.complete = [&] { isComplete = true; };
+        events.failed = [](ConnectionFault, bool) {};
+        connection->start("GET / HTTP/1.1\r\nHost: x\r\n\r\n", "", true, events);
+        const TimePoint end = bootTime() + 10s;
+        while (!isComplete && bootTime() < end)
+            loop.run_for(1ms);
+        CHECK_TEXT(isComplete, value);
+        CHECK_TEXT(connection->idleLimit() >= Duration::zero() && connection->idleLimit() <= 24h, value);
+        if (std::string(value) == "99999999999999")
+            CHECK_TEXT(connection->idleLimit() > 1s, "a long time is not a short one");
+    }
+    for (const char* field : { "Retry-After", "Server-Limit", "Guavapond-Weight-Versions" }) {
+        for (const char* value : { "0", "-1", "1e400", "9223372036854775808", "99999999999999", "1e15", "0x10", "", "nan", "inf" }) {
+            EdgeWorld world;
+            world.setCatalog(world.catalog());
+            standins::ScriptedServer server(
+                world.loop, ownHead + field + ": " + value + "\r\nContent-Length: 5\r\n\r\nyours", ScriptedEnd::KeepOpen);
+            world.addTarget("t", server.address());
+            for (const char* attempt : { "a1", "a2" }) {
+                const auto answer = world.send("/once/x", attempt);
+                CHECK_TEXT(world.runUntilEnded(answer), value);
+                CHECK_TEXT(answer->status == 200 || std::string(field) == "Server-Limit", value);
+            }
+        }
+    }
+}
+
 // Guards against an answer of the store, which is read as a whole, that fills the node's memory: announced, in chunks, or without end.
 TEST(AnswerLength, AnswerOfTheStoreIsBounded)
 {
@@ -112,7 +175,7 @@
     for (const auto& [bytes, repeated] : rows) {
         net::io_context loop;
         EdgeMetrics metrics;
-        standins::ScriptedServer server(loop, bytes, standins::ScriptedEnd::Repeat, repeated);
+        standins::ScriptedServer server(loop, bytes, ScriptedEnd::Repeat, repeated);
         platform::StoreClient store(loop, server.address(), 5s, metrics);
         std::optional<platform::CallResult<platform::RangePage>> result;
         store.range("op/", "", false, [&](platform::CallResult<platform::RangePage> read) { result = std::move(read); });
