End only one connection of guavapondd when its handler throws

Callers of guavapondd would have lost all their connections if the handling of one request threw: the exception left a thread of the HTTP server and ended the process.

Evidence: HttpServerTest AnExceptionEndsOnlyItsConnection (before the change the exception leaves the server's thread, which terminates the test). ServiceContractTest AnswerThatEndsEarlyIsNoAnswer shows that the client side, cpprestsdk, neither reserves an announced length nor takes an early end for a whole answer; it passed before.

Change: the handler's exception is logged and closes its connection; what leaves any other handler is logged, and the thread goes on with the loop.

--- a/src/adapters/HttpServer.cpp
+++ b/src/adapters/HttpServer.cpp
@@ -1,6 +1,8 @@
 // HTTP/1.1 server on Boost.Beast: one strand for each connection, a few threads for all.
 #include "adapters/HttpServer.h"
 
+#include "adapters/Logging.h"
+
 #include <boost/asio.hpp>
 #include <boost/asio/ssl.hpp>
 #include <boost/beast/core.hpp>
@@ -396,7 +398,12 @@
         this->reply = std::make_shared<Reply>(this->shared_from_this(), message.keep_alive() && !this->server->closing, message.version());
         auto held = this->reply;
         this->watchCaller(held);
-        this->server->handler(std::move(request), held);
+        try {
+            this->server->handler(std::move(request), held);
+        } catch (const std::exception& error) { // it costs this connection; the request may have been passed on
+            log(LogLevel::Error, "exception", { { "part", "connection of a caller" }, { "reason", error.what() } });
+            this->shut();
+        }
     }
 
     // Notices a caller that closes its connection while its request waits or runs.
@@ -493,6 +500,19 @@
     size_t drained = 0;
 };
 
+// An exception that leaves a handler of one connection releases that connection; the others go on.
+void runLoop(asio::io_context& context)
+{
+    for (;;) {
+        try {
+            context.run();
+            return;
+        } catch (const std::exception& error) {
+            log(LogLevel::Error, "exception", { { "part", "event loop" }, { "reason", error.what() } });
+        }
+    }
+}
+
 void accept(const std::shared_ptr<HttpServerState>& server)
 {
     server->acceptor.async_accept(asio::make_strand(server->context), [server](error_code ec, tcp::socket socket) {
@@ -548,7 +568,7 @@
     server.port = server.acceptor.local_endpoint().port();
     accept(this->state);
     for (unsigned i = 0; i < std::max(1U, server.settings.threads); ++i)
-        server.threads.emplace_back([held = this->state] { held->context.run(); });
+        server.threads.emplace_back([held = this->state] { runLoop(held->context); });
     return std::nullopt;
 }
 
--- a/tests/adapters/HttpServerTest.cpp
+++ b/tests/adapters/HttpServerTest.cpp
@@ -137,6 +137,26 @@
     }
 }
 
+// Guards against an exception in the handling of one request that ends the process, and all connections with it.
+TEST(HttpServer, AnExceptionEndsOnlyItsConnection)
+{
+    handler = [](const HttpRequest& request, const std::shared_ptr<HttpReply>& reply) {
+        if (request.target == "/throws")
+            throw std::length_error("too long");
+        reply->send(200, {}, request.method);
+    };
+    start();
+    Client sound(server->port());
+    sound.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(sound.receiveUntil("GET").find("200 OK") != std::string::npos);
+    Client throwing(server->port());
+    throwing.send("GET /throws HTTP/1.1\r\nHost: h\r\n\r\n");
+    STRCMP_EQUAL("", throwing.receiveAll().c_str());
+    sound.send("GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    CHECK_EQUAL(200, statusOf(sound.receiveAll()));
+    CHECK_EQUAL(0, server->answering());
+}
+
 TEST(HttpServer, ABadSenderDoesNotStopOthers)
 {
     start();
--- a/tests/adapters/RawServer.cpp
+++ b/tests/adapters/RawServer.cpp
@@ -59,8 +59,9 @@
 
 } // namespace
 
-RawServer::RawServer(Script answers)
+RawServer::RawServer(Script answers, bool closesAfterAnswers)
     : script(std::move(answers))
+    , closesAfterAnswers(closesAfterAnswers)
     , listener(listenOnLoopback(SOMAXCONN, this->port))
     , acceptor([this] { this->acceptLoop(); })
 {
@@ -102,7 +103,7 @@
         const auto answer = this->script(request);
         if (!answer)
             break;
-        if (::send(fd, answer->data(), answer->size(), MSG_NOSIGNAL) < 0)
+        if (::send(fd, answer->data(), answer->size(), MSG_NOSIGNAL) < 0 || this->closesAfterAnswers)
             break;
     }
     ::shutdown(fd, SHUT_RDWR);
--- a/tests/adapters/RawServer.h
+++ b/tests/adapters/RawServer.h
@@ -16,7 +16,7 @@
     // Answer to request number `request` (from 0) of a connection; none: the connection is closed once the request has been read.
     using Script = std::function<std::optional<std::string>(size_t request)>;
 
-    explicit RawServer(Script script);
+    explicit RawServer(Script script, bool closesAfterAnswers = false);
     ~RawServer();
     RawServer(const RawServer&) = delete;
     RawServer& operator=(const RawServer&) = delete;
@@ -29,7 +29,8 @@
     void serve(int fd);
 
     Script script;
-    uint16_t port = 0; // before listener, whose initializer sets it
+    bool closesAfterAnswers; // in place of waiting for the next request
+    uint16_t port = 0;       // before listener, whose initializer sets it
     int listener = -1;
     std::atomic<size_t> received = 0;
     std::mutex mutex; // guards open and workers
--- a/tests/adapters/ServiceContractTest.cpp
+++ b/tests/adapters/ServiceContractTest.cpp
@@ -127,6 +127,34 @@
     }
 }
 
+// Guards against an answer that breaks off, in its head too, and is passed on as whole, and against an announced length that sizes memory.
+TEST(ServiceContract, AnswerThatEndsEarlyIsNoAnswer)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+    const std::string bytes[] = {
+        "HTTP/1.1 20",
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Ty",
+        head,
+        head + "Content-Length: 10\r\n\r\n",
+        head + "Content-Length: 10\r\n\r\n{}",
+        head + "Content-Length: 1000000000000000\r\n\r\n{}",
+        head + "Content-Length: 18446744073709551615\r\n\r\n{}",
+        head + "Transfer-Encoding: chunked\r\n\r\n",
+        head + "Transfer-Encoding: chunked\r\n\r\n2",
+        head + "Transfer-Encoding: chunked\r\n\r\n2\r\n{",
+        head + "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n",
+        head + "Transfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n{}",
+        head + "Transfer-Encoding: chunked\r\n\r\n7fffffffffffffff\r\n{}",
+    };
+    for (const std::string& answer : bytes) {
+        RawServer server([&](size_t) { return std::optional(answer); }, true);
+        const ServiceAnswer received = complete(this->service, requestTo(server.url(), "gp1.cut", "POST", "{}"));
+        CHECK_TEXT(received.failure.has_value(), answer.c_str());
+        CHECK_TEXT(received.failure->disposition == Disposition::Unknown, answer.c_str());
+    }
+}
+
 // Guards against a silent connection spoiling later calls.
 TEST(ServiceContract, SilentConnectionIsReplaced)
 {
