Take no answer whose length is not certain in guavapondd

Callers of guavapondd would have got a service's answer that breaks off as a whole one: cpprestsdk takes "Content-Length:" for no length, and a length that is no number as well, so that the body ends with the connection.

Evidence: ServiceContractTest AnswerThatEndsEarlyIsNoAnswer failed for 2^64 - 1 before the change. Ruled out there: an end in the head, in a body with a length or in a chunk, and an announced length of 10^15, which reserves nothing.

Change: an answer whose Content-Length is no number, is given twice or stands beside a transfer encoding ends the call as failed, with an unknown outcome.

--- a/src/adapters/HttpExchange.cpp
+++ b/src/adapters/HttpExchange.cpp
@@ -4,12 +4,27 @@
 #include <cpprest/producerconsumerstream.h>
 
 #include <algorithm>
+#include <charconv>
 #include <cstring>
 
 namespace guavapond {
 
 namespace {
 
+// False if Content-Length is no number, is given twice or stands beside a transfer encoding. The library then takes the body to end with
+// the connection, so that an answer that breaks off would look whole.
+bool hasCertainLength(const web::http::http_headers& headers)
+{
+    const auto field = headers.find("Content-Length");
+    if (field == headers.end())
+        return true;
+    int64_t length = 0;
+    const std::string& text = field->second;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), length);
+    const bool isNumber = error == std::errc() && end == text.data() + text.size() && length >= 0;
+    return isNumber && headers.find("Transfer-Encoding") == headers.end();
+}
+
 constexpr size_t readBytes = 64 * 1024;                      // bytes read at once
 constexpr auto libraryTimeout = std::chrono::hours(24);      // the library's own timeout is not used; HttpExchange has its own
 constexpr Duration busyDelay = std::chrono::milliseconds(1); // until the next look at an exchange whose hook is running
@@ -217,6 +232,10 @@
         message.set_response_stream(sink.create_ostream());
         this->client->request(message, this->cancellation.get_token())
             .then([self](const web::http::http_response& response) {
+                if (!hasCertainLength(response.headers())) {
+                    self->cancellation.cancel();
+                    throw std::runtime_error("the length of the answer is not certain");
+                }
                 self->onHead(response);
                 return response.content_ready();
             })
