--- a/tests/edge/EdgeFleet.h
+++ b/tests/edge/EdgeFleet.h
@@ -67,10 +67,12 @@
         this->store.model.put("op/config", config);
     }
 
-    void addTarget()
+    void addTarget(Duration work = std::chrono::milliseconds(5))
     {
         const std::string id = "t" + std::to_string(this->targets.size());
-        standins::RunnerSettings settings { .id = id, .address = { "127.0.0.1", 0 }, .events = eventsOfAnswer, .eventGap = eventGap };
+        standins::RunnerSettings settings {
+            .id = id, .address = { "127.0.0.1", 0 }, .events = eventsOfAnswer, .eventGap = eventGap, .work = work
+        };
         auto& target = *this->targets.emplace_back(std::make_unique<standins::PlatformRunner>(this->loop, settings));
         target.onArrival = [this, id](const std::string& attempt) { this->limits.onArrival(nodeOf(attempt), id, edge::bootTime()); };
         target.onAnswer = [this, id](const std::string& attempt) { this->limits.onAnswer(nodeOf(attempt), id, edge::bootTime()); };
--- /dev/null
+++ b/tests/edge/LargeAnswerProgramTest.cpp
@@ -0,0 +1,108 @@
+// System test of large answers: they pass through the node in pieces, so that its memory doesn't grow with their length, their number or
+// the callers' slowness.
+#include "EdgeProcess.h"
+
+#include "Caller.h"
+#include "StoreTexts.h"
+#include "edge/PlatformStore.h"
+#include "edge/ScriptedServer.h"
+
+#include <CppUTest/TestHarness.h>
+#include <filesystem>
+
+using namespace guavapond;
+using namespace std::chrono_literals;
+
+TEST_GROUP(LargeAnswerProgram) {};
+
+namespace {
+
+constexpr size_t callerCount = 24;
+constexpr size_t answerBytes = 16 << 20;
+#ifdef __SANITIZE_ADDRESS__
+constexpr size_t maxResidentBytes = 1'000'000'000; // the sanitizer keeps what was freed
+#else
+constexpr size_t maxResidentBytes = 110'000'000; // memory of the smallest VM of the platform's pages
+#endif
+
+size_t peakResidentBytes(pid_t pid)
+{
+    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with("VmHWM:"))
+            return std::stoul(line.substr(6)) * 1024; // the file counts in KiB
+    }
+    return 0;
+}
+
+} // namespace
+
+// Guards against memory that grows with sound large answers, of callers that read at once and of callers that pause.
+TEST(LargeAnswerProgram, MemoryStaysFlat)
+{
+    edge::net::io_context loop;
+    standins::PlatformStore store(loop, { "127.0.0.1", 0 });
+    store.start();
+    std::string directory = (std::filesystem::temp_directory_path() / "guavapond-large-XXXXXX").string();
+    CHECK(::mkdtemp(directory.data()) != nullptr);
+    test::EdgeProcess files("node", directory, store.port());
+    const std::string head = "HTTP/1.1 200 OK\r\nGuavapond-Attempt-Id: {id}\r\nGuavapond-Response-Seal: s\r\nContent-Length: "
+        + std::to_string(answerBytes) + "\r\n\r\n";
+    standins::ScriptedServer target(loop, head + std::string(answerBytes, 'x'), standins::ScriptedEnd::KeepOpen);
+    std::string config = test::configText(1, "r");
+    const auto replace = [&](const std::string& from, const std::string& to) { config.replace(config.find(from), from.size(), to); };
+    replace("\"streaming\"", "\"idempotent\"");
+    replace("\"timeout_ms\":12000", "\"timeout_ms\":60000");
+    replace("\"rate_per_s\":310,\"burst\":620", "\"rate_per_s\":1000000,\"burst\":1000000");
+    replace(R"(,"engine":{"slots":13,"kv_capacity":1000,"stride":6})", "");
+    store.model.put("op/config", config);
+    std::string entry = test::targetText("ready", 1, test::loopbackAddress(target.address().port));
+    entry.replace(entry.find("\"slots\":13"), 10, "\"slots\":" + std::to_string(callerCount));
+    store.model.put("servers/r1", entry);
+    files.writeSettings();
+    const auto node = files.start();
+    const auto runUntil = [&](const std::function<bool()>& condition) {
+        const TimePoint end = edge::bootTime() + test::patience;
+        while (!condition() && edge::bootTime() < end)
+            loop.run_for(2ms);
+        return condition();
+    };
+    CHECK(runUntil([&] { return test::hasLogMessage(*node, "ready"); }));
+
+    struct Caller {
+        edge::ConnectionPointer connection;
+        size_t received = 0;
+        bool isComplete = false;
+        bool hasEnded = false;
+    };
+    std::vector<Caller> callers(callerCount);
+    for (size_t i = 0; i < callerCount; ++i) {
+        Caller& caller = callers[i];
+        caller.connection = std::make_shared<edge::ClientConnection>(
+            loop, edge::Address { "127.0.0.1", files.callers.port() }, edge::ConnectionSettings {});
+        edge::ResponseHooks events;
+        events.head = [](const edge::http::response_header<>&) { return edge::HeadVerdict::Accept; };
+        events.body = [&caller, i](std::string_view piece) {
+            if (caller.received == 0 && i % 2 == 1)
+                caller.connection->pauseReading();
+            caller.received += piece.size();
+        };
+        events.complete = [&caller] { caller.isComplete = caller.hasEnded = true; };
+        events.failed = [&caller](edge::ConnectionFault, bool) { caller.hasEnded = true; };
+        caller.connection->start(
+            "GET /x/large HTTP/1.1\r\nHost: a.example\r\nGuavapond-Attempt-Id: a" + std::to_string(i) + "\r\nGuavapond-Key: k\r\n\r\n", "",
+            true, std::move(events));
+    }
+    // The pause is shorter than the time-out of unacknowledged data.
+    loop.run_for(700ms);
+    for (Caller& caller : callers)
+        caller.connection->resumeReading();
+    CHECK(runUntil([&] { return std::all_of(callers.begin(), callers.end(), [](const Caller& caller) { return caller.hasEnded; }); }));
+    for (const Caller& caller : callers) {
+        CHECK(caller.isComplete);
+        LONGS_EQUAL(answerBytes, caller.received);
+    }
+    const size_t peak = peakResidentBytes(node->id());
+    CHECK_TEXT(peak > 0 && peak < maxResidentBytes, std::to_string(peak).c_str());
+    std::filesystem::remove_all(directory);
+}
--- a/tests/edge/StopProgramTest.cpp
+++ b/tests/edge/StopProgramTest.cpp
@@ -174,3 +174,68 @@
     LONGS_EQUAL(0, *node->waitForExit());
     checkNoneLost();
 }
+
+// Guards against orders on kept connections that a stop drops: callers use theirs until the process is gone.
+TEST(StopProgram, KeptConnectionsAreServedUntilTheirAnswerClosesThem)
+{
+    start(30ms, 1500, 8);
+    edge::ConnectionPool pool(loop, {});
+    const auto sendOnKept = [&] {
+        const std::string attempt = "a" + std::to_string(calls.size());
+        auto answer = std::make_shared<edge::CallerAnswer>();
+        const auto connection = pool.acquire({ "127.0.0.1", files->callers.port() }, 10s, edge::bootTime());
+        edge::ResponseHooks events;
+        events.head = [answer](const edge::http::response_header<>& head) {
+            answer->status = head.result_int();
+            return edge::HeadVerdict::Accept;
+        };
+        events.body = [](std::string_view) {};
+        events.complete = [&pool, answer, weak = std::weak_ptr(connection)] {
+            answer->complete = answer->ended = true;
+            if (const auto used = weak.lock())
+                pool.release(used, edge::bootTime());
+        };
+        events.failed = [answer](edge::ConnectionFault, bool) { answer->ended = true; };
+        connection->start("POST /x/order HTTP/1.1\r\n" + fields(attempt, 1500) + "\r\n", "text", true, std::move(events));
+        calls.push_back({ attempt, stoppedAt ? sinceStop() : Duration(-1), answer });
+    };
+    for (int i = 0; i < 30; ++i) {
+        sendOnKept();
+        runFor(20ms);
+    }
+    stop();
+    while (node->isRunning() && sinceStop() < 9s) {
+        sendOnKept();
+        runFor(40ms);
+    }
+    CHECK_FALSE(node->isRunning());
+    CHECK(runUntil([&] { return haveAllEnded(); }));
+    checkNoneLost();
+    LONGS_EQUAL(0, *node->waitForExit());
+}
+
+// Guards against a request that is half there when the stop begins and is dropped when its rest comes, and against one whose rest never
+// comes and which keeps the process from ending.
+TEST(StopProgram, HalfARequestIsWaitedForOnlyInTheGrace)
+{
+    start(30ms, 1500, 5);
+    edge::tcp::socket unfinished(loop);
+    edge::tcp::socket late(loop);
+    const std::string head = "POST /x/order HTTP/1.1\r\n" + fields("h1", 1000) + "\r\n";
+    for (edge::tcp::socket* socket : { &unfinished, &late }) {
+        socket->connect({ edge::net::ip::address_v4::loopback(), files->callers.port() });
+        edge::net::write(*socket, edge::net::buffer(head.substr(0, head.size() - 3)));
+    }
+    runFor(100ms);
+    stop();
+    CHECK(runUntil([&] { return sinceStop() >= 2800ms; }));
+    edge::net::write(late, edge::net::buffer(head.substr(head.size() - 3) + "text"));
+    std::string answer;
+    bool hasEnded = false;
+    edge::net::async_read(late, edge::net::dynamic_buffer(answer), [&](boost::system::error_code, size_t) { hasEnded = true; });
+    CHECK(runUntil([&] { return hasEnded; }));
+    CHECK_TEXT(answer.starts_with("HTTP/1.1 200 OK"), answer.c_str());
+    CHECK(runUntil([&] { return !node->isRunning(); }));
+    CHECK(sinceStop() < 5500ms);
+    LONGS_EQUAL(0, *node->waitForExit());
+}
--- a/tests/system/ChildProcess.h
+++ b/tests/system/ChildProcess.h
@@ -30,6 +30,7 @@
     void send(int signal) const;
     std::optional<int> waitForExit(); // exit status; 128 + signal if killed; none: still running
     bool isRunning();
+    pid_t id() const { return this->pid; }
     nlohmann::json ready(); // its first line, once printed; null: ended or too late
     std::string output() const;
     std::string errors() const;
