Test that SIGHUP while starting is harmless

The settings of the node under test are a pipe, so that it waits for them until the signal has come. Without the line that ignores SIGHUP the process ends.

--- a/tests/edge/EdgeProgramTest.cpp
+++ b/tests/edge/EdgeProgramTest.cpp
@@ -9,6 +9,7 @@
 #include <CppUTest/TestHarness.h>
 #include <filesystem>
 #include <set>
+#include <sys/stat.h>
 
 using namespace guavapond;
 using test::hasLogMessage;
@@ -137,6 +138,28 @@
     CHECK_TEXT(store.model.items().size() == 2, "the node removed its entry from the store");
 }
 
+// Guards against a node that ends because it is told of changed settings while it starts. Its settings are a pipe here, so that it waits
+// for them until the signal has come.
+TEST(EdgeProgram, SignalOfChangedSettingsWhileStartingIsHarmless)
+{
+    writeSettings();
+    const std::string path = edgeProcess->settingsFile();
+    const std::string file = path + ".file";
+    std::filesystem::rename(path, file);
+    LONGS_EQUAL(0, ::mkfifo(path.c_str(), 0600));
+    const auto node = start();
+    std::ofstream pipe(path); // returns when the node has opened the other end
+    node->send(SIGHUP);
+    loop.run_for(200ms);
+    CHECK(node->isRunning());
+    std::ostringstream text;
+    text << std::ifstream(file).rdbuf();
+    std::filesystem::rename(file, path); // for what the node reads later
+    pipe << text.str();
+    pipe.close();
+    CHECK(runUntil([&] { return this->isReady(); }));
+}
+
 // Guards against a restart that depends on a clean shutdown of the previous process: after SIGKILL nothing was cleaned up.
 TEST(EdgeProgram, ServesAgainAfterSigkill)
 {
