Contain exceptions without an allocation for each event

The handlers of connections passed their step as a std::function, which allocates for what it captures on each read and write. A template does the same without; nothing else changes.

--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -55,6 +55,15 @@
         this->scanner.setLastId(*lastReceivedId);
 }
 
+template <typename Step> void Exchange::contain(const Step& step)
+{
+    try {
+        step();
+    } catch (const std::exception& error) {
+        this->onException(error);
+    }
+}
+
 void Exchange::begin()
 {
     const auto self = this->shared_from_this();
@@ -518,15 +527,6 @@
     this->onAttemptEnded(isInvalid ? AttemptOutcome::Invalid : AttemptOutcome::Broken);
 }
 
-void Exchange::contain(const std::function<void()>& step)
-{
-    try {
-        step();
-    } catch (const std::exception& error) {
-        this->onException(error);
-    }
-}
-
 void Exchange::onException(const std::exception& error)
 {
     constexpr std::string_view reason = "internal error";
--- a/src/edge/Exchange.h
+++ b/src/edge/Exchange.h
@@ -101,7 +101,8 @@
     void applyBackpressure();
     void onComplete();
     void onFailed(ConnectionFault fault, bool anyByteSent);
-    void contain(const std::function<void()>& step); // runs a handler of the attempt's connection; an exception ends this request only
+    template <typename Step>
+    void contain(const Step& step); // runs a handler of the attempt's connection; an exception ends this request only
     void onException(const std::exception& error);
     void endAttempt(TargetOutcome outcome);
     void cancelAttempt(TargetOutcome outcome); // closes the connection of the attempt, if there is one
--- a/src/edge/HttpClient.cpp
+++ b/src/edge/HttpClient.cpp
@@ -102,6 +102,18 @@
         this->connect();
 }
 
+template <typename Step> void ClientConnection::contain(const Step& step)
+{
+    const auto self = this->shared_from_this();
+    try {
+        step();
+    } catch (const std::exception& error) {
+        if (this->settings.exceptionContained)
+            this->settings.exceptionContained("connection to a server", error);
+        this->fail(ConnectionFault::Internal);
+    }
+}
+
 void ClientConnection::connect()
 {
     const auto self = this->shared_from_this();
@@ -292,18 +304,6 @@
         hooks->failed(fault, sent);
 }
 
-void ClientConnection::contain(const std::function<void()>& step)
-{
-    const auto self = this->shared_from_this();
-    try {
-        step();
-    } catch (const std::exception& error) {
-        if (this->settings.exceptionContained)
-            this->settings.exceptionContained("connection to a server", error);
-        this->fail(ConnectionFault::Internal);
-    }
-}
-
 void ClientConnection::close()
 {
     if (!this->open)
--- a/src/edge/HttpClient.h
+++ b/src/edge/HttpClient.h
@@ -96,7 +96,7 @@
     bool isBodyTooLong() const; // that of the current response, received or announced
     void finishResponse();
     void fail(ConnectionFault fault);
-    void contain(const std::function<void()>& step); // runs a handler; an exception fails the request and closes the connection
+    template <typename Step> void contain(const Step& step); // runs a handler; an exception fails the request and closes the connection
     void resetParser();
 
     net::io_context& loop;
--- a/src/edge/HttpListener.cpp
+++ b/src/edge/HttpListener.cpp
@@ -79,6 +79,18 @@
     return this->input.size() == 0 && this->socket.available(ignored) == 0;
 }
 
+template <typename Step> void CallerConnection::contain(const Step& step)
+{
+    const auto self = this->shared_from_this();
+    try {
+        step();
+    } catch (const std::exception& error) {
+        if (this->listener.settings.exceptionContained)
+            this->listener.settings.exceptionContained("connection of a caller", error);
+        this->closeIncomplete();
+    }
+}
+
 void CallerConnection::arm(TimerUse use, Duration bound)
 {
     const uint64_t generation = ++this->timerGeneration;
@@ -95,18 +107,6 @@
     });
 }
 
-void CallerConnection::contain(const std::function<void()>& step)
-{
-    const auto self = this->shared_from_this();
-    try {
-        step();
-    } catch (const std::exception& error) {
-        if (this->listener.settings.exceptionContained)
-            this->listener.settings.exceptionContained("connection of a caller", error);
-        this->closeIncomplete();
-    }
-}
-
 void CallerConnection::read()
 {
     if (this->reading || !this->open || (this->handling && this->input.size() >= maxPipelinedBytes))
--- a/src/edge/HttpListener.h
+++ b/src/edge/HttpListener.h
@@ -65,7 +65,7 @@
         Write,
         Linger,
     };
-    void contain(const std::function<void()>& step); // runs a handler; an exception closes the connection
+    template <typename Step> void contain(const Step& step); // runs a handler; an exception closes the connection
     void read();
     void onRead(boost::system::error_code error, size_t count);
     void parse();
