--- a/tests/edge/AnswerLengthTest.cpp
+++ b/tests/edge/AnswerLengthTest.cpp
@@ -184,6 +184,6 @@
             loop.run_for(1ms);
         CHECK_TEXT(result && !result->value, bytes.c_str());
         STRCMP_EQUAL_TEXT("too_large", std::string(platform::callFailureName(result->reason)).c_str(), bytes.c_str());
-        CHECK_TEXT(server.repeated < platform::maxAnswerBytes + kernelBuffers, bytes.c_str());
+        CHECK_TEXT(server.repeated < platform::StoreClient::maxAnswerBytes + kernelBuffers, bytes.c_str());
     }
 }
