Count a connection that is being accepted in the last look of a stop

Cause: an accept that finds a connection in the backlog succeeds at once and leaves its handler in the event loop's queue. A tick that runs before it sees no connection, closes the listening socket and goes on to leave the store; the handler then adds a connection whose request is passed on and dropped.

Evidence: ListenerStopTest AConnectionThatIsBeingAcceptedCounts: with two connections in the backlog, one is counted after stopAccepting() and the other one is added later.

Change: a node that closes waits until the accept that was under way has ended.

--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -174,8 +174,7 @@
         return;
     if (this->stopSequence.phase() >= StopPhase::Draining)
         this->callers.closeIdle(now);
-    const auto load = [this] { return NodeLoad { this->requests.inFlight(), this->callers.connections() }; };
-    while (this->stopSequence.advance(load(), now)) {
+    while (this->stopSequence.advance(this->load(), now)) {
         const StopPhase phase = this->stopSequence.phase();
         log(LogLevel::Info, "stop phase",
             { { "phase", stopPhaseName(phase) }, { "ms", toMilliseconds(this->stopSequence.elapsed(now)) },
@@ -186,6 +185,12 @@
         this->requests.endAll();
 }
 
+NodeLoad EdgeNode::load() const
+{
+    const bool mayGrow = this->stopSequence.phase() >= StopPhase::Closing && this->callers.mayAddConnection();
+    return { this->requests.inFlight(), this->callers.connections() + (mayGrow ? 1 : 0) };
+}
+
 void EdgeNode::enterStopPhase(StopPhase phase)
 {
     switch (phase) {
--- a/src/edge/EdgeNode.h
+++ b/src/edge/EdgeNode.h
@@ -48,6 +48,7 @@
     void tick();                                                                       // periodic work
     void advanceStop(TimePoint now);
     void enterStopPhase(StopPhase phase);
+    NodeLoad load() const; // what a stop waits for
     void logReadinessChange();
     void advanceMoves(TimePoint now); // updates the moves between versions and publishes their states
 
--- a/src/edge/HttpListener.cpp
+++ b/src/edge/HttpListener.cpp
@@ -382,7 +382,9 @@
         this->retry.expires_after(acceptRetryDelay);
         return this->retry.async_wait([this](boost::system::error_code) { this->accept(); });
     }
+    this->acceptPending = true;
     this->acceptor.async_accept([this](boost::system::error_code error, tcp::socket socket) {
+        this->acceptPending = false;
         if (!error)
             this->add(std::move(socket));
         if (!this->accepting)
--- a/src/edge/HttpListener.h
+++ b/src/edge/HttpListener.h
@@ -120,6 +120,8 @@
     void closeAll();
     void stopAccepting(); // takes the connections that the kernel has accepted already, then no more; open connections stay
     void shutDown();      // stops accepting at once; open connections stay
+    // After stopAccepting(): one more connection may have been taken from the kernel that is not yet in connections().
+    bool mayAddConnection() const { return this->acceptPending; }
     size_t connections() const { return this->openConnections.size(); }
     uint16_t port() const { return this->acceptor.local_endpoint().port(); }
 
@@ -137,6 +139,7 @@
     std::set<CallerPointer> openConnections;
     bool keepAliveEnabled = true;
     bool accepting = false;
+    bool acceptPending = false; // an accept has begun and its handler has not run
 };
 
 LocalResponse makeErrorResponse(unsigned status, std::string_view reason); // body: {"error": reason}
--- a/tests/edge/ListenerStopTest.cpp
+++ b/tests/edge/ListenerStopTest.cpp
@@ -79,6 +79,24 @@
     CHECK(error == net::error::connection_refused);
 }
 
+// Guards against a last look that misses a connection: the event loop has taken it from the kernel, but its handler has not run yet.
+TEST(ListenerStop, AConnectionThatIsBeingAcceptedCounts)
+{
+    tcp::socket first = connect();
+    tcp::socket second = connect();
+    net::write(second, net::buffer(std::string("GET / HTTP/1.1\r\nHost: x\r\n\r\n")));
+    while (listener->connections() == 0)
+        loop.run_one(); // the next accept succeeds at once and waits for its handler
+    listener->disableKeepAlive();
+    listener->stopAccepting();
+    LONGS_EQUAL(1, listener->connections());
+    CHECK(listener->mayAddConnection());
+    boost::system::error_code end;
+    const std::string answer = readAll(second, end);
+    CHECK_TEXT(answer.ends_with("fine"), answer.c_str());
+    CHECK_FALSE(listener->mayAddConnection());
+}
+
 // Guards against an answer that the caller loses to a reset, because the node closes a connection on which bytes have come that it doesn't
 // read: the rest of a body that is too large, or a further request.
 TEST(ListenerStop, AnswerReachesACallerThatStillSends)
