--- a/tests/edge/StopSoakProgramTest.cpp
+++ b/tests/edge/StopSoakProgramTest.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr size_t nodeCount = 3;
-constexpr auto grace = 4s;
+constexpr auto grace = 6s;
 constexpr int terminatedBeforeStart = 128 + SIGTERM;
 constexpr Duration exitSlack = 1s; // of a process on a busy machine, beyond its grace
 
@@ -23,14 +23,14 @@
         std::string config = test::configText(1, "r");
         const auto replace = [&](const std::string& from, const std::string& to) { config.replace(config.find(from), from.size(), to); };
         replace("\"streaming\"", "\"non_idempotent\"");
-        replace("\"timeout_ms\":12000", "\"timeout_ms\":1500");
+        replace("\"timeout_ms\":12000", "\"timeout_ms\":500");
         replace("\"rate_per_s\":310,\"burst\":620", "\"rate_per_s\":1000000,\"burst\":1000000");
         replace(R"(,"engine":{"slots":13,"kv_capacity":1000,"stride":6})", "");
         this->fleet.store.model.put("op/config", config);
         for (auto& node : this->fleet.nodes)
             node.files.writeSettings("[stop]\ngraceSeconds = " + std::to_string(grace.count()) + "\n");
         for (int i = 0; i < 3; ++i)
-            this->fleet.addTarget(40ms);
+            this->fleet.addTarget(20ms);
     }
 
     // What broke first; empty: nothing.
@@ -42,8 +42,13 @@
         const TimePoint end = edge::bootTime() + span;
         TimePoint nextEvent = edge::bootTime() + 300ms;
         while (edge::bootTime() < end) {
-            this->fleet.call(this->pick(nodeCount), "", "text", "/x/order");
-            this->fleet.runFor(std::chrono::milliseconds(this->pick(12)));
+            // In a lull a stopping node finds itself idle.
+            const bool isLull = edge::bootTime() < this->lullEndsAt;
+            if (!isLull)
+                this->fleet.call(this->pick(nodeCount), "", "text", "/x/order");
+            if (!isLull && this->pick(100) == 0)
+                this->lullEndsAt = edge::bootTime() + std::chrono::milliseconds(100 + this->pick(300));
+            this->fleet.runFor(std::chrono::milliseconds(1 + this->pick(12)));
             this->fleet.runDue(edge::bootTime());
             this->restartEnded();
             if (edge::bootTime() < nextEvent)
@@ -153,6 +158,7 @@
     std::mt19937_64 random;
     test::EdgeFleet fleet;
     std::array<Stop, nodeCount> stops;
+    TimePoint lullEndsAt {};
     std::string broken;
 };
 
@@ -169,7 +175,7 @@
     if (const char* seeds = std::getenv("GUAVAPOND_SOAK_SEEDS"))
         std::istringstream(seeds) >> first >> last;
     for (uint64_t seed = first; seed <= last; ++seed) {
-        const std::string broken = StopSoak(seed).run(15s);
+        const std::string broken = StopSoak(seed).run(20s);
         CHECK_TEXT(broken.empty(), ("seed " + std::to_string(seed) + ": " + broken).c_str());
     }
 }
