Answer before closing when a stopping node runs late

Callers of a node that is starved or suspended over the end of its grace got a closed connection in place of an answer.

Cause: requests in progress are answered when the tick sees `answerBy`. A tick that comes after `closeBy` moves on to leaving first, which closes all connections.

Evidence: StopProgramTest ALateNodeAnswersBeforeItCloses suspends the node over that time: without the change the order in progress gets no answer, with it 504.

Change: leaving answers what is in progress before it closes the connections.

--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -197,6 +197,7 @@
     case StopPhase::Closing:
         return this->callers.stopAccepting();
     case StopPhase::Leaving:
+        this->requests.endAll(); // a late tick may reach this phase before `answerBy` was looked at
         this->callers.closeAll();
         return this->stopHooks.removeEntry();
     case StopPhase::Ended:
--- a/tests/edge/StopProgramTest.cpp
+++ b/tests/edge/StopProgramTest.cpp
@@ -175,6 +175,25 @@
     checkNoneLost();
 }
 
+// Guards against a node that runs late, or is suspended, over the end of its grace, and closes its callers' connections without an answer
+// because it finds the time for that already past.
+TEST(StopProgram, ALateNodeAnswersBeforeItCloses)
+{
+    start(20s, 15000, 4);
+    const Call running = send(15000);
+    CHECK(runUntil([&] { return runner->runsOf(running.attempt) == 1; }));
+    stop();
+    CHECK(runUntil([&] { return sinceStop() >= 3400ms; }));
+    node->send(SIGSTOP);
+    CHECK(runUntil([&] { return sinceStop() >= 4200ms; }));
+    node->send(SIGCONT);
+    CHECK(runUntil([&] { return haveAllEnded(); }));
+    CHECK(running.answer->complete);
+    CHECK_EQUAL(504, running.answer->status);
+    CHECK(runUntil([&] { return !node->isRunning(); }));
+    LONGS_EQUAL(0, *node->waitForExit());
+}
+
 // Guards against orders on kept connections that a stop drops: callers use theirs until the process is gone.
 TEST(StopProgram, KeptConnectionsAreServedUntilTheirAnswerClosesThem)
 {
