--- a/src/edge/ReceivedBody.h
+++ b/src/edge/ReceivedBody.h
@@ -16,7 +16,8 @@
 struct ReceivedBody {
     using value_type = std::string;
 
-    class reader { // the name that Boost.Beast expects
+    // NOLINTNEXTLINE(readability-identifier-naming): the name that Boost.Beast expects
+    class reader {
     public:
         template <bool IsRequest, typename Fields>
         reader(boost::beast::http::header<IsRequest, Fields>&, value_type& body)
