Read a connection again after the large answer that paused it

Met again by LargeAnswerProgramTest with the address sanitizer beside nine other tests: 24 callers did not all get their answers within 40 s; alone it took 2 s. That this cause was behind that run is likely and not shown.

Evidence: AnswerLengthTest ConnectionOfALargeAnswerIsReadAgain, with an answer of 1,050,000 bytes; before the change the next request got 504 after 3 s. With 3,000,000 bytes it passed before, since reading resumes before that answer ends.

Change: the end of a response ends its pause.

--- a/src/edge/HttpClient.cpp
+++ b/src/edge/HttpClient.cpp
@@ -283,6 +283,7 @@
 {
     this->busy = false;
     this->served = true;
+    this->paused = false; // the pause was for the caller of this response
     const bool keepOpen = this->reusable;
     const auto self = this->shared_from_this();
     const auto hooks = std::move(this->events);
--- a/tests/edge/AnswerLengthTest.cpp
+++ b/tests/edge/AnswerLengthTest.cpp
@@ -160,6 +160,25 @@
     }
 }
 
+// Guards against a connection that is paused for the caller of a large answer and stays so: the next request on it runs, and its answer is
+// never read.
+TEST(AnswerLength, ConnectionOfALargeAnswerIsReadAgain)
+{
+    constexpr size_t bytes = 1'050'000; // ends with the piece that pauses the connection
+    EdgeWorld world;
+    world.setCatalog(world.catalog());
+    standins::ScriptedServer server(world.loop, ownHead + "Content-Length: 5\r\n\r\nyours", ScriptedEnd::KeepOpen);
+    server.first = { ownHead + "Content-Length: " + std::to_string(bytes) + "\r\n\r\n" + std::string(bytes, 'x') };
+    world.addTarget("t", server.address());
+    const auto large = world.send("/once/x", "a1");
+    CHECK(world.runUntilEnded(large));
+    CHECK(large->complete && large->body.size() == bytes);
+    const auto next = world.send("/once/x", "a2");
+    CHECK(world.runUntilEnded(next));
+    CHECK_EQUAL(200, next->status);
+    CHECK_EQUAL(1, server.connections);
+}
+
 // Guards against an answer of the store, which is read as a whole, that fills the node's memory: announced, in chunks, or without end.
 TEST(AnswerLength, AnswerOfTheStoreIsBounded)
 {
