--- a/tests/adapters/HttpServerTest.cpp
+++ b/tests/adapters/HttpServerTest.cpp
@@ -154,6 +154,9 @@
     STRCMP_EQUAL("", throwing.receiveAll().c_str());
     sound.send("GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
     CHECK_EQUAL(200, statusOf(sound.receiveAll()));
+    // The caller has its answer a moment before the server's thread releases it.
+    for (int i = 0; i < 2000 && server->answering() > 0; ++i)
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
     CHECK_EQUAL(0, server->answering());
 }
 
