Answer at the end of a stop, and after an exception, in one place each

Found by reading the change once more; behaviour stays as it is. Requests in progress were answered at two places of a stop, since a late tick could pass the first: the look at `answerBy` comes before the phases move on now, and StopProgramTest ALateNodeAnswersBeforeItCloses passes without the special case. What is true of a request after an exception was decided beside RequestLife, which decides the same at a deadline; it is asked now.

--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -174,6 +174,8 @@
         return;
     if (this->stopSequence.phase() >= StopPhase::Draining)
         this->callers.closeIdle(now);
+    if (now >= this->stopSequence.bounds()->answerBy) // before a late tick moves on and closes the connections
+        this->requests.endAll();
     while (this->stopSequence.advance(this->load(), now)) {
         const StopPhase phase = this->stopSequence.phase();
         log(LogLevel::Info, "stop phase",
@@ -181,8 +183,6 @@
                 { "inFlight", this->requests.inFlight() }, { "connections", this->callers.connections() } });
         this->enterStopPhase(phase);
     }
-    if (now >= this->stopSequence.bounds()->answerBy)
-        this->requests.endAll();
 }
 
 NodeLoad EdgeNode::load() const
@@ -197,7 +197,6 @@
     case StopPhase::Closing:
         return this->callers.stopAccepting();
     case StopPhase::Leaving:
-        this->requests.endAll(); // a late tick may reach this phase before `answerBy` was looked at
         this->callers.closeAll();
         return this->stopHooks.removeEntry();
     case StopPhase::Ended:
--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -533,12 +533,11 @@
     this->relay.metrics.exceptionContained("request", error);
     if (this->isFinished)
         return;
+    const NextStep step = this->life.onDeadline();
     this->cancelAttempt(TargetOutcome::Failed);
-    if (this->life.state() == RequestState::Answering)
-        return this->abortAnswer(reason);
-    const bool mayHaveRun = this->life.state() == RequestState::Sent || this->life.mayHaveRun();
-    if (mayHaveRun)
-        return this->answerLocally(badGateway, RequestResult::Unknown, reason, std::nullopt);
+    if (step != NextStep::AnswerNotRun)
+        return this->takeStep(step, reason);
+    // Without a Retry-After, whose computing may be what has thrown.
     this->answerLocally(serviceUnavailable, RequestResult::Refused, reason, std::nullopt);
 }
 
