Share the loop and the configuration of the new edge tests

The scripted server's first answers keep their connections open, in place of a second field for one such answer.

--- a/standins/edge/ScriptedServer.cpp
+++ b/standins/edge/ScriptedServer.cpp
@@ -63,14 +63,14 @@
     constexpr std::string_view place = "{id}";
     const size_t at = head.find(field);
     const std::string id = at == std::string::npos ? "" : head.substr(at + field.size(), head.find('\r', at) - at - field.size());
-    const bool isKept = this->requests == 1 && !this->keptFirst.empty();
-    peer->output = isKept ? this->keptFirst : this->requests <= this->first.size() ? this->first[this->requests - 1] : this->bytes;
+    const bool isFirst = this->requests <= this->first.size();
+    peer->output = isFirst ? this->first[this->requests - 1] : this->bytes;
     for (size_t found = peer->output.find(place); found != std::string::npos; found = peer->output.find(place))
         peer->output.replace(found, place.size(), id);
-    net::async_write(peer->socket, net::buffer(peer->output), [this, peer, isKept](boost::system::error_code error, size_t) {
+    net::async_write(peer->socket, net::buffer(peer->output), [this, peer, isFirst](boost::system::error_code error, size_t) {
         if (error)
             return;
-        if (isKept || this->end == ScriptedEnd::KeepOpen)
+        if (isFirst || this->end == ScriptedEnd::KeepOpen)
             return this->read(peer);
         if (this->end == ScriptedEnd::Repeat)
             return this->repeat(peer);
--- a/standins/edge/ScriptedServer.h
+++ b/standins/edge/ScriptedServer.h
@@ -26,8 +26,7 @@
     edge::Address address() const { return { "127.0.0.1", this->acceptor.local_endpoint().port() }; }
     void push(const std::string& text); // on all open connections, without a request
 
-    std::vector<std::string> first; // answers to the first requests, in place of the bytes
-    std::string keptFirst;          // answer to the first request, after which its connection stays open whatever the end; empty: none
+    std::vector<std::string> first; // answers to the first requests, in place of the bytes; their connections stay open
     std::function<void()> onRequest = [] {};
     size_t connections = 0;
     size_t requests = 0;
--- a/tests/edge/AnswerEndTest.cpp
+++ b/tests/edge/AnswerEndTest.cpp
@@ -65,7 +65,7 @@
                 world.setCatalog(world.catalog());
                 standins::ScriptedServer server(world.loop, row.bytes, end);
                 if (isKept)
-                    server.keptFirst = head + length + "first";
+                    server.first = { head + length + "first" };
                 world.addTarget("t", server.address());
                 if (isKept) {
                     const auto first = world.send("/once/x", "a0");
--- a/tests/edge/AnswerLengthTest.cpp
+++ b/tests/edge/AnswerLengthTest.cpp
@@ -136,10 +136,9 @@
         events.complete = [&] { isComplete = true; };
         events.failed = [](ConnectionFault, bool) {};
         connection->start("GET / HTTP/1.1\r\nHost: x\r\n\r\n", "", true, events);
-        const TimePoint end = bootTime() + 10s;
-        while (!isComplete && bootTime() < end)
-            loop.run_for(1ms);
-        CHECK_TEXT(isComplete, value);
+        CHECK_TEXT(runLoopUntil(
+                       loop, [&] { return isComplete; }, 10s),
+            value);
         CHECK_TEXT(connection->idleLimit() >= Duration::zero() && connection->idleLimit() <= 24h, value);
         if (std::string(value) == "99999999999999")
             CHECK_TEXT(connection->idleLimit() > 1s, "a long time is not a short one");
@@ -198,10 +197,10 @@
         platform::StoreClient store(loop, server.address(), 5s, metrics);
         std::optional<platform::CallResult<platform::RangePage>> result;
         store.range("op/", "", false, [&](platform::CallResult<platform::RangePage> read) { result = std::move(read); });
-        const TimePoint end = bootTime() + 10s;
-        while (!result && bootTime() < end)
-            loop.run_for(1ms);
-        CHECK_TEXT(result && !result->value, bytes.c_str());
+        CHECK_TEXT(runLoopUntil(
+                       loop, [&] { return result.has_value(); }, 10s),
+            bytes.c_str());
+        CHECK_TEXT(!result->value, bytes.c_str());
         STRCMP_EQUAL_TEXT("too_large", std::string(platform::callFailureName(result->reason)).c_str(), bytes.c_str());
         CHECK_TEXT(server.repeated < platform::StoreClient::maxAnswerBytes + kernelBuffers, bytes.c_str());
     }
--- a/tests/edge/Caller.h
+++ b/tests/edge/Caller.h
@@ -3,6 +3,7 @@
 // Index
 //   CallerAnswer
 //   callNode
+//   runLoopUntil
 #pragma once
 
 #include "edge/HttpClient.h"
@@ -38,4 +39,17 @@
     return answer;
 }
 
+// Runs the loop until the condition holds. False: it does not hold after `bound`.
+inline bool runLoopUntil(net::io_context& loop, const std::function<bool()>& condition, Duration bound)
+{
+    const TimePoint end = bootTime() + bound;
+    bool isMet = condition();
+    while (!isMet && bootTime() < end) {
+        loop.restart(); // a loop that has run out of work counts as stopped
+        loop.run_for(std::chrono::milliseconds(1));
+        isMet = condition();
+    }
+    return isMet;
+}
+
 } // namespace guavapond::edge
--- a/tests/edge/EdgeProgramTest.cpp
+++ b/tests/edge/EdgeProgramTest.cpp
@@ -43,13 +43,7 @@
     std::unique_ptr<test::Process> start() const { return this->edgeProcess->start(); }
     bool runUntil(const std::function<bool()>& condition, Duration timeout = test::patience)
     {
-        const TimePoint deadline = edge::bootTime() + timeout;
-        bool isMet = condition();
-        while (!isMet && edge::bootTime() < deadline) {
-            this->loop.run_for(2ms);
-            isMet = condition();
-        }
-        return isMet;
+        return edge::runLoopUntil(this->loop, condition, timeout);
     }
     std::shared_ptr<edge::CallerAnswer> get(uint16_t port, const std::string& target)
     {
--- a/tests/edge/ExceptionTest.cpp
+++ b/tests/edge/ExceptionTest.cpp
@@ -14,13 +14,7 @@
     std::vector<std::string> contained; // parts that reported an exception
     ExceptionHook hook = [this](std::string_view part, const std::exception&) { this->contained.emplace_back(part); };
 
-    bool runUntil(const std::function<bool()>& condition)
-    {
-        const TimePoint end = bootTime() + 10s;
-        while (!condition() && bootTime() < end)
-            this->loop.run_for(1ms);
-        return condition();
-    }
+    bool runUntil(const std::function<bool()>& condition) { return runLoopUntil(this->loop, condition, 10s); }
 };
 
 // Guards against an exception in a callback of one response, for example for want of memory, that leaves the event loop and so ends all
--- a/tests/edge/LargeAnswerProgramTest.cpp
+++ b/tests/edge/LargeAnswerProgramTest.cpp
@@ -49,24 +49,13 @@
     const std::string head = "HTTP/1.1 200 OK\r\nGuavapond-Attempt-Id: {id}\r\nGuavapond-Response-Seal: s\r\nContent-Length: "
         + std::to_string(answerBytes) + "\r\n\r\n";
     standins::ScriptedServer target(loop, head + std::string(answerBytes, 'x'), standins::ScriptedEnd::KeepOpen);
-    std::string config = test::configText(1, "r");
-    const auto replace = [&](const std::string& from, const std::string& to) { config.replace(config.find(from), from.size(), to); };
-    replace("\"streaming\"", "\"idempotent\"");
-    replace("\"timeout_ms\":12000", "\"timeout_ms\":60000");
-    replace("\"rate_per_s\":310,\"burst\":620", "\"rate_per_s\":1000000,\"burst\":1000000");
-    replace(R"(,"engine":{"slots":13,"kv_capacity":1000,"stride":6})", "");
-    store.model.put("op/config", config);
+    store.model.put("op/config", test::plainConfigText(1, "idempotent", 60000));
     std::string entry = test::targetText("ready", 1, test::loopbackAddress(target.address().port));
     entry.replace(entry.find("\"slots\":13"), 10, "\"slots\":" + std::to_string(callerCount));
     store.model.put("servers/r1", entry);
     files.writeSettings();
     const auto node = files.start();
-    const auto runUntil = [&](const std::function<bool()>& condition) {
-        const TimePoint end = edge::bootTime() + test::patience;
-        while (!condition() && edge::bootTime() < end)
-            loop.run_for(2ms);
-        return condition();
-    };
+    const auto runUntil = [&](const std::function<bool()>& condition) { return edge::runLoopUntil(loop, condition, test::patience); };
     CHECK(runUntil([&] { return test::hasLogMessage(*node, "ready"); }));
 
     struct Caller {
--- a/tests/edge/ListenerStopTest.cpp
+++ b/tests/edge/ListenerStopTest.cpp
@@ -30,15 +30,7 @@
         socket.connect({ net::ip::address_v4::loopback(), this->listener->port() });
         return socket;
     }
-    bool runUntil(const std::function<bool()>& condition)
-    {
-        const TimePoint end = bootTime() + 10s;
-        while (!condition() && bootTime() < end) {
-            this->loop.restart(); // a loop without work counts as stopped
-            this->loop.run_for(1ms);
-        }
-        return condition();
-    }
+    bool runUntil(const std::function<bool()>& condition) { return runLoopUntil(this->loop, condition, 10s); }
     // Reads until the listener closes; the text up to a reset.
     std::string readAll(tcp::socket & socket, boost::system::error_code & end)
     {
--- a/tests/edge/StopProgramTest.cpp
+++ b/tests/edge/StopProgramTest.cpp
@@ -52,13 +52,7 @@
         this->runner = std::make_unique<standins::PlatformRunner>(
             this->loop, standins::RunnerSettings { .id = "r1", .address = { "127.0.0.1", 0 }, .work = work });
         this->runner->start();
-        std::string config = test::configText(1, "r");
-        const auto replace = [&](const std::string& from, const std::string& to) { config.replace(config.find(from), from.size(), to); };
-        replace("\"streaming\"", "\"non_idempotent\"");
-        replace("\"timeout_ms\":12000", "\"timeout_ms\":" + std::to_string(timeoutMs));
-        replace("\"rate_per_s\":310,\"burst\":620", "\"rate_per_s\":1000000,\"burst\":1000000");
-        replace(R"(,"engine":{"slots":13,"kv_capacity":1000,"stride":6})", "");
-        this->store.model.put("op/config", config);
+        this->store.model.put("op/config", test::plainConfigText(1, "non_idempotent", timeoutMs));
         this->store.model.put("servers/r1", test::targetText("ready", 1, loopbackAddress(this->runner->address().port)));
         this->files->writeSettings("[stop]\ngraceSeconds = " + std::to_string(graceSeconds) + "\n");
         this->node = this->files->start();
@@ -66,13 +60,7 @@
     }
     bool runUntil(const std::function<bool()>& condition, Duration timeout = test::patience)
     {
-        const TimePoint deadline = edge::bootTime() + timeout;
-        bool isMet = condition();
-        while (!isMet && edge::bootTime() < deadline) {
-            this->loop.run_for(2ms);
-            isMet = condition();
-        }
-        return isMet;
+        return edge::runLoopUntil(this->loop, condition, timeout);
     }
     void runFor(Duration span) { this->loop.run_for(span); }
     bool isReady()
--- a/tests/edge/StopSoakProgramTest.cpp
+++ b/tests/edge/StopSoakProgramTest.cpp
@@ -20,13 +20,7 @@
         : random(seed)
         , fleet(nodeCount)
     {
-        std::string config = test::configText(1, "r");
-        const auto replace = [&](const std::string& from, const std::string& to) { config.replace(config.find(from), from.size(), to); };
-        replace("\"streaming\"", "\"non_idempotent\"");
-        replace("\"timeout_ms\":12000", "\"timeout_ms\":500");
-        replace("\"rate_per_s\":310,\"burst\":620", "\"rate_per_s\":1000000,\"burst\":1000000");
-        replace(R"(,"engine":{"slots":13,"kv_capacity":1000,"stride":6})", "");
-        this->fleet.store.model.put("op/config", config);
+        this->fleet.store.model.put("op/config", test::plainConfigText(1, "non_idempotent", 500));
         for (auto& node : this->fleet.nodes)
             node.files.writeSettings("[stop]\ngraceSeconds = " + std::to_string(grace.count()) + "\n");
         for (int i = 0; i < 3; ++i)
--- a/tests/edge/StoreTexts.h
+++ b/tests/edge/StoreTexts.h
@@ -2,6 +2,7 @@
 //
 // Index
 //   configText  the operators' configuration: one route, one service, one workspace
+//   plainConfigText  the same with a plain service, and a quota that bounds nothing
 //   targetText  the entry of a target of service s1
 #pragma once
 
@@ -19,6 +20,18 @@
           R"("tenants":[{"name":"t1","api_keys":["k"],"priority":1,"unit":"token_count","uncached_tokens":200,"rate_per_s":310,"burst":620}]})";
 }
 
+// `kind` is the platform's word for the route's kind.
+inline std::string plainConfigText(int version, const std::string& kind, int timeoutMs)
+{
+    std::string config = configText(version, "r");
+    const auto replace = [&](const std::string& from, const std::string& to) { config.replace(config.find(from), from.size(), to); };
+    replace("\"streaming\"", "\"" + kind + "\"");
+    replace("\"timeout_ms\":12000", "\"timeout_ms\":" + std::to_string(timeoutMs));
+    replace("\"rate_per_s\":310,\"burst\":620", "\"rate_per_s\":1000000,\"burst\":1000000");
+    replace(R"(,"engine":{"slots":13,"kv_capacity":1000,"stride":6})", "");
+    return config;
+}
+
 inline std::string targetText(const std::string& state, int sequence, const std::string& address = "10.0.0.9:8080")
 {
     return R"({"service":"s1","address":")" + address + R"(","zone":"z","version":"v1","slots":13,"state":")" + state
