--- a/tests/edge/EdgeProgramTest.cpp
+++ b/tests/edge/EdgeProgramTest.cpp
@@ -154,6 +154,19 @@
     CHECK(runUntil([&] { return this->isReady(); }));
 }
 
+// Guards against a node that has reported its start and that SIGTERM still ends at once, without a planned stop.
+TEST(EdgeProgram, SigtermAfterTheReportedStartIsAPlannedStop)
+{
+    writeSettings("[stop]\ngraceSeconds = 1\n");
+    for (int i = 0; i < 6; ++i) {
+        const auto node = start();
+        while (node->output().find("\"start\"") == std::string::npos) { } // the signal follows at once
+        node->send(SIGTERM);
+        LONGS_EQUAL(0, node->waitForExit().value_or(-1));
+        CHECK(hasLogMessage(*node, "stopped"));
+    }
+}
+
 // Guards against a restart that depends on a clean shutdown of the previous process: after SIGKILL nothing was cleaned up.
 TEST(EdgeProgram, ServesAgainAfterSigkill)
 {
