Pause each caller of LargeAnswerProgramTest for its own time

Cause, traced by the node's log of the failed runs: the node had answered all 24 wholly within 2 s. A caller whose first bytes came after the 0.7 s at which the test resumed all paused ones paused then, and was never resumed.

Change: a pause ends by a timer of its own caller. As many callers pause, for as long; all assertions stand.

--- a/tests/edge/LargeAnswerProgramTest.cpp
+++ b/tests/edge/LargeAnswerProgramTest.cpp
@@ -8,6 +8,7 @@
 #include "edge/ScriptedServer.h"
 
 #include <CppUTest/TestHarness.h>
+#include <deque>
 #include <filesystem>
 
 using namespace guavapond;
@@ -18,6 +19,7 @@
 namespace {
 
 constexpr size_t callerCount = 24;
+constexpr Duration callerPause = 700ms; // shorter than the time-out of unacknowledged data
 constexpr size_t answerBytes = 16 << 20;
 #ifdef __SANITIZE_ADDRESS__
 constexpr size_t maxResidentBytes = 1'000'000'000; // the sanitizer keeps what was freed
@@ -59,21 +61,32 @@
     CHECK(runUntil([&] { return test::hasLogMessage(*node, "ready"); }));
 
     struct Caller {
+        explicit Caller(edge::net::io_context& loop)
+            : timer(loop)
+        {
+        }
+        void pause()
+        {
+            this->connection->pauseReading();
+            this->timer.expires_after(callerPause);
+            this->timer.async_wait([this](boost::system::error_code) { this->connection->resumeReading(); });
+        }
+        edge::net::steady_timer timer;
         edge::ConnectionPointer connection;
         size_t received = 0;
         bool isComplete = false;
         bool hasEnded = false;
     };
-    std::vector<Caller> callers(callerCount);
+    std::deque<Caller> callers;
     for (size_t i = 0; i < callerCount; ++i) {
-        Caller& caller = callers[i];
+        Caller& caller = callers.emplace_back(loop);
         caller.connection = std::make_shared<edge::ClientConnection>(
             loop, edge::Address { "127.0.0.1", files.callers.port() }, edge::ConnectionSettings {});
         edge::ResponseHooks events;
         events.head = [](const edge::http::response_header<>&) { return edge::HeadVerdict::Accept; };
         events.body = [&caller, i](std::string_view piece) {
             if (caller.received == 0 && i % 2 == 1)
-                caller.connection->pauseReading();
+                caller.pause();
             caller.received += piece.size();
         };
         events.complete = [&caller] { caller.isComplete = caller.hasEnded = true; };
@@ -82,10 +95,6 @@
             "GET /x/large HTTP/1.1\r\nHost: a.example\r\nGuavapond-Attempt-Id: a" + std::to_string(i) + "\r\nGuavapond-Key: k\r\n\r\n", "",
             true, std::move(events));
     }
-    // The pause is shorter than the time-out of unacknowledged data.
-    loop.run_for(700ms);
-    for (Caller& caller : callers)
-        caller.connection->resumeReading();
     CHECK(runUntil([&] { return std::all_of(callers.begin(), callers.end(), [](const Caller& caller) { return caller.hasEnded; }); }));
     for (const Caller& caller : callers) {
         CHECK(caller.isComplete);
