Log on which connection each send went and what was skipped there

The log named the target of a send, not its connection: whether two sends of one order met on one connection could not be told.

--- a/src/edge/EdgeMetrics.cpp
+++ b/src/edge/EdgeMetrics.cpp
@@ -62,6 +62,10 @@
                                        .Help("Requests refused for a prompt part that crashes targets")
                                        .Register(this->registry)
                                        .Add({});
+    Family<Counter>& skippedAnswers = BuildCounter()
+                                          .Name("guavapond_edge_skipped_answers_total")
+                                          .Help("Answers of targets to another request than the one that was due, by status")
+                                          .Register(this->registry);
     Family<Counter>& exceptions = BuildCounter()
                                       .Name("guavapond_edge_exceptions_total")
                                       .Help("Exceptions that ended one connection or one request, by part")
@@ -140,6 +144,8 @@
 
 void EdgeMetrics::requestPipelined() { this->state->pipelined.Increment(); }
 
+void EdgeMetrics::answerSkipped(unsigned status) { this->state->skippedAnswers.Add({ { "status", std::to_string(status) } }).Increment(); }
+
 void EdgeMetrics::requestIdRepeated() { this->state->repeatedIds.Increment(); }
 
 void EdgeMetrics::requestUnread(unsigned status) { this->state->unread.Add({ { "status", std::to_string(status) } }).Increment(); }
--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -277,7 +277,7 @@
     if (namedRequests > 1 || (isRefusal && status < firstFailureStatus))
         return AttemptOutcome::Invalid;
     // Where answers to other requests come too, a refusal that names none may be one of theirs.
-    if (isRefusal && namedRequests == 0 && (this->attempt->reusedConnection || this->attempt->hasSkippedAnswer))
+    if (isRefusal && namedRequests == 0 && (this->attempt->reusedConnection || this->attempt->skippedAnswers > 0))
         return AttemptOutcome::Invalid;
     if (status == misdirectedRequest)
         return AttemptOutcome::Moved;
@@ -342,7 +342,8 @@
     this->noteTargetState(head);
     const auto id = head[this->relay.settings.headers.requestId];
     if (!id.empty() && id != this->request.message[this->relay.settings.headers.requestId]) {
-        this->attempt->hasSkippedAnswer = true;
+        ++this->attempt->skippedAnswers;
+        this->relay.metrics.answerSkipped(head.result_int());
         return HeadVerdict::Skip;
     }
     this->attempt->headSeen = true;
@@ -560,6 +561,10 @@
     this->lastHadEvent = finished.firstEventAt.has_value();
     this->lastWrittenFrom = finished.writtenFrom;
     this->lastReusedConnection = finished.reusedConnection;
+    this->lastConnection = finished.connection->number();
+    this->lastPosition = finished.connection->requests();
+    this->lastSkippedAnswers = finished.skippedAnswers;
+    this->lastStatus = finished.headSeen ? finished.head.result_int() : 0;
     this->lastBegan = this->lastHadEvent || (finished.headSeen && this->form != AnswerForm::Events);
     this->lastTargetLeft = this->targets().isLeaving(finished.target);
     this->countForMove(finished, outcome, now);
@@ -639,9 +644,10 @@
     log(LogLevel::Info, "run failed",
         { { "request", this->request.message[this->relay.settings.headers.requestId] }, { "target", this->lastTarget },
             { "end", attemptOutcomeName(outcome) }, { "writtenAfterMs", this->lastWrittenAfterMs() },
-            { "reusedConnection", this->lastReusedConnection }, { "hadEvent", this->lastHadEvent }, { "sharedParts", sharedParts },
-            { "requestKey", partText(this->requestKey()) }, { "sends", this->life.sends() },
-            { "leftMs", toMilliseconds(this->life.remaining(now)) }, { "next", nextStepName(step) } });
+            { "reusedConnection", this->lastReusedConnection }, { "targetConnection", this->lastConnection },
+            { "targetPosition", this->lastPosition }, { "skippedAnswers", this->lastSkippedAnswers }, { "status", this->lastStatus },
+            { "hadEvent", this->lastHadEvent }, { "sharedParts", sharedParts }, { "requestKey", partText(this->requestKey()) },
+            { "sends", this->life.sends() }, { "leftMs", toMilliseconds(this->life.remaining(now)) }, { "next", nextStepName(step) } });
 }
 
 int64_t Exchange::lastWrittenAfterMs() const
@@ -768,8 +774,10 @@
             { "workspaceRank", this->plan.rank.workspace }, { "routeRank", this->plan.rank.route }, { "tokens", this->plan.tokens },
             { "mostOutputTokens", this->plan.maxOutputTokens }, { "hintTokens", this->plan.expectedOutputTokens },
             { "connection", this->request.connection }, { "position", this->request.position }, { "events", this->scanner.events() },
-            { "target", this->lastTarget }, { "sends", this->life.sends() }, { "writtenAfterMs", this->lastWrittenAfterMs() },
-            { "ms", toMilliseconds(total) }, { "firstEventMs", this->timeToFirstEvent ? toMilliseconds(*this->timeToFirstEvent) : -1 },
+            { "target", this->lastTarget }, { "targetConnection", this->lastConnection }, { "targetPosition", this->lastPosition },
+            { "skippedAnswers", this->lastSkippedAnswers }, { "sends", this->life.sends() },
+            { "writtenAfterMs", this->lastWrittenAfterMs() }, { "ms", toMilliseconds(total) },
+            { "firstEventMs", this->timeToFirstEvent ? toMilliseconds(*this->timeToFirstEvent) : -1 },
             { "predictedFirstMs", this->predictedFirstEvent ? toMilliseconds(*this->predictedFirstEvent) : -1 },
             { "waitedMs", this->waitingSince ? toMilliseconds(now - *this->waitingSince) : 0 },
             { "occupancy", this->relay.placement.occupancy(this->service.hash, now) }, { "passedLimit", this->passedLimit },
--- a/src/edge/Exchange.h
+++ b/src/edge/Exchange.h
@@ -84,7 +84,7 @@
     Duration predictedFirstEvent {};       // predicted time from sending to the first event
     std::optional<AttemptOutcome> verdict; // outcome that the head already decides, while the body is still read
     bool headSeen = false;                 // the head of an answer to this request has arrived
-    bool hasSkippedAnswer = false;         // an answer to another request came first
+    uint32_t skippedAnswers = 0;           // answers to other requests that came first
     bool reusedConnection = false;         // the connection has served a request before
     bool warmTarget = true;                // the target did not warm up when the request was sent
     bool countedForMove = false;           // as a slow one, while it ran
@@ -187,6 +187,10 @@
     std::string lastTarget;                      // id of the target of the last attempt; empty: not sent yet
     std::optional<TimePoint> lastWrittenFrom;    // Attempt::writtenFrom of the last attempt
     bool lastReusedConnection = false;           // Attempt::reusedConnection of the last attempt
+    uint64_t lastConnection = 0;                 // number of its connection
+    uint64_t lastPosition = 0;                   // of its request on that connection, from 1
+    uint32_t lastSkippedAnswers = 0;             // Attempt::skippedAnswers of the last attempt
+    unsigned lastStatus = 0;                     // of the answer to it; 0: none
     bool lastHadEvent = false;                   // the last attempt delivered an event
     bool lastBegan = false;                      // its answer had begun: an event, or the head of an answer without events
     bool lastTargetLeft = false;                 // its target was leaving
--- a/src/edge/HttpClient.cpp
+++ b/src/edge/HttpClient.cpp
@@ -65,12 +65,13 @@
         IntegerOption<IPPROTO_TCP, TCP_USER_TIMEOUT>(static_cast<int>(toMilliseconds(settings.unacknowledgedTimeout))), ignored);
 }
 
-ClientConnection::ClientConnection(net::io_context& loop, const Address& address, const ConnectionSettings& settings)
+ClientConnection::ClientConnection(net::io_context& loop, const Address& address, const ConnectionSettings& settings, uint64_t number)
     : loop(loop)
     , socket(loop)
     , timer(loop)
     , remote(address)
     , settings(settings)
+    , ownNumber(number)
 {
 }
 
@@ -93,6 +94,7 @@
     this->expectsBody = withBody;
     this->events = std::make_shared<const ResponseHooks>(std::move(hooks));
     this->busy = true;
+    ++this->requestCount;
     this->anyByteSent = false;
     this->skippedBytes = 0;
     this->informationalResponses = 0;
@@ -348,8 +350,7 @@
             return candidate.connection;
         candidate.connection->close();
     }
-    ++this->openedCount;
-    return std::make_shared<ClientConnection>(this->loop, address, this->settings);
+    return std::make_shared<ClientConnection>(this->loop, address, this->settings, ++this->openedCount);
 }
 
 void ConnectionPool::release(const ConnectionPointer& connection, TimePoint now)
--- a/src/edge/HttpClient.h
+++ b/src/edge/HttpClient.h
@@ -71,7 +71,8 @@
 
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
 public:
-    ClientConnection(net::io_context& loop, const Address& address, const ConnectionSettings& settings);
+    // `number` names the connection in logs.
+    ClientConnection(net::io_context& loop, const Address& address, const ConnectionSettings& settings, uint64_t number = 0);
 
     // Sends a request, after connecting if necessary. `expectsBody` is false for a HEAD request, whose response has no body.
     void start(std::string head, std::shared_ptr<const std::string> body, bool expectsBody, ResponseHooks events);
@@ -87,6 +88,8 @@
     bool isReusable() const { return this->open && this->reusable && !this->busy; }
     bool hasServed() const { return this->served; } // at least one response was received on this connection
     const Address& address() const { return this->remote; }
+    uint64_t number() const { return this->ownNumber; }
+    uint64_t requests() const { return this->requestCount; }     // started on this connection
     Duration idleLimit() const { return this->serverIdleLimit; } // how long the server keeps the connection open while idle, less a margin
 
 private:
@@ -108,6 +111,8 @@
     net::steady_timer timer;
     Address remote;
     ConnectionSettings settings;
+    const uint64_t ownNumber;
+    uint64_t requestCount = 0;
     ReceiveBuffer input;
     std::optional<http::response_parser<ReceivedBody>> parser;
     std::shared_ptr<const ResponseHooks> events; // shared, so that a callback may close the connection that calls it
