Send a request on no connection that has carried its id

Cause: which connection a send may use was decided by address alone, and whose answer has come by the request's id alone. A target may write a late copy of a refusal, with the id of the request that was refused. Where that request goes out again on the same connection, the copy is taken for the answer of the second send: the order is refused, or sent to a third target, while it runs. Two ways led there: a second entry at the address of the first (an entry of a target that is gone, beside that of the one which took its address over: 'tried' holds entries, the pool of connections holds addresses), and an id that comes again at the node after a true refusal (a new exchange knows nothing of the first). A 421 that was a copy also took a sound target out of use.

Evidence: EdgeRefusalCopyTest failed on both ways and passes. Ruled out as a cause: a place granted twice at one entry (excluded by the hash of its id at the home and by 'tried' at the node), and unnamed refusals on kept connections (EdgeSecondSendTest).

Why this works: a connection keeps the tags of all requests that it has carried, and is reserved for a request only if its tag is not among them; start() asserts a reservation. So a late answer with the id of the request that is under way can't be a copy of an earlier answer to it, whoever sends it again and why. Refused connections are kept for other requests. A connection carries 256 tagged requests at most, which bounds the tags to 2 KB.

--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -242,7 +242,8 @@
     this->attempt->predictedFirstEvent = choice.firstEvent;
     this->attempt->eventsBefore = this->scanner.events();
     this->attempt->prefillPending = this->plan.demand.promptTokens;
-    this->attempt->connection = this->relay.connections.acquire(target.address, maxIdle, now);
+    this->attempt->connection = this->relay.connections.acquire(
+        target.address, requestTag(this->request.message[this->relay.settings.headers.requestId]), maxIdle, now);
     this->attempt->reusedConnection = this->attempt->connection->hasServed();
     if (VersionMove* move = this->runningMove())
         move->onSent(target.version == move->order().version, this->plan.route->name);
--- a/src/edge/HttpClient.cpp
+++ b/src/edge/HttpClient.cpp
@@ -2,7 +2,11 @@
 // connections.
 #include "edge/HttpClient.h"
 
+#include "edge/WorkspaceQuota.h"
+
+#include <algorithm>
 #include <array>
+#include <cassert>
 #include <charconv>
 #include <ctime>
 #include <limits>
@@ -44,6 +48,8 @@
     return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(time.tv_nsec)));
 }
 
+RequestTag requestTag(std::string_view requestId) { return RequestTag { nameHash(requestId) }; }
+
 std::string_view connectionFaultName(ConnectionFault fault)
 {
     static constexpr std::array<std::string_view, 6> names { "unreachable", "closed", "malformed", "withdrawn", "too_large", "internal" };
@@ -87,8 +93,20 @@
     this->bodyBytes = 0;
 }
 
+bool ClientConnection::reserve(std::optional<RequestTag> tag)
+{
+    if (tag && std::find(this->carried.begin(), this->carried.end(), *tag) != this->carried.end())
+        return false;
+    if (tag)
+        this->carried.push_back(*tag);
+    this->reserved = true;
+    return true;
+}
+
 void ClientConnection::start(std::string requestHead, std::shared_ptr<const std::string> requestBody, bool withBody, ResponseHooks hooks)
 {
+    assert(this->reserved && !this->busy);
+    this->reserved = false;
     this->head = std::move(requestHead);
     this->body = std::move(requestBody);
     this->expectsBody = withBody;
@@ -338,19 +356,23 @@
 {
 }
 
-ConnectionPointer ConnectionPool::acquire(const Address& address, Duration maxIdle, TimePoint now)
+ConnectionPointer ConnectionPool::acquire(const Address& address, std::optional<RequestTag> tag, Duration maxIdle, TimePoint now)
 {
     auto& connections = this->idle[{ address.ip, address.port }];
-    while (!connections.empty()) {
-        const Idle candidate = connections.back();
-        connections.pop_back();
-        if (!candidate.connection->isReusable())
-            continue;
-        if (now - candidate.since <= std::min(maxIdle, candidate.connection->idleLimit()))
+    for (size_t i = connections.size(); i-- > 0;) {
+        const Idle candidate = connections[i];
+        const bool isUsable
+            = candidate.connection->isReusable() && now - candidate.since <= std::min(maxIdle, candidate.connection->idleLimit());
+        if (isUsable && !candidate.connection->reserve(tag))
+            continue; // stays for other requests
+        connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(i));
+        if (isUsable)
             return candidate.connection;
         candidate.connection->close();
     }
-    return std::make_shared<ClientConnection>(this->loop, address, this->settings, ++this->openedCount);
+    const auto created = std::make_shared<ClientConnection>(this->loop, address, this->settings, ++this->openedCount);
+    created->reserve(tag);
+    return created;
 }
 
 void ConnectionPool::release(const ConnectionPointer& connection, TimePoint now)
--- a/src/edge/HttpClient.h
+++ b/src/edge/HttpClient.h
@@ -1,8 +1,10 @@
 // Client side of HTTP/1.1 with a pool of keep-alive connections. A failed request reports whether any of its bytes were handed to the
 // kernel, so that the caller can decide whether it is safe to retry; this part never retries. The caller also matches each response head
-// to its request (HeadVerdict), since a reused connection may still deliver a response to an earlier request.
+// to its request (HeadVerdict), since a reused connection may still deliver a response to an earlier request. A late copy of a response
+// bears the id of its request, so that it can be told from the response that is due only if no connection carries an id twice.
 //
 // Index
+//   RequestTag         identifies a request to the connections that carry it
 //   ConnectionFault    why a request failed
 //   ExceptionHook      told of an exception that ended one connection
 //   HeadVerdict        what to do with a received response head
@@ -30,6 +32,10 @@
 // underestimated.
 TimePoint bootTime();
 
+// Hash of a request's id. Requests whose responses name no id (those to the store and to peers) have none.
+enum class RequestTag : uint64_t {};
+RequestTag requestTag(std::string_view requestId);
+
 enum class ConnectionFault : uint8_t {
     Unreachable, // no connection was established within connectTimeout
     Closed,      // the connection was closed by the server or lost
@@ -74,7 +80,11 @@
     // `number` names the connection in logs.
     ClientConnection(net::io_context& loop, const Address& address, const ConnectionSettings& settings, uint64_t number = 0);
 
-    // Sends a request, after connecting if necessary. `expectsBody` is false for a HEAD request, whose response has no body.
+    // Takes the connection for one request. False: it has carried a request with this tag, whose late answer could not be told from the
+    // one that is due.
+    bool reserve(std::optional<RequestTag> tag);
+    // Sends the request that the connection is reserved for, after connecting if necessary. `expectsBody` is false for a HEAD request,
+    // whose response has no body.
     void start(std::string head, std::shared_ptr<const std::string> body, bool expectsBody, ResponseHooks events);
     void start(std::string requestHead, std::string requestBody, bool withBody, ResponseHooks hooks)
     {
@@ -85,7 +95,7 @@
     void resumeReading();
 
     bool isOpen() const { return this->open; }
-    bool isReusable() const { return this->open && this->reusable && !this->busy; }
+    bool isReusable() const { return this->open && this->reusable && !this->busy && this->carried.size() < maxTaggedRequests; }
     bool hasServed() const { return this->served; } // at least one response was received on this connection
     const Address& address() const { return this->remote; }
     uint64_t number() const { return this->ownNumber; }
@@ -93,6 +103,8 @@
     Duration idleLimit() const { return this->serverIdleLimit; } // how long the server keeps the connection open while idle, less a margin
 
 private:
+    static constexpr size_t maxTaggedRequests = 256; // bounds the memory of a connection for their tags
+
     void connect();
     void onConnected(boost::system::error_code error);
     void send();
@@ -113,6 +125,8 @@
     ConnectionSettings settings;
     const uint64_t ownNumber;
     uint64_t requestCount = 0;
+    std::vector<RequestTag> carried; // of all requests since the connection was opened; each only once
+    bool reserved = true;            // for the next start(); a new connection is
     ReceiveBuffer input;
     std::optional<http::response_parser<ReceivedBody>> parser;
     std::shared_ptr<const ResponseHooks> events; // shared, so that a callback may close the connection that calls it
@@ -141,8 +155,9 @@
 public:
     ConnectionPool(net::io_context& loop, const ConnectionSettings& settings);
 
-    // Returns an idle connection that was released at most `maxIdle` ago, or a new connection if there is none.
-    ConnectionPointer acquire(const Address& address, Duration maxIdle, TimePoint now);
+    // Returns a connection that is reserved for the request: an idle one that was released at most `maxIdle` ago and has not carried its
+    // tag, or a new one if there is none.
+    ConnectionPointer acquire(const Address& address, std::optional<RequestTag> tag, Duration maxIdle, TimePoint now);
     void release(const ConnectionPointer& connection, TimePoint now); // keeps the connection if it is reusable
     void drop(const Address& address);                                // closes the idle connections to this address
     void expire(TimePoint now);                                       // closes connections that were idle for longer than their idleLimit
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -230,7 +230,7 @@
 // after a failure the store is read.
 void PeerLink::fetchItems(const Member& member, bool isNewer)
 {
-    const auto connection = this->connections.acquire({ member.ip, member.port }, std::chrono::seconds(1), bootTime());
+    const auto connection = this->connections.acquire({ member.ip, member.port }, std::nullopt, std::chrono::seconds(1), bootTime());
     const auto body = std::make_shared<std::string>();
     ResponseHooks events;
     events.head = [](const http::response_header<>& head) { return head.result_int() == 200 ? HeadVerdict::Accept : HeadVerdict::Reject; };
--- a/tests/edge/EdgeFleet.h
+++ b/tests/edge/EdgeFleet.h
@@ -132,8 +132,8 @@
         call->node = node;
         call->attempt = this->nodes[node].files.name + "-" + std::to_string(++this->lastCall);
         this->calls.push_back(call);
-        const auto connection
-            = this->connections.acquire({ "127.0.0.1", this->nodes[node].files.callers.port() }, callerIdle, edge::bootTime());
+        const auto connection = this->connections.acquire(
+            { "127.0.0.1", this->nodes[node].files.callers.port() }, std::nullopt, callerIdle, edge::bootTime());
         edge::ResponseHooks events;
         events.head = [call](const edge::http::response_header<>& head) {
             call->answer.status = head.result_int();
--- a/tests/edge/RefusalCopyTest.cpp
+++ b/tests/edge/RefusalCopyTest.cpp
@@ -86,3 +86,33 @@
         CHECK_EQUAL(200, answer->status);
     }
 }
+
+// Guards against a connection that carries an id twice, and against one that its requests are kept from for another's id.
+TEST(RefusalCopy, ConnectionsCarryEachIdOnce)
+{
+    EdgeWorld world;
+    RefusingServer server(world.loop);
+    ConnectionPool pool(world.loop, {});
+    const auto run = [&](const std::string& id) {
+        const ConnectionPointer connection = pool.acquire(server.address(), requestTag(id), 1min, bootTime());
+        bool hasEnded = false;
+        ResponseHooks hooks;
+        hooks.head = [](const auto&) { return HeadVerdict::Accept; };
+        hooks.body = [](std::string_view) {};
+        hooks.complete = [&] { hasEnded = true; };
+        hooks.failed = [](ConnectionFault, bool) {};
+        connection->start("GET / HTTP/1.1\r\nHost: x\r\nGuavapond-Attempt-Id: " + id + "\r\n\r\n", "", true, std::move(hooks));
+        CHECK(world.runUntil([&] { return hasEnded; }));
+        pool.release(connection, bootTime());
+        return connection->number();
+    };
+    CHECK_EQUAL(1, run("a"));
+    CHECK_EQUAL(1, run("b"));
+    CHECK_EQUAL(2, run("a"));
+    CHECK_EQUAL(3, run("a"));
+    CHECK_EQUAL(3, run("c")); // released last
+    for (int i = 0; i < 1000; ++i)
+        run("many" + std::to_string(i));
+    CHECK(pool.opened() < 10);
+    CHECK_EQUAL(0, server.repeated);
+}
--- a/tests/edge/StopProgramTest.cpp
+++ b/tests/edge/StopProgramTest.cpp
@@ -190,7 +190,7 @@
     const auto sendOnKept = [&] {
         const std::string attempt = "a" + std::to_string(calls.size());
         auto answer = std::make_shared<edge::CallerAnswer>();
-        const auto connection = pool.acquire({ "127.0.0.1", files->callers.port() }, 10s, edge::bootTime());
+        const auto connection = pool.acquire({ "127.0.0.1", files->callers.port() }, std::nullopt, 10s, edge::bootTime());
         edge::ResponseHooks events;
         events.head = [answer](const edge::http::response_header<>& head) {
             answer->status = head.result_int();
