Use no kept connection on which something has come that is not read

Bytes that lie in the kernel before a request is sent can't be an answer to it, but were read as one: an unnamed refusal there was rejected only after the order had gone out (502, may have run), and a connection that had ended cost a send. Each kept connection is looked at before it is used. EdgeRefusalCopyTest ConnectionsWithUnreadBytesAreNotUsed failed before: the kept connection was taken.

--- a/src/edge/HttpClient.cpp
+++ b/src/edge/HttpClient.cpp
@@ -103,6 +103,17 @@
     return true;
 }
 
+bool ClientConnection::isQuiet()
+{
+    if (!this->connected || this->busy)
+        return false;
+    char next = 0;
+    boost::system::error_code error;
+    this->socket.non_blocking(true, error);
+    this->socket.receive(net::buffer(&next, 1), net::socket_base::message_peek, error);
+    return error == net::error::would_block;
+}
+
 void ClientConnection::start(std::string requestHead, std::shared_ptr<const std::string> requestBody, bool withBody, ResponseHooks hooks)
 {
     assert(this->reserved && !this->busy);
@@ -361,8 +372,8 @@
     auto& connections = this->idle[{ address.ip, address.port }];
     for (size_t i = connections.size(); i-- > 0;) {
         const Idle candidate = connections[i];
-        const bool isUsable
-            = candidate.connection->isReusable() && now - candidate.since <= std::min(maxIdle, candidate.connection->idleLimit());
+        const bool isUsable = candidate.connection->isReusable()
+            && now - candidate.since <= std::min(maxIdle, candidate.connection->idleLimit()) && candidate.connection->isQuiet();
         if (isUsable && !candidate.connection->reserve(tag))
             continue; // stays for other requests
         connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(i));
--- a/src/edge/HttpClient.h
+++ b/src/edge/HttpClient.h
@@ -96,6 +96,7 @@
 
     bool isOpen() const { return this->open; }
     bool isReusable() const { return this->open && this->reusable && !this->busy && this->carried.size() < maxTaggedRequests; }
+    bool isQuiet(); // idle, and nothing has arrived that is not read yet: neither bytes nor the end of the connection
     bool hasServed() const { return this->served; } // at least one response was received on this connection
     const Address& address() const { return this->remote; }
     uint64_t number() const { return this->ownNumber; }
--- a/tests/edge/RefusalCopyTest.cpp
+++ b/tests/edge/RefusalCopyTest.cpp
@@ -116,3 +116,38 @@
     CHECK(pool.opened() < 10);
     CHECK_EQUAL(0, server.repeated);
 }
+
+// Guards against bytes that came before a request was sent and are taken for its answer, and against a send on a connection that has ended.
+TEST(RefusalCopy, ConnectionsWithUnreadBytesAreNotUsed)
+{
+    for (const bool isClosed : { false, true }) {
+        EdgeWorld world;
+        tcp::acceptor acceptor(world.loop, { net::ip::make_address("127.0.0.1"), 0 });
+        tcp::socket accepted(world.loop);
+        ConnectionPool pool(world.loop, {});
+        const Address address { "127.0.0.1", acceptor.local_endpoint().port() };
+        const ConnectionPointer connection = pool.acquire(address, requestTag("a"), 1min, bootTime());
+        bool hasEnded = false;
+        ResponseHooks hooks;
+        hooks.head = [](const auto&) { return HeadVerdict::Accept; };
+        hooks.body = [](std::string_view) {};
+        hooks.complete = [&] { hasEnded = true; };
+        hooks.failed = [](ConnectionFault, bool) {};
+        connection->start("GET / HTTP/1.1\r\nHost: x\r\n\r\n", "", true, std::move(hooks));
+        acceptor.accept(accepted);
+        CHECK(world.runUntil([&] { return accepted.available() > 0; }));
+        world.runFor(2ms); // the request is sent as a whole
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        net::write(accepted, net::buffer(answer));
+        CHECK(world.runUntil([&] { return hasEnded; }));
+        CHECK(connection->isReusable());
+        pool.release(connection, bootTime());
+        if (isClosed)
+            accepted.close();
+        else
+            net::write(accepted, net::buffer(answer));
+        const ConnectionPointer next = pool.acquire(address, requestTag("b"), 1min, bootTime());
+        CHECK_EQUAL(2, next->number());
+        CHECK_FALSE(connection->isOpen());
+    }
+}
