Let peers send the requests of a node that reaches no target

Cause: a node could not tell 'I am cut off' from 'these targets are gone'. It had no other way to serve, and all that it failed at counted as evidence about the targets: at the home that places requests (a peer's, or its own, where it was the home), in the verdict on a new version, and among the losses that put prompts and requests in quarantine. After the cut the targets stayed paused.

What it does now: failures at three different targets without a new connection to any show a cut (TargetReach); connections, one each 200 ms, look for its end. Meanwhile a peer that is heard and not cut off itself gets the node's requests, on the port of the store items, as from a caller of its own: it checks key and route, places the request, and runs it at most once; its refusals go to the caller as they are. Tokens, second tries and the requests of a move are counted once, where the caller is. A request is forwarded once: a peer forwards none of another's. The beacon says that a node is cut off, so that it is no home; its losses are not reported, and its own pauses end with the cut.

Weighed: to report not ready (open connections stay, and a zone with fewer than half of its nodes in rotation gets all of them back), and to refuse with a short Retry-After (a first try that fails).

--- a/src/edge/EdgeMetrics.cpp
+++ b/src/edge/EdgeMetrics.cpp
@@ -62,6 +62,10 @@
                                        .Help("Requests refused for a prompt part that crashes targets")
                                        .Register(this->registry)
                                        .Add({});
+    Family<Counter>& forwarded = BuildCounter()
+                                     .Name("guavapond_edge_forwarded_requests_total")
+                                     .Help("Requests sent to a peer while this node reached no target, by result")
+                                     .Register(this->registry);
     Family<Counter>& skippedAnswers = BuildCounter()
                                           .Name("guavapond_edge_skipped_answers_total")
                                           .Help("Answers of targets to another request than the one that was due, by status")
@@ -142,6 +146,11 @@
         this->state->firstEvent.Observe(toSeconds(*firstEvent));
 }
 
+void EdgeMetrics::requestForwarded(RequestResult result)
+{
+    this->state->forwarded.Add({ { "result", std::string(requestResultName(result)) } }).Increment();
+}
+
 void EdgeMetrics::requestPipelined() { this->state->pipelined.Increment(); }
 
 void EdgeMetrics::answerSkipped(unsigned status) { this->state->skippedAnswers.Add({ { "status", std::to_string(status) } }).Increment(); }
--- a/src/edge/EdgeMetrics.h
+++ b/src/edge/EdgeMetrics.h
@@ -44,6 +44,7 @@
 
     // `firstEvent` is the time until the first event of a stream; empty: there was no event.
     void requestEnded(RequestResult result, Duration total, std::optional<Duration> firstEvent);
+    void requestForwarded(RequestResult result);                   // to a peer, since this node reaches no target
     void requestPipelined();                                       // a request was received before the answer to the one before it
     void requestIdRepeated();                                      // a request was refused for the id of one that may have run
     void answerSkipped(unsigned status);                           // of a target, to another request than the one that is due
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -143,6 +143,9 @@
     const auto age = this->requests.freshness.age(now);
     gauges.setGauge(
         "guavapond_edge_proof_age_seconds", "Age of the proof that the configuration is current; -1: none", age ? toSeconds(*age) : -1);
+    const auto cutOffSince = this->requests.reach.cutOffSince();
+    gauges.setGauge("guavapond_edge_cut_off_seconds", "Time since this node reaches no target; 0: it reaches some",
+        cutOffSince ? toSeconds(now - *cutOffSince) : 0);
     gauges.setGauge("guavapond_edge_connections_opened", "Connections to targets since the start",
         static_cast<double>(this->requests.connectionsOpened()));
     caller->sendResponse(makeResponse({ statusOk, gauges.page(), "text/plain; version=0.0.4", {} }));
--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -21,20 +21,13 @@
 constexpr std::string_view requestReason = "the request crashes targets";
 
 constexpr unsigned firstFailureStatus = 400;
+constexpr unsigned requestTimeout = 408;
 constexpr unsigned misdirectedRequest = 421;
+constexpr unsigned tooManyRequests = 429;
 constexpr unsigned badGateway = 502;
 constexpr unsigned serviceUnavailable = 503;
 constexpr unsigned gatewayTimeout = 504;
 
-// Callers take these statuses to mean that the request has not run. A target's answer with one of them says so only if it also has the
-// notRun field; otherwise it must not reach the caller.
-bool promisesNotRun(unsigned status)
-{
-    return status == 408 || status == misdirectedRequest || status == 429 || status == serviceUnavailable;
-}
-
-bool isEventStream(const http::response_header<>& head) { return head[http::field::content_type].starts_with("text/event-stream"); }
-
 // The answer has neither a length nor chunks.
 bool endsWithConnection(const http::response_header<>& head)
 {
@@ -43,6 +36,13 @@
 
 } // namespace
 
+bool promisesNotRun(unsigned status)
+{
+    return status == requestTimeout || status == misdirectedRequest || status == tooManyRequests || status == serviceUnavailable;
+}
+
+bool isEventStream(const http::response_header<>& head) { return head[http::field::content_type].starts_with("text/event-stream"); }
+
 Exchange::Exchange(Relay& relay, CallerPointer callerConnection, CallerRequest callerRequest, ExchangePlan exchangePlan)
     : relay(relay)
     , caller(std::move(callerConnection))
@@ -106,6 +106,10 @@
         return;
     if (!this->maySend(now))
         return this->takeStep(this->life.onNoTarget(), "no young proof of the configuration");
+    if ((this->isForwarding || this->relay.reach.isCutOff()) && this->forward(now))
+        return;
+    if (this->isForwarding)
+        return this->takeStep(this->life.onNoTarget(), "no peer reaches a target");
     if (this->targets().usableCount() == 0)
         return this->takeStep(this->life.onNoTarget(), "no usable target");
     this->waitingSince = now;
@@ -210,9 +214,15 @@
         head.insert(field.name_string(), field.value());
     }
     head.set(names.callerLimit, std::to_string(std::max<int64_t>(1, toMilliseconds(this->life.remaining(now)))));
-    head.set(names.expectedTarget, target.id);
-    if (this->plan.workspace)
-        head.set(names.workspace, this->plan.workspace->name);
+    if (this->isForwarding) {
+        head.set(names.forwardedBy, this->relay.name);
+        if (this->request.message.count(names.key) > 0)
+            head.set(names.key, this->request.message[names.key]);
+    } else {
+        head.set(names.expectedTarget, target.id);
+        if (this->plan.workspace)
+            head.set(names.workspace, this->plan.workspace->name);
+    }
     if (const auto lastId = this->scanner.lastId())
         head.set(names.lastEventId, std::to_string(*lastId));
     const bool hasBody = !this->requestBody->empty() || this->request.message.method() == http::verb::post
@@ -253,6 +263,8 @@
         const TimePoint sendTime = bootTime();
         const bool isAllowed = !self->isFinished && self->maySend(sendTime) && sendTime < self->life.deadline()
             && !self->relay.quarantine.isBlocked(self->plan.sharedParts, sendTime, self->suspectKey());
+        if (!self->isForwarding && !self->attempt->reusedConnection)
+            self->relay.onTargetContact(sendTime);
         if (isAllowed)
             self->attempt->writtenFrom = sendTime;
         return isAllowed;
@@ -340,6 +352,8 @@
 
 HeadVerdict Exchange::onHead(const http::response_header<>& head)
 {
+    if (this->isForwarding)
+        return this->onForwarderHead(head);
     this->noteTargetState(head);
     const auto id = head[this->relay.settings.headers.requestId];
     if (!id.empty() && id != this->request.message[this->relay.settings.headers.requestId]) {
@@ -418,7 +432,8 @@
         this->attempt->firstEventAt = now;
         this->targets().firstEvent(
             this->attempt->target, this->attempt->prefillPending, this->attempt->backlogTokens, now - this->attempt->sentAt, now);
-        this->targets().recordCachedPrompt(this->attempt->target, this->plan.parts, now);
+        if (!this->isForwarding)
+            this->targets().recordCachedPrompt(this->attempt->target, this->plan.parts, now);
         this->relay.quarantine.onBegan(this->plan.sharedParts, now, this->suspectKey());
         RunSample sample;
         sample.backlogTokens = this->attempt->backlogTokens;
@@ -458,6 +473,8 @@
     const TimePoint now = bootTime();
     if (finished.verdict) {
         const AttemptOutcome verdict = *finished.verdict;
+        if (this->isForwarding && verdict == AttemptOutcome::Declined)
+            return this->onForwarderRefused();
         this->failure = this->bufferedAnswer();
         this->endAttempt(verdict == AttemptOutcome::Failed ? TargetOutcome::Failed : TargetOutcome::Declined);
         if (verdict == AttemptOutcome::Moved)
@@ -517,6 +534,8 @@
 {
     const std::optional<AttemptOutcome> verdict = this->attempt->verdict;
     const bool staleConnection = this->attempt->reusedConnection && !this->attempt->headSeen;
+    if (fault == ConnectionFault::Unreachable || (fault == ConnectionFault::Closed && !this->attempt->headSeen))
+        this->noteUnreachable(bootTime());
     if (fault == ConnectionFault::Cancelled) {
         this->endAttempt(TargetOutcome::Cancelled);
         return this->onAttemptEnded(AttemptOutcome::NotSent);
@@ -586,6 +605,11 @@
 
 void Exchange::reportSample(const Attempt& finished, RunSample sample)
 {
+    // What a node that is cut off fails at says nothing about the target.
+    const bool isLoss = sample.outcome == TargetOutcome::Unreachable || sample.outcome == TargetOutcome::Broken
+        || sample.outcome == TargetOutcome::Silent;
+    if (this->isForwarding || (isLoss && this->relay.reach.isCutOff()))
+        return;
     sample.service = this->service.hash;
     sample.target = this->targets().hashOf(finished.target);
     this->relay.placement.shareSample(sample, bootTime());
@@ -620,7 +644,7 @@
 void Exchange::noteLostStream(AttemptOutcome outcome, TimePoint now)
 {
     // The end of a target that was leaving is no crash.
-    if (outcome != AttemptOutcome::Broken || this->lastBegan || this->lastTargetLeft)
+    if (outcome != AttemptOutcome::Broken || this->lastBegan || this->lastTargetLeft || this->isForwarding || this->relay.reach.isCutOff())
         return;
     this->relay.quarantine.onLost(nameHash(this->lastTarget), this->promptHash(), this->plan.sharedParts, now, this->requestKey());
     this->relay.updateQuarantine(now);
@@ -724,7 +748,8 @@
 
 bool Exchange::isStalled(TimePoint now) const
 {
-    if (!this->attempt || !this->plan.route->mayRepeat() || this->form == AnswerForm::PassThrough)
+    // A peer that carries the request judges the silence of its target.
+    if (!this->attempt || !this->plan.route->mayRepeat() || this->form == AnswerForm::PassThrough || this->isForwarding)
         return false;
     // Cancelling a stream wastes all work that the target did for its prompt. A stream is therefore cancelled only after a much longer
     // silence than other requests.
@@ -735,6 +760,8 @@
 
 void Exchange::leaveStalledTarget()
 {
+    if (!this->attempt->headSeen)
+        this->noteUnreachable(bootTime());
     this->cancelAttempt(TargetOutcome::Silent);
     this->onAttemptEnded(AttemptOutcome::Silent);
 }
@@ -767,6 +794,8 @@
     this->life.ended();
     const Duration total = now - this->life.arrival();
     this->relay.metrics.requestEnded(result, total, this->timeToFirstEvent);
+    if (this->isForwarding)
+        this->relay.metrics.requestForwarded(result);
     const auto proofAge = this->relay.freshness.age(now);
     log(LogLevel::Info, "request ended",
         { { "request", this->request.message[this->relay.settings.headers.requestId] }, { "result", requestResultName(result) },
@@ -775,8 +804,8 @@
             { "workspaceRank", this->plan.rank.workspace }, { "routeRank", this->plan.rank.route }, { "tokens", this->plan.tokens },
             { "mostOutputTokens", this->plan.maxOutputTokens }, { "hintTokens", this->plan.expectedOutputTokens },
             { "connection", this->request.connection }, { "position", this->request.position }, { "events", this->scanner.events() },
-            { "target", this->lastTarget }, { "targetConnection", this->lastConnection }, { "targetPosition", this->lastPosition },
-            { "skippedAnswers", this->lastSkippedAnswers }, { "sends", this->life.sends() },
+            { "target", this->lastTarget }, { "forwarding", this->isForwarding }, { "targetConnection", this->lastConnection },
+            { "targetPosition", this->lastPosition }, { "skippedAnswers", this->lastSkippedAnswers }, { "sends", this->life.sends() },
             { "writtenAfterMs", this->lastWrittenAfterMs() }, { "ms", toMilliseconds(total) },
             { "firstEventMs", this->timeToFirstEvent ? toMilliseconds(*this->timeToFirstEvent) : -1 },
             { "predictedFirstMs", this->predictedFirstEvent ? toMilliseconds(*this->predictedFirstEvent) : -1 },
--- a/src/edge/Exchange.h
+++ b/src/edge/Exchange.h
@@ -6,6 +6,7 @@
 //   KeptAnswer      the part of an answer that is kept until the answer is whole
 //   Attempt         one send of the request to a target
 //   AnswerForm      how the body of the answer is relayed
+//   promisesNotRun, isEventStream
 //   Exchange        begin, endForStop, abandon, isStalled, leaveStalledTarget, endQuarantined, judgePace
 #pragma once
 
@@ -26,6 +27,7 @@
     std::vector<PromptPart> parts;       // empty: not stated
     std::vector<PartKey> sharedParts;    // all but the last
     Rank rank;
+    bool isForwarded = false;   // a peer that reaches no target forwards it for its caller
     bool tryNewVersion = false; // first try the version that a move is testing on a part of the requests
     Demand demand;
 };
@@ -93,6 +95,11 @@
     KeptAnswer body; // of a buffered answer
 };
 
+// Callers take these statuses to mean that the request has not run. A target's answer with one of them says so only if it also has the
+// notRun field; otherwise it must not reach the caller. A peer's answer always says so.
+bool promisesNotRun(unsigned status);
+bool isEventStream(const http::response_header<>& head);
+
 constexpr uint64_t minEventsForMeanGap = 4; // the mean gap of shorter answers is too noisy to be used
 
 // How the body of a target's answer is relayed to the caller.
@@ -115,8 +122,13 @@
     void judgePace(TimePoint now);       // counts the attempt for a move of its service to a new version, if it is slow already
 
 private:
-    TargetPool& targets() { return this->service.targets; }
-    void requestPlace(); // asks Placement for a slot at a target
+    TargetPool& targets() { return this->isForwarding ? this->relay.forwarders.targets : this->service.targets; }
+    const TargetPool& targets() const { return this->isForwarding ? this->relay.forwarders.targets : this->service.targets; }
+    bool forward(TimePoint now); // to a peer, since this node reaches no target; false: no peer can take it
+    HeadVerdict onForwarderHead(const http::response_header<>& head);
+    void onForwarderRefused();
+    void noteUnreachable(TimePoint now); // the target of the attempt could not be reached, or did not answer
+    void requestPlace();                 // asks Placement for a slot at a target
     void onPlaced(const PlacementAnswer& answer);
     PlacementRequest placeAsk(TimePoint now) const;
     void restrictVersion(PlacementRequest& ask) const;            // to the versions that a move in progress allows
@@ -196,6 +208,7 @@
     bool lastTargetLeft = false;                 // its target was leaving
     bool isRefusedForGood = false;               // the request crashes targets, so that callers are not told to return
     AnswerForm form = AnswerForm::Buffered;
+    bool isForwarding = false; // its targets are peers, for good: `tried` holds indices of peers
     bool isFinished = false;
     std::optional<RequestKey> key;                            // see requestKey()
     std::optional<http::response<http::string_body>> failure; // failure answer of the last target that sent one
--- a/src/edge/ExchangeMove.cpp
+++ b/src/edge/ExchangeMove.cpp
@@ -25,6 +25,8 @@
 
 VersionMove* Exchange::runningMove() const
 {
+    if (this->isForwarding)
+        return nullptr;
     const auto found = this->relay.movesByService.find(this->plan.service);
     return found == this->relay.movesByService.end() ? nullptr : &found->second.plan;
 }
@@ -35,7 +37,9 @@
     if (!move || ended.countedForMove)
         return;
     const bool isNew = this->service.targets.info(ended.target).version == move->order().version;
-    if (outcome == TargetOutcome::Cancelled || outcome == TargetOutcome::Declined)
+    // What a node that is cut off fails at says nothing about the version.
+    if (outcome == TargetOutcome::Cancelled || outcome == TargetOutcome::Declined
+        || (outcome != TargetOutcome::Answered && this->relay.reach.isCutOff()))
         return move->onNotCounted(isNew, this->plan.route->name);
     VersionMove::Times times;
     if (ended.warmTarget) {
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -14,6 +14,9 @@
 
 using nlohmann::json;
 
+constexpr size_t maxPeerConnections = 256;
+constexpr size_t maxForwardedBytes = 8 << 20;  // of requests that peers forward, of all connections together
+constexpr uint32_t forwardedFieldBytes = 1024; // of header fields that a peer adds to a request
 constexpr size_t datagramBytes = 64 * 1024;
 constexpr uint64_t maxFetchedBytes = 16 << 20; // of store items from a peer: the configuration and the entries of all targets
 constexpr std::string_view itemsPath = "/store-items";
@@ -78,13 +81,15 @@
     , itemsListener(
           loop,
           { .address = settings.address,
-              .maxConnections = 64,
-              .writeTimeout = std::chrono::seconds(5),
+              .maxConnections = maxPeerConnections,
+              .maxReceivedBytes = maxForwardedBytes,
               .exceptionContained = relay.edgeMetrics().exceptionHook() },
-          [this](const CallerPointer& caller, const CallerRequest& request) { this->answerItems(caller, request.message.target()); },
-          [] { return CallerLimits { .bodyBytes = 0 }; })
+          [this](const CallerPointer& caller, CallerRequest request) { this->onPeerRequest(caller, std::move(request)); },
+          [this] { return this->peerLimits(); })
     , connections(loop, { .maxBodyBytes = maxFetchedBytes, .exceptionContained = relay.edgeMetrics().exceptionHook() })
 {
+    this->relay.setName(settings.node);
+    this->relay.onForwardersNeeded([this](TimePoint now) { return this->peers.forwarders(now); });
     this->relay.placement.setSelf({ settings.node, settings.failureDomain }, incarnation);
     this->relay.onPlacementMessage(
         [this](const std::string& node, const PlacementMessage& message) { this->sendPlacement(node, message); });
@@ -106,6 +111,21 @@
     this->relay.placement.setStopping();
 }
 
+// Requests that peers forward are callers' requests with fields of the peers' own.
+CallerLimits PeerLink::peerLimits() const
+{
+    CallerLimits result = this->relay.callerLimits();
+    result.headerBytes += forwardedFieldBytes;
+    return result;
+}
+
+void PeerLink::onPeerRequest(const CallerPointer& caller, CallerRequest request)
+{
+    if (this->relay.isForwarded(request))
+        return this->relay.handleForwarded(caller, std::move(request));
+    this->answerItems(caller, request.message.target());
+}
+
 void PeerLink::setMembers(std::span<const Member> members) { this->peers.setMembers(members, bootTime()); }
 
 void PeerLink::receive()
@@ -141,6 +161,7 @@
     beacon.failureDomain = message.failure_domain();
     beacon.stopping = message.stopping();
     beacon.starting = message.starting();
+    beacon.cutOff = message.cut_off();
     beacon.node = message.node();
     beacon.incarnation = message.incarnation();
     beacon.sequence = message.sequence();
@@ -405,6 +426,7 @@
     message.set_failure_domain(this->settings.failureDomain);
     message.set_stopping(this->stopping);
     message.set_starting(now - this->startedAt.value_or(now) < this->settings.startTime);
+    message.set_cut_off(this->relay.reach.isCutOff());
     message.set_incarnation(this->incarnation);
     message.set_sequence(++this->sequence);
     message.set_sent_at_us(microseconds(now));
--- a/src/edge/PeerLink.h
+++ b/src/edge/PeerLink.h
@@ -91,6 +91,8 @@
     void addQuarantine(wire::Beacon& message, TimePoint now);
     void readQuarantine(const wire::Beacon& message, TimePoint now);
     void fetchItems(const Member& member, bool isNewer);
+    CallerLimits peerLimits() const;
+    void onPeerRequest(const CallerPointer& caller, CallerRequest request);
     void answerItems(const CallerPointer& caller, std::string_view target);
     void compareCopies(const Beacon& beacon, TimePoint now);
     Duration interval() const; // least time between two beacons, with the present number of nodes
--- a/src/edge/PeerTable.cpp
+++ b/src/edge/PeerTable.cpp
@@ -5,6 +5,12 @@
 
 namespace guavapond::edge {
 
+namespace {
+
+constexpr uint32_t slotsOfForwarder = 1000; // requests at a peer; the peer itself decides what it takes
+
+} // namespace
+
 PeerTable::PeerTable(std::string self, const PeerSettings& settings)
     : self(std::move(self))
     , settings(settings)
@@ -62,6 +68,7 @@
     peer.failureDomain = beacon.failureDomain;
     peer.stopping = beacon.stopping;
     peer.starting = beacon.starting;
+    peer.cutOff = beacon.cutOff;
     return result;
 }
 
@@ -96,7 +103,22 @@
     std::vector<Placement::Node> result;
     for (const auto& [node, peer] : this->peers) {
         if (!peer.stopping)
-            result.push_back({ node, peer.failureDomain, this->isHeard(peer, now), peer.starting });
+            result.push_back({ node, peer.failureDomain, this->isHeard(peer, now) && !peer.cutOff, peer.starting });
+    }
+    return result;
+}
+
+std::vector<TargetInfo> PeerTable::forwarders(TimePoint now) const
+{
+    std::vector<TargetInfo> result;
+    for (const auto& [node, peer] : this->peers) {
+        TargetInfo info;
+        info.id = node;
+        info.address = { peer.member.ip, peer.member.port };
+        info.failureDomain = peer.failureDomain;
+        info.slots = slotsOfForwarder;
+        info.draining = peer.stopping || peer.starting || peer.cutOff || !this->isHeard(peer, now);
+        result.push_back(std::move(info));
     }
     return result;
 }
--- a/src/edge/PeerTable.h
+++ b/src/edge/PeerTable.h
@@ -36,6 +36,7 @@
     std::string failureDomain;
     bool stopping = false; // the sender is shutting down and takes over no more work
     bool starting = false; // the sender has just started
+    bool cutOff = false;   // the sender reaches no target
     std::vector<WorkspaceQuota::Use> uses;
 };
 
@@ -62,6 +63,7 @@
     std::vector<Member> members() const; // without this node
     std::optional<Member> member(const std::string& node) const;
     std::vector<Placement::Node> placementNodes(TimePoint now) const; // all that are not shutting down; without this node
+    std::vector<TargetInfo> forwarders(TimePoint now) const;          // peers that can send this node's requests to targets
     struct Echo {                                                     // identifies the last beacon of a node
         TimePoint sentAt {};                                          // by that node's clock; the epoch: no beacon yet
         uint64_t incarnation = 0;
@@ -85,6 +87,7 @@
         std::string failureDomain;
         bool stopping = false;
         bool starting = false;
+        bool cutOff = false;
         std::map<uint64_t, uint64_t> uses; // workspace hash, tokens dispatched since the peer started
     };
     bool isHeard(const Peer& peer, TimePoint now) const { return !peer.silent && now - peer.heardAt <= this->silentAfter; }
--- a/src/edge/Placement.h
+++ b/src/edge/Placement.h
@@ -78,7 +78,7 @@
     struct Node {
         std::string name;
         std::string failureDomain; // empty: not known yet
-        bool isReachable = true;   // false: it is not heard, and is no home
+        bool isReachable = true;   // false: it is not heard, or reaches no target; it is no home
         bool isStarting = false;   // it has not heard its peers for long enough to grant places within request limits
         bool operator==(const Node&) const = default;
     };
--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -40,6 +40,7 @@
     , metrics(metrics)
     , random(std::move(random))
     , connections(loop, this->connectionSettings(initial))
+    , forwarders(TargetPool(initial.placement, false, [this] { return this->random(); }), 0)
 {
     this->configure(initial);
 }
@@ -60,10 +61,10 @@
     this->droppedFields
         = { "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "expect", "content-length" };
     const WireHeaders& names = this->settings.headers;
-    for (const std::string& name : { names.callerLimit, names.key, names.workspace, names.expectedTarget })
-        this->droppedFields.insert(lowerCase(name));
-    for (const std::string& name : names.reserved)
-        this->droppedFields.insert(lowerCase(name));
+    for (const std::string& field : { names.callerLimit, names.key, names.workspace, names.expectedTarget, names.forwardedBy })
+        this->droppedFields.insert(lowerCase(field));
+    for (const std::string& field : names.reserved)
+        this->droppedFields.insert(lowerCase(field));
 }
 
 CallerLimits Relay::callerLimits() const { return this->current ? this->current->limits : CallerLimits {}; }
@@ -212,12 +213,23 @@
         exchange->endForStop();
 }
 
-void Relay::handle(const CallerPointer& caller, CallerRequest request)
+void Relay::handle(const CallerPointer& caller, CallerRequest request) { this->handle(caller, std::move(request), false); }
+
+void Relay::handleForwarded(const CallerPointer& caller, CallerRequest request)
+{
+    log(LogLevel::Info, "request forwarded by peer",
+        { { "request", request.message[this->settings.headers.requestId] },
+            { "peer", request.message[this->settings.headers.forwardedBy] } });
+    this->handle(caller, std::move(request), true);
+}
+
+void Relay::handle(const CallerPointer& caller, CallerRequest request, bool isForwarded)
 {
     const TimePoint now = bootTime();
     if (request.isPipelined)
         this->metrics.requestPipelined();
     ExchangePlan plan;
+    plan.isForwarded = isForwarded;
     auto refusal = this->identify(request, plan, now);
     if (!refusal && !plan.route->mayRepeat() && this->admitted.contains(request.message[this->settings.headers.requestId], now)) {
         this->metrics.requestIdRepeated();
@@ -275,7 +287,8 @@
     const WireHeaders& names = this->settings.headers;
     plan.service = this->chooseService(*plan.route);
     if (const auto move = this->movesByService.find(plan.service); move != this->movesByService.end()) {
-        move->second.plan.onRequest();
+        if (!plan.isForwarded) // the peer has counted it
+            move->second.plan.onRequest();
         plan.tryNewVersion = move->second.plan.sendToNew(this->random());
     }
     if (const auto limit = parseNumber<int64_t>(request.message[names.callerLimit]))
@@ -290,7 +303,9 @@
     plan.tokens = 1;
     if (plan.workspace && plan.workspace->countsTokens)
         plan.tokens = tokens ? tokens->prompt + tokens->maxOutput : plan.workspace->defaultTokens;
-    if (plan.workspace) {
+    if (plan.isForwarded)
+        plan.tokens = 0; // taken by the peer
+    if (plan.workspace && !plan.isForwarded) {
         const QuotaVerdict verdict = this->quota.take(*plan.workspace, plan.tokens, plan.rank.route == 0 || !this->reservesTokens, now);
         if (!verdict.allowed) {
             log(LogLevel::Info, "over the quota",
@@ -327,6 +342,10 @@
         return;
     this->lastHousekeeping = now;
     this->connections.expire(now);
+    if (this->reach.isCutOff())
+        this->updateForwarders(now);
+    if (this->reach.isProbeDue(now))
+        this->probeTarget();
     this->updateQuarantine(now);
     this->reservesTokens = std::all_of(this->byService.begin(), this->byService.end(),
         [&](const auto& item) { return this->placement.occupancy(item.second->hash, now) < fullServiceOccupancy; });
@@ -341,6 +360,65 @@
         exchange->leaveStalledTarget();
 }
 
+void Relay::updateForwarders(TimePoint now)
+{
+    for (const TargetInfo& peer : this->listForwarders(now))
+        this->forwarders.targets.upsert(peer, now);
+}
+
+void Relay::onTargetContact(TimePoint now)
+{
+    const auto since = this->reach.cutOffSince();
+    this->reach.onContact(now);
+    if (!since)
+        return;
+    log(LogLevel::Warn, "targets reached again", { { "cutOffMs", toMilliseconds(now - *since) } });
+    // What failed meanwhile says nothing about the targets, and connections from before may be dead.
+    for (const auto& [service, entry] : this->byService) {
+        entry->targets.endPauses();
+        entry->targets.forEachAddress([this](const Address& address) { this->connections.drop(address); });
+    }
+}
+
+void Relay::onTargetFailure(const ServiceTargets& service, TargetPool::Index target, TimePoint now)
+{
+    size_t known = 0;
+    for (const auto& item : this->byService)
+        known += item.second->targets.usableCount();
+    const bool wasCutOff = this->reach.isCutOff();
+    this->reach.onFailure(service.targets.hashOf(target), known, now);
+    if (!this->reach.isCutOff() || wasCutOff)
+        return;
+    this->updateForwarders(now);
+    log(LogLevel::Warn, "cut off from targets", { { "lastTarget", service.targets.info(target).id }, { "targets", known } });
+}
+
+void Relay::probeTarget()
+{
+    std::vector<Address> addresses;
+    for (const auto& [service, entry] : this->byService)
+        entry->targets.forEachAddress([&](const Address& address) { addresses.push_back(address); });
+    if (addresses.empty())
+        return;
+    const Address& address = addresses[static_cast<size_t>(this->random() * static_cast<double>(addresses.size()))];
+    boost::system::error_code badAddress;
+    const auto ip = net::ip::make_address(address.ip, badAddress);
+    if (badAddress)
+        return;
+    const auto socket = std::make_shared<tcp::socket>(this->loop);
+    const auto timer = std::make_shared<net::steady_timer>(this->loop, this->settings.connections.connectTimeout);
+    socket->async_connect({ ip, address.port }, [this, socket, timer](boost::system::error_code error) {
+        timer->cancel();
+        if (error != net::error::operation_aborted && !error)
+            this->onTargetContact(bootTime());
+    });
+    timer->async_wait([socket](boost::system::error_code error) {
+        boost::system::error_code ignored; // a socket that can't be closed ends with its last owner
+        if (!error)
+            socket->close(ignored);
+    });
+}
+
 std::optional<TimePoint> Relay::lastAnswerAt(uint64_t targetHash) const
 {
     for (const auto& [name, service] : this->byService) {
--- a/src/edge/Relay.h
+++ b/src/edge/Relay.h
@@ -18,6 +18,7 @@
 #include "edge/PromptQuarantine.h"
 #include "edge/SecondTryBudget.h"
 #include "edge/StopSequence.h"
+#include "edge/TargetReach.h"
 #include "edge/VersionMove.h"
 #include "edge/WorkspaceQuota.h"
 
@@ -39,6 +40,7 @@
     std::string lastEventId = "Last-Event-Id";          // a stream resumes after this event
     std::string leaving = "Guavapond-Leaving";          // set to 1 in any answer of a target that shuts down
     std::string requestLimit = "Guavapond-Limit";       // in answers of a target: requests per second that it takes from all nodes together
+    std::string forwardedBy = "Guavapond-Forwarded-By"; // set in requests that a node forwards to a peer: name of the node
     std::vector<std::string> reserved;                  // fields that only the node may set: dropped from callers' requests
 };
 
@@ -86,6 +88,12 @@
     void removeTarget(const std::string& id);
     bool isTargetUnresponsive(const std::string& id) const;
     void handle(const CallerPointer& caller, CallerRequest request);
+    // Handles a request that a peer forwards, since it reaches no target. The peer has counted its tokens, and it is not forwarded again.
+    void handleForwarded(const CallerPointer& caller, CallerRequest request);
+    bool isForwarded(const CallerRequest& request) const { return request.message.count(this->settings.headers.forwardedBy) > 0; }
+    // Sets the function that lists the peers which can send this node's requests to targets. Without it, none does.
+    void onForwardersNeeded(std::function<std::vector<TargetInfo>(TimePoint)> hook) { this->listForwarders = std::move(hook); }
+    void setName(std::string value) { this->name = std::move(value); }
     // Starts the move of a service to a new version, unless an order of the same or a later revision is known. `earliest` is the first
     // time at which the order may have been given; empty: it may be older than this process.
     void orderMove(const MoveOrder& order, const MoveSettings& bounds, std::optional<TimePoint> earliest);
@@ -125,6 +133,7 @@
     SecondTryBudget secondTries;
     PromptQuarantine quarantine { {}, [this](uint64_t target) { return this->lastAnswerAt(target); } };
     Placement placement;
+    TargetReach reach;
 
 private:
     friend class Exchange;
@@ -142,6 +151,11 @@
     };
     std::optional<Refusal> identify(const CallerRequest& request, ExchangePlan& plan, TimePoint now);
     std::optional<Refusal> admit(const CallerRequest& request, ExchangePlan& plan, TimePoint now);
+    void handle(const CallerPointer& caller, CallerRequest request, bool isForwarded);
+    void onTargetContact(TimePoint now);
+    void onTargetFailure(const ServiceTargets& service, TargetPool::Index target, TimePoint now);
+    void updateForwarders(TimePoint now);
+    void probeTarget(); // connects to some target, to learn whether this node is still cut off
     void reject(const CallerPointer& caller, const CallerRequest& request, const Refusal& refusal);
     void answerLocally(const CallerPointer& caller, std::string_view requestId, unsigned status, std::string_view reason,
         std::optional<Duration> retryAfter);
@@ -154,7 +168,10 @@
     std::function<double()> random;
     CatalogPointer current;
     ConnectionPool connections;
-    AdmittedIds admitted; // of requests that must not run twice
+    AdmittedIds admitted;      // of requests that must not run twice
+    ServiceTargets forwarders; // peers; up to date only while this node reaches no target
+    std::function<std::vector<TargetInfo>(TimePoint)> listForwarders = [](TimePoint) { return std::vector<TargetInfo> {}; };
+    std::string name = "self"; // of this node
     std::map<std::string, std::unique_ptr<ServiceTargets>> byService;
     std::unordered_map<uint64_t, ServiceTargets*> byServiceHash;
     std::function<void(const std::string& node, const PlacementMessage&)> sendPlacement;
--- a/src/edge/TargetPool.cpp
+++ b/src/edge/TargetPool.cpp
@@ -571,6 +571,25 @@
     return result;
 }
 
+void TargetPool::endPauses()
+{
+    for (Target& target : this->targets) {
+        if (!target.probation)
+            continue;
+        target.failures = 0;
+        target.pausedUntil = {};
+        target.probation = false;
+    }
+}
+
+void TargetPool::forEachAddress(const std::function<void(const Address&)>& visit) const
+{
+    for (const Target& target : this->targets) {
+        if (!target.leaving)
+            visit(target.info.address);
+    }
+}
+
 bool TargetPool::hasVersion(std::string_view version) const
 {
     return std::any_of(
--- a/src/edge/TargetPool.h
+++ b/src/edge/TargetPool.h
@@ -191,7 +191,9 @@
     bool hasVersion(std::string_view version) const;    // a target of this version is not leaving
     uint64_t inFlightOutside(std::string_view version) const; // this node's requests at targets of other versions
     size_t usableCount() const;                               // targets that are not leaving
-    bool isUnresponsive(std::string_view id) const;           // requests to it have failed one after the other, without an answer since
+    void endPauses(); // of targets that were paused for failures, since these say nothing about the targets
+    void forEachAddress(const std::function<void(const Address&)>& visit) const; // of targets that are not leaving
+    bool isUnresponsive(std::string_view id) const; // requests to it have failed one after the other, without an answer since
     // Requests per slot of the targets that accept work; above 1: overloaded; 1 if there are no such targets.
     double occupancy(std::string_view group, TimePoint now) const;
 
