Weigh lost requests at a home by the node that lost them

The same cause where a node is cut off from a part of the targets: each loss that a node reports paused the target at the home, for all nodes, and a home's own losses did so too. A loss counts for all nodes now if two nodes report one, or if no other node has had an answer there for 0.5 s; else the target is paused for the node that lost the request only.

--- a/src/edge/Placement.cpp
+++ b/src/edge/Placement.cpp
@@ -361,7 +361,7 @@
     for (const RunSample& sample : message.samples) {
         TargetPool* pool = this->hooks.pool(sample.service);
         if (const auto index = pool ? pool->find(sample.target) : std::nullopt)
-            pool->applySample(*index, sample, now);
+            pool->applySample(*index, sample, from, now);
     }
     for (const PlacementRequest& request : message.requests) {
         if (LocalHome* local = request.node == from ? this->localHome({ request.service, request.group }) : nullptr) {
--- a/src/edge/TargetPool.cpp
+++ b/src/edge/TargetPool.cpp
@@ -23,6 +23,7 @@
 constexpr uint32_t judgedAnswersMask = (1U << judgedAnswers) - 1;
 constexpr double newestAnswerWeight = 0.15;                         // in failedShare
 constexpr double failedShareHalfLifeSeconds = 3;                    // without an answer; lets the target be tried again
+constexpr Duration answerTtl = std::chrono::milliseconds(500);      // an answer this old no longer outweighs a loss of another node
 constexpr size_t maxCacheEntries = 20000;                           // prefix hashes
 constexpr Duration endedLimitReportTime = std::chrono::seconds(10); // how long nodes tell each other that a limit has ended
 constexpr size_t minTargetsPerGroup = 12;                           // mean per failure domain at which targets are grouped by domain
@@ -56,11 +57,11 @@
         index = found->second;
     Target& target = this->targets[index];
     if (target.info.startedUnixMs != info.startedUnixMs || target.info.address != info.address) {
-        target.failures = 0;
         target.recentFailures = 0;
         target.failedShare = 0;
-        target.pausedUntil = {};
-        target.probation = false;
+        target.shared = {};
+        target.own = {};
+        target.lossesOf.clear();
         target.leaveAnnounced = false;
         target.requestLimit = {};
     }
@@ -113,7 +114,9 @@
 void TargetPool::pauseFor(Index target, Duration requested, TimePoint now)
 {
     Target& t = this->targets[target];
-    t.pausedUntil = std::max(t.pausedUntil, now + std::clamp(requested, Duration::zero(), this->settings.maxRequestedPause));
+    const TimePoint until = now + std::clamp(requested, Duration::zero(), this->settings.maxRequestedPause);
+    for (Pause* pause : { &t.shared, &t.own })
+        pause->until = std::max(pause->until, until);
 }
 
 size_t TargetPool::limitedCount() const
@@ -213,7 +216,7 @@
 
 bool TargetPool::isUsable(const Target& target, const Demand& demand, TimePoint now) const
 {
-    if (target.leaving || now < target.pausedUntil)
+    if (target.leaving || now < target.shared.until)
         return false;
     if (!demand.onlyVersion.empty() && target.info.version != demand.onlyVersion)
         return false;
@@ -226,7 +229,8 @@
     if (this->isStalled(target, now))
         return false;
     // Without repeatable requests no probe can end the probation, so it also ends after longestPause.
-    return !target.probation || (demand.repeatable && target.running == 0) || now > target.pausedUntil + this->settings.longestPause;
+    const Pause& pause = target.shared;
+    return !pause.probation || (demand.repeatable && target.running == 0) || now > pause.until + this->settings.longestPause;
 }
 
 void TargetPool::refreshMeans()
@@ -349,7 +353,8 @@
 
 bool TargetPool::takesWork(Index target, TimePoint now) const
 {
-    return !this->targets[target].leaving && now >= this->targets[target].pausedUntil;
+    const Target& t = this->targets[target];
+    return !t.leaving && now >= std::max(t.shared.until, t.own.until);
 }
 
 void TargetPool::started(Index target, const Demand& demand, TimePoint now)
@@ -393,12 +398,31 @@
     this->refreshMeans();
 }
 
-void TargetPool::pause(Target& target, TimePoint now)
+void TargetPool::pause(Pause& pause, TimePoint now) const
 {
-    const Duration pause = this->settings.firstPause * (1 << std::min(target.failures, 5U));
-    ++target.failures;
-    target.pausedUntil = now + std::min(pause, this->settings.longestPause);
-    target.probation = true;
+    const Duration length = this->settings.firstPause * (1 << std::min(pause.failures, 5U));
+    ++pause.failures;
+    pause.until = now + std::min(length, this->settings.longestPause);
+    pause.probation = true;
+}
+
+void TargetPool::recordAnswer(Target& target, uint64_t node, TimePoint now)
+{
+    if (target.newestAnswer.node != node)
+        target.answerOfOther = target.newestAnswer;
+    target.newestAnswer = { node, now };
+    target.lossesOf.clear();
+    target.shared.failures = 0;
+    target.shared.probation = false;
+    if (node == ownNode)
+        target.own = {};
+}
+
+bool TargetPool::recordLoss(Target& target, uint64_t node, TimePoint now)
+{
+    target.lossesOf.insert(node);
+    const NodeTime& other = target.newestAnswer.node != node ? target.newestAnswer : target.answerOfOther;
+    return target.lossesOf.size() > 1 || !other.at || now - *other.at > answerTtl;
 }
 
 void TargetPool::ended(Index target, uint32_t prefillPending, TargetOutcome outcome, std::optional<Duration> serviceTime, TimePoint now)
@@ -407,17 +431,16 @@
     assert(t.running > 0);
     --t.running;
     t.prefillTokens -= std::min(t.prefillTokens, prefillPending);
-    this->recordOutcome(target, outcome, serviceTime, now);
+    this->recordOutcome(target, outcome, serviceTime, ownNode, now);
 }
 
-void TargetPool::recordOutcome(Index target, TargetOutcome outcome, std::optional<Duration> serviceTime, TimePoint now)
+void TargetPool::recordOutcome(Index target, TargetOutcome outcome, std::optional<Duration> serviceTime, uint64_t node, TimePoint now)
 {
     Target& t = this->targets[target];
     const bool failed = outcome == TargetOutcome::Failed;
     switch (outcome) {
     case TargetOutcome::Answered:
-        t.failures = 0;
-        t.probation = false;
+        this->recordAnswer(t, node, now);
         t.lastProgress = now;
         if (serviceTime) {
             updateAverage(t.serviceMs, inMilliseconds(*serviceTime));
@@ -429,7 +452,11 @@
     case TargetOutcome::Unreachable:
     case TargetOutcome::Broken:
     case TargetOutcome::Silent:
-        this->pause(t, now);
+        if (node == ownNode)
+            this->pause(t.own, now);
+        if (!this->recordLoss(t, node, now))
+            return;
+        this->pause(t.shared, now);
         break;
     case TargetOutcome::Declined:
         t.lastProgress = now;
@@ -443,16 +470,16 @@
     t.recentFailures = ((t.recentFailures << 1) | (failed ? 1U : 0U)) & judgedAnswersMask;
     if (failed && std::popcount(t.recentFailures) >= static_cast<int>(failuresToPause)) {
         const auto paused = std::count_if(this->targets.begin(), this->targets.end(),
-            [&](const Target& other) { return !other.leaving && (other.probation || now < other.pausedUntil); });
+            [&](const Target& other) { return !other.leaving && (other.shared.probation || now < other.shared.until); });
         if (static_cast<double>(paused + 1) <= this->settings.maxPausedShare * static_cast<double>(this->usableCount())) {
-            t.failures = std::max(t.failures, 1U);
-            this->pause(t, now);
+            t.shared.failures = std::max(t.shared.failures, 1U);
+            this->pause(t.shared, now);
             t.recentFailures = 0;
         }
     }
 }
 
-void TargetPool::applySample(Index target, const RunSample& sample, TimePoint now)
+void TargetPool::applySample(Index target, const RunSample& sample, uint64_t node, TimePoint now)
 {
     if (sample.backlogTokens > 0)
         this->updatePrefillSpeed(target, sample.backlogTokens, sample.firstAfter, now);
@@ -461,7 +488,7 @@
     if (sample.eventGap)
         this->eventGap(target, *sample.eventGap, now);
     if (sample.outcome != TargetOutcome::Cancelled)
-        this->recordOutcome(target, sample.outcome, sample.serviceTime, now);
+        this->recordOutcome(target, sample.outcome, sample.serviceTime, node, now);
 }
 
 void TargetPool::recordCachedPrompt(Index target, std::span<const PromptPart> parts, TimePoint now)
@@ -526,7 +553,8 @@
     std::vector<uint64_t> result;
     for (const Target& target : this->targets) {
         const bool isKnownToAll = target.leaving && !target.leaveAnnounced;
-        if ((target.leaving || now < target.pausedUntil) && !isKnownToAll && (group.empty() || target.info.failureDomain == group))
+        const bool isPaused = now < std::max(target.shared.until, target.own.until);
+        if ((target.leaving || isPaused) && !isKnownToAll && (group.empty() || target.info.failureDomain == group))
             result.push_back(target.hash);
     }
     return result;
@@ -574,11 +602,10 @@
 void TargetPool::endPauses()
 {
     for (Target& target : this->targets) {
-        if (!target.probation)
-            continue;
-        target.failures = 0;
-        target.pausedUntil = {};
-        target.probation = false;
+        for (Pause* pause : { &target.shared, &target.own }) {
+            if (pause->probation)
+                *pause = {};
+        }
     }
 }
 
@@ -599,8 +626,10 @@
 bool TargetPool::isUnresponsive(std::string_view id) const
 {
     const auto found = this->byId.find(std::string(id));
-    return found != this->byId.end() && this->targets[found->second].probation
-        && this->targets[found->second].failures >= failuresToBeUnresponsive;
+    if (found == this->byId.end())
+        return false;
+    const Pause& pause = this->targets[found->second].shared;
+    return pause.probation && pause.failures >= failuresToBeUnresponsive;
 }
 
 uint64_t TargetPool::inFlightOutside(std::string_view version) const
@@ -621,7 +650,7 @@
     double inFlight = 0;
     double slots = 0;
     for (const Target& target : this->targets) {
-        if (target.leaving || now < target.pausedUntil || (!group.empty() && target.info.failureDomain != group))
+        if (target.leaving || now < target.shared.until || (!group.empty() && target.info.failureDomain != group))
             continue;
         const Load load = this->load(target, now);
         inFlight += load.running;
@@ -638,7 +667,8 @@
         const Load load = this->load(target, now);
         const double gapMs = target.gapMs;
         result.push_back({ &target.info, load.running, load.prefillTokens, target.tokensPerMs, fromSeconds(gapMs / 1000),
-            now < target.pausedUntil, target.leaving, target.requestLimit.statement(), this->limitShare(target) });
+            now < std::max(target.shared.until, target.own.until), target.leaving, target.requestLimit.statement(),
+            this->limitShare(target) });
     }
     return result;
 }
--- a/src/edge/TargetPool.h
+++ b/src/edge/TargetPool.h
@@ -24,6 +24,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <span>
 
 namespace guavapond::edge {
@@ -171,7 +172,7 @@
     // `group` is a failure domain, here and below; empty: all targets.
     std::vector<TargetLoadReport> ownLoads(std::string_view group, TimePoint now) const;
     std::vector<uint64_t> unavailableTargets(std::string_view group, TimePoint now) const; // paused, or announced to be leaving
-    void applySample(Index target, const RunSample& sample, TimePoint now);                // measured by another node
+    void applySample(Index target, const RunSample& sample, uint64_t node, TimePoint now); // measured by another node, by hash of its name
 
     std::optional<Index> find(uint64_t targetHash) const;
     uint64_t hashOf(Index target) const { return this->targets[target].hash; }
@@ -216,6 +217,16 @@
         uint32_t prefillTokens = 0;
         TimePoint at {}; // of the last report or request
     };
+    struct Pause {
+        TimePoint until {};
+        bool probation = false; // was paused and has not answered since
+        uint32_t failures = 0;  // consecutive ones that caused a pause
+    };
+    struct NodeTime {
+        uint64_t node = ownNode; // by hash of its name
+        std::optional<TimePoint> at;
+    };
+    static constexpr uint64_t ownNode = 0;
     struct Target {
         TargetInfo info;
         uint64_t hash = 0;
@@ -227,12 +238,14 @@
         double tokensPerMs = 0;             // prefill speed; 0: not measured yet
         double gapMs = 0;                   // time between events with a single request; 0: not measured yet
         double serviceMs = 0;               // duration of a request; 0: not measured yet
-        uint32_t failures = 0;              // consecutive failures that caused a pause
         uint32_t recentFailures = 0;        // one bit for each of the last answers; 1: failed
         double failedShare = 0;             // exponentially weighted failure rate of the answers
         TimePoint failedShareUpdatedAt {};
-        TimePoint pausedUntil {};
-        bool probation = false; // was paused and has not answered since
+        Pause shared; // for the requests of all nodes
+        Pause own;    // for those of this node only, which may be the one that can't reach the target
+        NodeTime newestAnswer;
+        NodeTime answerOfOther;      // newest one to another node than newestAnswer
+        std::set<uint64_t> lossesOf; // nodes that lost requests there since the newest answer
         TimePoint lastProgress {};
         std::optional<TimePoint> answeredAt; // last byte of an answer to this node
         TimePoint warmAt {};                 // until then the target is slow after its start
@@ -254,7 +267,10 @@
     };
 
     void updatePrefillSpeed(Index target, uint32_t backlogTokens, Duration afterStart, TimePoint now);
-    void recordOutcome(Index target, TargetOutcome outcome, std::optional<Duration> serviceTime, TimePoint now);
+    void recordOutcome(Index target, TargetOutcome outcome, std::optional<Duration> serviceTime, uint64_t node, TimePoint now);
+    void recordAnswer(Target& target, uint64_t node, TimePoint now);
+    // Records that the node lost a request there. False: others get answers, so that the loss says more about the node than the target.
+    bool recordLoss(Target& target, uint64_t node, TimePoint now);
     Load load(const Target& target, TimePoint now) const;
     bool isStalled(const Target& target, TimePoint now) const;
     bool isUsable(const Target& target, const Demand& demand, TimePoint now) const;
@@ -267,7 +283,7 @@
     double score(const Target& target, const Load& load, uint32_t tokens, const Demand& demand, TimePoint now) const;
     double expectedFailures(const Target& target, TimePoint now) const; // failedShare, decayed over the time since its last update
     uint32_t cachedTokens(Index target, const Demand& demand, TimePoint now) const;
-    void pause(Target& target, TimePoint now);
+    void pause(Pause& pause, TimePoint now) const;
     void refreshMeans();
     void refreshGroups();
 
