Look by a connection whether a target is within reach again

A target that is paused for this node only was tried again with a caller's request after each pause, which waited for the connection's timeout (0.3 s) where the path was still cut. A connection without a request is tried now, one at a time; the target stays out of this node's requests until one is established. Its outcome is evidence of a cut, or of its end, also where no request comes.

--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -346,6 +346,8 @@
         this->updateForwarders(now);
     if (this->reach.isProbeDue(now))
         this->probeTarget();
+    else if (!this->reach.isCutOff())
+        this->probeTargets(now);
     this->updateQuarantine(now);
     this->reservesTokens = std::all_of(this->byService.begin(), this->byService.end(),
         [&](const auto& item) { return this->placement.occupancy(item.second->hash, now) < fullServiceOccupancy; });
@@ -401,17 +403,42 @@
     if (addresses.empty())
         return;
     const Address& address = addresses[static_cast<size_t>(this->random() * static_cast<double>(addresses.size()))];
+    this->connectTo(address, [this](bool isReached) {
+        if (isReached)
+            this->onTargetContact(bootTime());
+    });
+}
+
+void Relay::probeTargets(TimePoint now)
+{
+    for (const auto& item : this->byService) {
+        const TargetPool& pool = item.second->targets;
+        for (const TargetPool::Index target : item.second->targets.takeDueProbes(now))
+            this->connectTo(pool.info(target).address, [this, service = item.second.get(), target](bool isReached) {
+                const TimePoint end = bootTime();
+                service->targets.probed(target, isReached, end);
+                if (isReached)
+                    this->onTargetContact(end);
+                else
+                    this->onTargetFailure(*service, target, end);
+            });
+    }
+}
+
+void Relay::connectTo(const Address& address, std::function<void(bool isReached)> hook)
+{
     boost::system::error_code badAddress;
     const auto ip = net::ip::make_address(address.ip, badAddress);
     if (badAddress)
-        return;
+        return hook(false);
     const auto socket = std::make_shared<tcp::socket>(this->loop);
     const auto timer = std::make_shared<net::steady_timer>(this->loop, this->settings.connections.connectTimeout);
-    socket->async_connect({ ip, address.port }, [this, socket, timer](boost::system::error_code error) {
-        timer->cancel();
-        if (error != net::error::operation_aborted && !error)
-            this->onTargetContact(bootTime());
-    });
+    socket->async_connect(
+        { ip, address.port }, [socket, timer, hook = std::move(hook), alive = std::weak_ptr(this->alive)](boost::system::error_code error) {
+            timer->cancel();
+            if (!alive.expired())
+                hook(!error);
+        });
     timer->async_wait([socket](boost::system::error_code error) {
         boost::system::error_code ignored; // a socket that can't be closed ends with its last owner
         if (!error)
--- a/src/edge/Relay.h
+++ b/src/edge/Relay.h
@@ -155,7 +155,9 @@
     void onTargetContact(TimePoint now);
     void onTargetFailure(const ServiceTargets& service, TargetPool::Index target, TimePoint now);
     void updateForwarders(TimePoint now);
-    void probeTarget(); // connects to some target, to learn whether this node is still cut off
+    void connectTo(const Address& address, std::function<void(bool isReached)> hook);
+    void probeTargets(TimePoint now); // those that this node lost requests at
+    void probeTarget();               // connects to some target, to learn whether this node is still cut off
     void reject(const CallerPointer& caller, const CallerRequest& request, const Refusal& refusal);
     void answerLocally(const CallerPointer& caller, std::string_view requestId, unsigned status, std::string_view reason,
         std::optional<Duration> retryAfter);
@@ -186,7 +188,8 @@
     // A part of each workspace's quota is kept for its urgent requests. Off while a service is full: then ranks decide who is served.
     bool reservesTokens = true;
     TimePoint lastHousekeeping {};
-    std::optional<StopBounds> stop; // empty: no stop is planned
+    std::shared_ptr<const bool> alive = std::make_shared<const bool>(true); // expires with this relay
+    std::optional<StopBounds> stop;                                         // empty: no stop is planned
 };
 
 } // namespace guavapond::edge
--- a/src/edge/TargetPool.cpp
+++ b/src/edge/TargetPool.cpp
@@ -354,7 +354,7 @@
 bool TargetPool::takesWork(Index target, TimePoint now) const
 {
     const Target& t = this->targets[target];
-    return !t.leaving && now >= std::max(t.shared.until, t.own.until);
+    return !t.leaving && now >= std::max(t.shared.until, t.own.until) && !t.own.probation;
 }
 
 void TargetPool::started(Index target, const Demand& demand, TimePoint now)
@@ -553,7 +553,7 @@
     std::vector<uint64_t> result;
     for (const Target& target : this->targets) {
         const bool isKnownToAll = target.leaving && !target.leaveAnnounced;
-        const bool isPaused = now < std::max(target.shared.until, target.own.until);
+        const bool isPaused = now < std::max(target.shared.until, target.own.until) || target.own.probation;
         if ((target.leaving || isPaused) && !isKnownToAll && (group.empty() || target.info.failureDomain == group))
             result.push_back(target.hash);
     }
@@ -599,6 +599,28 @@
     return result;
 }
 
+std::vector<TargetPool::Index> TargetPool::takeDueProbes(TimePoint now)
+{
+    std::vector<Index> result;
+    for (Index i = 0; i < this->targets.size(); ++i) {
+        Target& target = this->targets[i];
+        if (target.leaving || !target.own.probation || now < target.own.until || std::exchange(target.own.isProbing, true))
+            continue;
+        result.push_back(i);
+    }
+    return result;
+}
+
+void TargetPool::probed(Index target, bool isReached, TimePoint now)
+{
+    Pause& own = this->targets[target].own;
+    own.isProbing = false;
+    if (isReached)
+        own = {};
+    else
+        this->pause(own, now);
+}
+
 void TargetPool::endPauses()
 {
     for (Target& target : this->targets) {
--- a/src/edge/TargetPool.h
+++ b/src/edge/TargetPool.h
@@ -155,7 +155,7 @@
     };
     // Empty: no usable target has capacity. Targets in `tried` are excluded.
     std::optional<Choice> choose(const Demand& demand, std::span<const Index> tried, TimePoint now);
-    bool takesWork(Index target, TimePoint now) const; // neither leaving nor paused
+    bool takesWork(Index target, TimePoint now) const; // neither leaving nor paused, also for this node only
     bool isWarm(Index target, TimePoint now) const { return now >= this->targets[target].warmAt; }
 
     void started(Index target, const Demand& demand, TimePoint now);
@@ -192,6 +192,9 @@
     bool hasVersion(std::string_view version) const;    // a target of this version is not leaving
     uint64_t inFlightOutside(std::string_view version) const; // this node's requests at targets of other versions
     size_t usableCount() const;                               // targets that are not leaving
+    // Targets that only a connection can show to be within reach again: this node lost requests there, and their pause has ended.
+    std::vector<Index> takeDueProbes(TimePoint now);
+    void probed(Index target, bool isReached, TimePoint now);
     void endPauses(); // of targets that were paused for failures, since these say nothing about the targets
     void forEachAddress(const std::function<void(const Address&)>& visit) const; // of targets that are not leaving
     bool isUnresponsive(std::string_view id) const; // requests to it have failed one after the other, without an answer since
@@ -221,6 +224,7 @@
         TimePoint until {};
         bool probation = false; // was paused and has not answered since
         uint32_t failures = 0;  // consecutive ones that caused a pause
+        bool isProbing = false; // a connection is being tried
     };
     struct NodeTime {
         uint64_t node = ownNode; // by hash of its name
