Keep the ports of links that are cut in tests

The port of a link whose listener is closed could be given to a connection of the same process: 'bind: Address already in use' in one run of EdgeCutOffNodesTest. The port is reserved for the life of the link.

--- a/standins/edge/LinkProxy.cpp
+++ b/standins/edge/LinkProxy.cpp
@@ -33,8 +33,7 @@
 {
     this->acceptor.open(tcp::v4());
     this->acceptor.set_option(net::socket_base::reuse_address(true));
-    this->acceptor.bind({ net::ip::address_v4::loopback(), this->port });
-    this->port = this->acceptor.local_endpoint().port();
+    this->acceptor.bind({ net::ip::address_v4::loopback(), this->reservation.port() });
     this->acceptor.listen();
     this->accept();
 }
@@ -88,7 +87,7 @@
     this->acceptor.listen(0, ignored);
     for (int i = 0; i < fillerCount; ++i) {
         tcp::socket& filler = this->fillers.emplace_back(this->loop);
-        filler.async_connect({ net::ip::address_v4::loopback(), this->port }, [](boost::system::error_code) {});
+        filler.async_connect({ net::ip::address_v4::loopback(), this->reservation.port() }, [](boost::system::error_code) {});
     }
 }
 
--- a/standins/edge/LinkProxy.h
+++ b/standins/edge/LinkProxy.h
@@ -5,6 +5,7 @@
 //   LinkProxy
 #pragma once
 
+#include "PortReservation.h"
 #include "edge/HttpClient.h"
 
 #include <deque>
@@ -26,7 +27,7 @@
     LinkProxy& operator=(const LinkProxy&) = delete;
     ~LinkProxy();
 
-    edge::Address address() const { return { "127.0.0.1", this->port }; }
+    edge::Address address() const { return { "127.0.0.1", this->reservation.port() }; }
     void set(LinkState state);
 
 private:
@@ -52,7 +53,7 @@
     edge::net::io_context& loop;
     edge::Address server;
     edge::tcp::acceptor acceptor;
-    uint16_t port = 0;
+    PortReservation reservation; // also while the acceptor is closed, when the kernel might give the port to a connection
     LinkState state = LinkState::Up;
     bool accepting = false;
     std::set<PairPointer> pairs;
