--- a/tests/adapters/ServiceContractTest.cpp
+++ b/tests/adapters/ServiceContractTest.cpp
@@ -127,6 +127,20 @@
     }
 }
 
+// Guards against a late copy of the answer to an earlier call that is taken for the answer to the call that runs.
+TEST(ServiceContract, LateCopyIsNoAnswerToAnotherCall)
+{
+    RawServer server([](size_t request) {
+        const std::string refusal = "HTTP/1.1 503 Busy\r\nX-Request-Id: gp1.call0\r\nContent-Length: 0\r\n\r\n";
+        const std::string success = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+        return std::optional<std::string>(request == 1 ? refusal + success : success);
+    });
+    for (int i = 0; i < reuseAttempts; ++i) {
+        const auto answer = complete(this->service, requestTo(server.url(), "gp1.call" + std::to_string(i)));
+        CHECK_TEXT(answer.failure || answer.status == 200, ("call " + std::to_string(i) + " ran and got another's refusal").c_str());
+    }
+}
+
 // Guards against an answer that breaks off, in its head too, and is passed on as whole, and against an announced length that sizes memory.
 TEST(ServiceContract, AnswerThatEndsEarlyIsNoAnswer)
 {
--- a/tests/edge/AdmittedIdsTest.cpp
+++ b/tests/edge/AdmittedIdsTest.cpp
@@ -44,6 +44,18 @@
     CHECK(ids.contains(std::to_string(2 * AdmittedIds::maxIds - 1), now));
 }
 
+// Guards against the id of a running order that is forgotten for the ids of orders that were refused and are not kept.
+TEST(AdmittedIds, RefusedIdsTakeNoPlace)
+{
+    ids.insert("running", now);
+    for (size_t i = 0; i < 2 * AdmittedIds::maxIds; ++i) {
+        ids.insert(std::to_string(i), now + 1s);
+        ids.erase(std::to_string(i));
+    }
+    CHECK_EQUAL(1, ids.size());
+    CHECK(ids.contains("running", now + 1s));
+}
+
 // Guards against an order that runs twice because its bytes reached the node twice, on one connection or on two.
 TEST(AdmittedIds, AnOrderThatComesTwiceRunsOnce)
 {
