Believe no refusal with an empty id on a kept connection

A field without a value counted as a named request, so that 503 and 421 with an empty id were believed where answers to other requests come too: the order ran twice. EdgeLateCopyTest RefusalWithAnEmptyId failed and passes; EdgeSecondSendTest passes.

--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -278,7 +278,7 @@
     if (namedRequests > 1 || (isRefusal && status < firstFailureStatus))
         return AttemptOutcome::Invalid;
     // Where answers to other requests come too, a refusal that names none may be one of theirs.
-    if (isRefusal && namedRequests == 0 && (this->attempt->reusedConnection || this->attempt->skippedAnswers > 0))
+    if (isRefusal && head[names.requestId].empty() && (this->attempt->reusedConnection || this->attempt->skippedAnswers > 0))
         return AttemptOutcome::Invalid;
     if (status == misdirectedRequest)
         return AttemptOutcome::Moved;
