Read no response whose head is continued by that of another one

A copy of a refusal that breaks off in its head, within its status line or a field's value, was continued by the head of the response that is due: status and fields of the refusal, and the id of the order, which ran twice. A head that holds the start of a second response is Malformed. EdgeLateCopyTest HeadThatBreaksOffBeforeTheAnswer failed at 15 lengths and passes.

--- a/src/edge/HttpClient.cpp
+++ b/src/edge/HttpClient.cpp
@@ -37,6 +37,26 @@
     return std::chrono::seconds(std::clamp<int64_t>(seconds, 0, maxKeepAliveSeconds));
 }
 
+// True of a text like "HTTP/1.1 200", which begins a response.
+bool holdsStatus(std::string_view text)
+{
+    constexpr std::string_view start = "HTTP/1.";
+    constexpr size_t statusAt = start.size() + 2; // behind the minor version and a space
+    for (size_t at = text.find(start); at != std::string_view::npos; at = text.find(start, at + 1)) {
+        const std::string_view status = text.substr(std::min(at + statusAt, text.size()), 3);
+        if (status.size() == 3 && text[at + statusAt - 1] == ' ' && status.find_first_not_of("0123456789") == std::string_view::npos)
+            return true;
+    }
+    return false;
+}
+
+// A response that broke off in its head is continued by the next one, whose fields are then read as those of the first.
+bool isJoined(const http::response_header<>& head)
+{
+    return holdsStatus(head.reason())
+        || std::any_of(head.begin(), head.end(), [](const auto& field) { return holdsStatus(field.value()); });
+}
+
 template <int Level, int Name> using IntegerOption = net::detail::socket_option::integer<Level, Name>;
 
 } // namespace
@@ -255,6 +275,10 @@
         return false;
     }
     if (!this->headSeen && this->parser->is_header_done()) {
+        if (isJoined(this->parser->get().base())) {
+            this->fail(ConnectionFault::Malformed);
+            return false;
+        }
         if (this->parser->get().result_int() < firstFinalStatus) {
             if (++this->informationalResponses > this->settings.maxInformationalResponses) {
                 this->fail(ConnectionFault::Malformed);
