Leave what arrives between requests in the kernel until it is looked for

ClientConnection::isQuiet() looks into the kernel, but the read that follows a response may have taken the next bytes, or the end of the connection, from there already, while its handler waits behind others in the event loop. Exchange::endAttempt() posts just such a handler, which serves the queue with the connection that was released last. Between requests the connection now waits without reading. EdgeLateCopyTest ConnectionWhoseNextReadHasEndedIsNotUsed failed and passes; EdgeRefusalCopyTest, EdgeRelayTest, EdgePipelineTest, EdgeSecondSendTest, EdgeAnswerEndTest, EdgeAnswerLengthTest, EdgeExceptionTest and EdgeDamagedInputTest pass. The wait costs an epoll_ctl per request on a kept connection; its price is not measured.

--- a/src/edge/HttpClient.cpp
+++ b/src/edge/HttpClient.cpp
@@ -219,8 +219,10 @@
 
 void ClientConnection::read()
 {
-    if (this->input.isReading() || this->paused || !this->open)
+    if (this->input.isReading() || this->isWaiting || this->paused || !this->open)
         return;
+    if (!this->busy)
+        return this->waitForBytes();
     const std::span<char> space = this->input.beginRead(readBufferBytes);
     const auto self = this->shared_from_this();
     this->socket.async_read_some(net::buffer(space.data(), space.size()), [self](boost::system::error_code error, size_t count) {
@@ -230,6 +232,20 @@
     });
 }
 
+// Between requests nothing is read, so that isQuiet() finds in the kernel whatever has arrived.
+void ClientConnection::waitForBytes()
+{
+    this->isWaiting = true;
+    this->socket.async_wait(tcp::socket::wait_read, [self = this->shared_from_this()](boost::system::error_code error) {
+        self->isWaiting = false;
+        if (!self->open)
+            return;
+        if (error || !self->busy)
+            return self->contain([&] { self->fail(ConnectionFault::Closed); });
+        self->contain([&] { self->read(); });
+    });
+}
+
 void ClientConnection::onRead(boost::system::error_code error)
 {
     if (!error) {
--- a/src/edge/HttpClient.h
+++ b/src/edge/HttpClient.h
@@ -110,6 +110,7 @@
     void onConnected(boost::system::error_code error);
     void send();
     void read();
+    void waitForBytes();
     void onRead(boost::system::error_code error);
     void onBytes();
     bool parse();               // false: needs more input, or the request has ended
@@ -137,6 +138,7 @@
     bool open = true; // until close(); true also before the connection is established
     bool connected = false;
     bool paused = false;
+    bool isWaiting = false;            // for bytes, between requests; the wait may last into the next request
     bool busy = false;                 // a request is in progress
     bool anyByteSent = false;          // of the current request, to the kernel
     bool sending = false;              // the current request is not yet with the kernel as a whole
