Count the heads of skipped answers in what a request skips

maxSkippedBytes counted bodies only, so that short copies without end were skipped until the request's deadline. EdgeLateCopyTest ShortCopiesWithoutEnd got 504 after 3 s and gets 502 at 1 MB; EdgeRefusalCopyTest and EdgeSecondSendTest pass.

--- a/src/edge/HttpClient.cpp
+++ b/src/edge/HttpClient.cpp
@@ -110,6 +110,7 @@
     this->parser->skip(!this->expectsBody);
     this->headSeen = false;
     this->skipping = false;
+    this->headBytes = 0;
     this->bodyBytes = 0;
 }
 
@@ -285,8 +286,11 @@
     boost::system::error_code error;
     const size_t used = this->parser->put(net::buffer(this->input.bytes()), error);
     this->input.consume(used);
-    const bool skipsTooMuch = this->skipping && (this->skippedBytes += used) > this->settings.maxSkippedBytes;
-    if (skipsTooMuch || (error && error != http::error::need_more)) {
+    if (!this->headSeen)
+        this->headBytes += used;
+    if (this->skipping)
+        this->skippedBytes += used;
+    if (this->skippedBytes > this->settings.maxSkippedBytes || (error && error != http::error::need_more)) {
         this->fail(ConnectionFault::Malformed);
         return false;
     }
@@ -313,6 +317,8 @@
             return false;
         }
         this->skipping = verdict == HeadVerdict::Skip;
+        if (this->skipping)
+            this->skippedBytes += this->headBytes;
         if (!this->parser->get().keep_alive() || this->skipping)
             this->reusable = false;
         if (const auto limit = keepAliveTimeout(std::string(this->parser->get()[http::field::keep_alive])))
--- a/src/edge/HttpClient.h
+++ b/src/edge/HttpClient.h
@@ -144,6 +144,7 @@
     bool sending = false;              // the current request is not yet with the kernel as a whole
     bool headSeen = false;             // the head of the current response was parsed
     bool skipping = false;             // the current response belongs to an earlier request
+    size_t headBytes = 0;              // of the head of the current response
     uint64_t bodyBytes = 0;            // of the body of the current response
     size_t skippedBytes = 0;           // since the current request started
     size_t informationalResponses = 0; // 1xx responses to the current request
