Keep the id of a running order from what other requests with it, or without it, lead to

Three ways led past AdmittedIds: a 503 of Relay::identify() (no young proof, no configuration) said "not run" of an id whose order ran; the end of a refused repeatable request erased the id of the order that ran; and erased ids drove out the oldest ones, so that a node that refuses many orders forgot those that ran. EdgeLateCopyTest IdOfARunningOrderIsNotRefusedAsNotRun (503, is 409 now) and RefusalOfARepeatableRequestLeavesAnOrdersIdAdmitted (2 runs, is 1), EdgeAdmittedIdsTest RefusedIdsTakeNoPlace failed and pass; EdgeRelayTest, EdgePipelineTest and EdgeExceptionTest pass.

--- a/src/edge/AdmittedIds.cpp
+++ b/src/edge/AdmittedIds.cpp
@@ -7,7 +7,14 @@
 
 void AdmittedIds::expire(TimePoint now)
 {
-    while (!this->byAdmission.empty() && (this->byAdmission.size() > maxIds || now - this->byAdmission.front().first > keepTime)) {
+    // Erased ids take no place of others.
+    if (this->byAdmission.size() > 2 * maxIds) {
+        std::erase_if(this->byAdmission, [&](const auto& admission) {
+            const auto found = this->admittedAt.find(admission.second);
+            return found == this->admittedAt.end() || found->second != admission.first;
+        });
+    }
+    while (!this->byAdmission.empty() && (this->admittedAt.size() > maxIds || now - this->byAdmission.front().first > keepTime)) {
         const auto [time, hash] = this->byAdmission.front();
         this->byAdmission.pop_front();
         const auto found = this->admittedAt.find(hash);
--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -760,7 +760,7 @@
     const bool possiblyExecuted = this->life.mayHaveRun() || this->life.state() == RequestState::Answering
         || result == RequestResult::Answered || result == RequestResult::FailureRelayed
         || (result == RequestResult::CallerGone && this->life.sends() > 0) || this->life.state() == RequestState::Sent;
-    if (!possiblyExecuted)
+    if (!possiblyExecuted && !this->plan.route->mayRepeat())
         this->relay.admitted.erase(this->request.message[this->relay.settings.headers.requestId]);
     if (this->plan.workspace && !possiblyExecuted)
         this->relay.quota.refund(*this->plan.workspace, this->plan.tokens, now);
--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -19,6 +19,7 @@
 constexpr double fullServiceOccupancy = 0.9; // a service counts as full from here on, and ranks in its queue decide who is served
 
 constexpr unsigned statusConflict = 409;
+constexpr unsigned statusUnavailable = 503;
 
 std::string hostWithoutPort(std::string_view host) { return lowerCase(host.substr(0, host.find(':'))); }
 
@@ -219,7 +220,10 @@
         this->metrics.requestPipelined();
     ExchangePlan plan;
     auto refusal = this->identify(request, plan, now);
-    if (!refusal && !plan.route->mayRepeat() && this->admitted.contains(request.message[this->settings.headers.requestId], now)) {
+    // A 503 promises that the request has not run, which the id of one that may have run can't be told either.
+    const bool promisesNotRun = refusal && refusal->status == statusUnavailable;
+    const bool mayBeOrder = !plan.route || !plan.route->mayRepeat();
+    if ((!refusal || promisesNotRun) && mayBeOrder && this->admitted.contains(request.message[this->settings.headers.requestId], now)) {
         this->metrics.requestIdRepeated();
         refusal = Refusal { statusConflict, "a request with this id was admitted before", std::nullopt };
     }
