Send HEAD requests on connections of their own

The end of a response to HEAD differs from that of the same response to another request, and a late copy does not say to which it belongs. Behind a copy of a response to HEAD the head of the response that is due was read as a body, and the other way round: 502 where the target had answered 200. A HEAD request has a new connection, which is not kept. EdgeRefusalCopyTest, EdgeRelayTest, EdgeAnswerLengthTest and EdgeAnswerEndTest pass.

--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -242,8 +242,10 @@
     this->attempt->predictedFirstEvent = choice.firstEvent;
     this->attempt->eventsBefore = this->scanner.events();
     this->attempt->prefillPending = this->plan.demand.promptTokens;
-    this->attempt->connection = this->relay.connections.acquire(
-        target.address, requestTag(this->request.message[this->relay.settings.headers.requestId]), maxIdle, now);
+    const RequestTag tag = requestTag(this->request.message[this->relay.settings.headers.requestId]);
+    const bool isHead = this->request.message.method() == http::verb::head;
+    this->attempt->connection
+        = isHead ? this->relay.connections.create(target.address, tag) : this->relay.connections.acquire(target.address, tag, maxIdle, now);
     this->attempt->reusedConnection = this->attempt->connection->hasServed();
     if (VersionMove* move = this->runningMove())
         move->onSent(target.version == move->order().version, this->plan.route->name);
--- a/src/edge/HttpClient.cpp
+++ b/src/edge/HttpClient.cpp
@@ -319,7 +319,7 @@
         this->skipping = verdict == HeadVerdict::Skip;
         if (this->skipping)
             this->skippedBytes += this->headBytes;
-        if (!this->parser->get().keep_alive() || this->skipping)
+        if (!this->parser->get().keep_alive() || this->skipping || !this->expectsBody)
             this->reusable = false;
         if (const auto limit = keepAliveTimeout(std::string(this->parser->get()[http::field::keep_alive])))
             this->serverIdleLimit = std::max(*limit - idleMargin, Duration::zero());
@@ -427,6 +427,11 @@
             return candidate.connection;
         candidate.connection->close();
     }
+    return this->create(address, tag);
+}
+
+ConnectionPointer ConnectionPool::create(const Address& address, std::optional<RequestTag> tag)
+{
     const auto created = std::make_shared<ClientConnection>(this->loop, address, this->settings, ++this->openedCount);
     created->reserve(tag);
     return created;
--- a/src/edge/HttpClient.h
+++ b/src/edge/HttpClient.h
@@ -162,6 +162,8 @@
     // Returns a connection that is reserved for the request: an idle one that was released at most `maxIdle` ago and has not carried its
     // tag, or a new one if there is none.
     ConnectionPointer acquire(const Address& address, std::optional<RequestTag> tag, Duration maxIdle, TimePoint now);
+    // Returns a new connection. A HEAD request needs one: where its response ends differs from that of late ones to other requests.
+    ConnectionPointer create(const Address& address, std::optional<RequestTag> tag);
     void release(const ConnectionPointer& connection, TimePoint now); // keeps the connection if it is reusable
     void drop(const Address& address);                                // closes the idle connections to this address
     void expire(TimePoint now);                                       // closes connections that were idle for longer than their idleLimit
