--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -252,8 +252,10 @@
     this->attempt->predictedFirstEvent = choice.firstEvent;
     this->attempt->eventsBefore = this->scanner.events();
     this->attempt->prefillPending = this->plan.demand.promptTokens;
-    this->attempt->connection = this->relay.connections.acquire(
-        target.address, requestTag(this->request.message[this->relay.settings.headers.requestId]), maxIdle, now);
+    const RequestTag tag = requestTag(this->request.message[this->relay.settings.headers.requestId]);
+    const bool isHead = this->request.message.method() == http::verb::head;
+    this->attempt->connection
+        = isHead ? this->relay.connections.create(target.address, tag) : this->relay.connections.acquire(target.address, tag, maxIdle, now);
     this->attempt->reusedConnection = this->attempt->connection->hasServed();
     if (VersionMove* move = this->runningMove())
         move->onSent(target.version == move->order().version, this->plan.route->name);
@@ -290,7 +292,7 @@
     if (namedRequests > 1 || (isRefusal && status < firstFailureStatus))
         return AttemptOutcome::Invalid;
     // Where answers to other requests come too, a refusal that names none may be one of theirs.
-    if (isRefusal && namedRequests == 0 && (this->attempt->reusedConnection || this->attempt->skippedAnswers > 0))
+    if (isRefusal && head[names.requestId].empty() && (this->attempt->reusedConnection || this->attempt->skippedAnswers > 0))
         return AttemptOutcome::Invalid;
     if (status == misdirectedRequest)
         return AttemptOutcome::Moved;
@@ -787,7 +789,7 @@
     const bool possiblyExecuted = this->life.mayHaveRun() || this->life.state() == RequestState::Answering
         || result == RequestResult::Answered || result == RequestResult::FailureRelayed
         || (result == RequestResult::CallerGone && this->life.sends() > 0) || this->life.state() == RequestState::Sent;
-    if (!possiblyExecuted)
+    if (!possiblyExecuted && !this->plan.route->mayRepeat())
         this->relay.admitted.erase(this->request.message[this->relay.settings.headers.requestId]);
     if (this->plan.workspace && !possiblyExecuted)
         this->relay.quota.refund(*this->plan.workspace, this->plan.tokens, now);
--- a/src/edge/HttpClient.cpp
+++ b/src/edge/HttpClient.cpp
@@ -37,6 +37,26 @@
     return std::chrono::seconds(std::clamp<int64_t>(seconds, 0, maxKeepAliveSeconds));
 }
 
+// True of a text like "HTTP/1.1 200", which begins a response.
+bool holdsStatus(std::string_view text)
+{
+    constexpr std::string_view start = "HTTP/1.";
+    constexpr size_t statusAt = start.size() + 2; // behind the minor version and a space
+    for (size_t at = text.find(start); at != std::string_view::npos; at = text.find(start, at + 1)) {
+        const std::string_view status = text.substr(std::min(at + statusAt, text.size()), 3);
+        if (status.size() == 3 && text[at + statusAt - 1] == ' ' && status.find_first_not_of("0123456789") == std::string_view::npos)
+            return true;
+    }
+    return false;
+}
+
+// A response that broke off in its head is continued by the next one, whose fields are then read as those of the first.
+bool isJoined(const http::response_header<>& head)
+{
+    return holdsStatus(head.reason())
+        || std::any_of(head.begin(), head.end(), [](const auto& field) { return holdsStatus(field.value()); });
+}
+
 template <int Level, int Name> using IntegerOption = net::detail::socket_option::integer<Level, Name>;
 
 } // namespace
@@ -90,6 +110,7 @@
     this->parser->skip(!this->expectsBody);
     this->headSeen = false;
     this->skipping = false;
+    this->headBytes = 0;
     this->bodyBytes = 0;
 }
 
@@ -199,8 +220,10 @@
 
 void ClientConnection::read()
 {
-    if (this->input.isReading() || this->paused || !this->open)
+    if (this->input.isReading() || this->isWaiting || this->paused || !this->open)
         return;
+    if (!this->busy)
+        return this->waitForBytes();
     const std::span<char> space = this->input.beginRead(readBufferBytes);
     const auto self = this->shared_from_this();
     this->socket.async_read_some(net::buffer(space.data(), space.size()), [self](boost::system::error_code error, size_t count) {
@@ -210,6 +233,20 @@
     });
 }
 
+// Between requests nothing is read, so that isQuiet() finds in the kernel whatever has arrived.
+void ClientConnection::waitForBytes()
+{
+    this->isWaiting = true;
+    this->socket.async_wait(tcp::socket::wait_read, [self = this->shared_from_this()](boost::system::error_code error) {
+        self->isWaiting = false;
+        if (!self->open)
+            return;
+        if (error || !self->busy)
+            return self->contain([&] { self->fail(ConnectionFault::Closed); });
+        self->contain([&] { self->read(); });
+    });
+}
+
 void ClientConnection::onRead(boost::system::error_code error)
 {
     if (!error) {
@@ -249,12 +286,19 @@
     boost::system::error_code error;
     const size_t used = this->parser->put(net::buffer(this->input.bytes()), error);
     this->input.consume(used);
-    const bool skipsTooMuch = this->skipping && (this->skippedBytes += used) > this->settings.maxSkippedBytes;
-    if (skipsTooMuch || (error && error != http::error::need_more)) {
+    if (!this->headSeen)
+        this->headBytes += used;
+    if (this->skipping)
+        this->skippedBytes += used;
+    if (this->skippedBytes > this->settings.maxSkippedBytes || (error && error != http::error::need_more)) {
         this->fail(ConnectionFault::Malformed);
         return false;
     }
     if (!this->headSeen && this->parser->is_header_done()) {
+        if (isJoined(this->parser->get().base())) {
+            this->fail(ConnectionFault::Malformed);
+            return false;
+        }
         if (this->parser->get().result_int() < firstFinalStatus) {
             if (++this->informationalResponses > this->settings.maxInformationalResponses) {
                 this->fail(ConnectionFault::Malformed);
@@ -273,7 +317,9 @@
             return false;
         }
         this->skipping = verdict == HeadVerdict::Skip;
-        if (!this->parser->get().keep_alive() || this->skipping)
+        if (this->skipping)
+            this->skippedBytes += this->headBytes;
+        if (!this->parser->get().keep_alive() || this->skipping || !this->expectsBody)
             this->reusable = false;
         if (const auto limit = keepAliveTimeout(std::string(this->parser->get()[http::field::keep_alive])))
             this->serverIdleLimit = std::max(*limit - idleMargin, Duration::zero());
@@ -381,6 +427,11 @@
             return candidate.connection;
         candidate.connection->close();
     }
+    return this->create(address, tag);
+}
+
+ConnectionPointer ConnectionPool::create(const Address& address, std::optional<RequestTag> tag)
+{
     const auto created = std::make_shared<ClientConnection>(this->loop, address, this->settings, ++this->openedCount);
     created->reserve(tag);
     return created;
--- a/src/edge/HttpClient.h
+++ b/src/edge/HttpClient.h
@@ -110,6 +110,7 @@
     void onConnected(boost::system::error_code error);
     void send();
     void read();
+    void waitForBytes();
     void onRead(boost::system::error_code error);
     void onBytes();
     bool parse();               // false: needs more input, or the request has ended
@@ -137,11 +138,13 @@
     bool open = true; // until close(); true also before the connection is established
     bool connected = false;
     bool paused = false;
+    bool isWaiting = false;            // for bytes, between requests; the wait may last into the next request
     bool busy = false;                 // a request is in progress
     bool anyByteSent = false;          // of the current request, to the kernel
     bool sending = false;              // the current request is not yet with the kernel as a whole
     bool headSeen = false;             // the head of the current response was parsed
     bool skipping = false;             // the current response belongs to an earlier request
+    size_t headBytes = 0;              // of the head of the current response
     uint64_t bodyBytes = 0;            // of the body of the current response
     size_t skippedBytes = 0;           // since the current request started
     size_t informationalResponses = 0; // 1xx responses to the current request
@@ -159,6 +162,8 @@
     // Returns a connection that is reserved for the request: an idle one that was released at most `maxIdle` ago and has not carried its
     // tag, or a new one if there is none.
     ConnectionPointer acquire(const Address& address, std::optional<RequestTag> tag, Duration maxIdle, TimePoint now);
+    // Returns a new connection. A HEAD request needs one: where its response ends differs from that of late ones to other requests.
+    ConnectionPointer create(const Address& address, std::optional<RequestTag> tag);
     void release(const ConnectionPointer& connection, TimePoint now); // keeps the connection if it is reusable
     void drop(const Address& address);                                // closes the idle connections to this address
     void expire(TimePoint now);                                       // closes connections that were idle for longer than their idleLimit
