--- a/tests/adapters/RawServer.cpp
+++ b/tests/adapters/RawServer.cpp
@@ -38,21 +38,23 @@
     return found ? std::strtoul(found + std::strlen(name), nullptr, 10) : 0;
 }
 
-bool readRequest(int fd, std::string& pending)
+// Text of the next request; none: the connection has ended.
+std::optional<std::string> readRequest(int fd, std::string& pending)
 {
     for (;;) {
         const size_t headEnd = pending.find("\r\n\r\n");
         if (headEnd != std::string::npos) {
             const size_t whole = headEnd + 4 + bodyLength(pending.substr(0, headEnd));
             if (pending.size() >= whole) {
+                std::string text = pending.substr(0, whole);
                 pending.erase(0, whole);
-                return true;
+                return text;
             }
         }
         char bytes[4096];
         const ssize_t count = ::recv(fd, bytes, sizeof bytes, 0);
         if (count <= 0)
-            return false;
+            return std::nullopt;
         pending.append(bytes, static_cast<size_t>(count));
     }
 }
@@ -60,6 +62,12 @@
 } // namespace
 
 RawServer::RawServer(Script answers, bool closesAfterAnswers)
+    : RawServer(
+        TextScript([answers = std::move(answers)](size_t request, const std::string&) { return answers(request); }), closesAfterAnswers)
+{
+}
+
+RawServer::RawServer(TextScript answers, bool closesAfterAnswers)
     : script(std::move(answers))
     , closesAfterAnswers(closesAfterAnswers)
     , listener(listenOnLoopback(SOMAXCONN, this->port))
@@ -98,9 +106,12 @@
 void RawServer::serve(int fd)
 {
     std::string pending;
-    for (size_t request = 0; readRequest(fd, pending); ++request) {
+    for (size_t request = 0;; ++request) {
+        const auto text = readRequest(fd, pending);
+        if (!text)
+            break;
         ++this->received;
-        const auto answer = this->script(request);
+        const auto answer = this->script(request, *text);
         if (!answer)
             break;
         if (::send(fd, answer->data(), answer->size(), MSG_NOSIGNAL) < 0 || this->closesAfterAnswers)
@@ -109,6 +120,19 @@
     ::shutdown(fd, SHUT_RDWR);
 }
 
+size_t RawServer::connections()
+{
+    std::lock_guard lock(this->mutex);
+    return this->open.size();
+}
+
+void RawServer::writeOnAll(const std::string& bytes)
+{
+    std::lock_guard lock(this->mutex);
+    for (int fd : this->open)
+        (void)::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+}
+
 FullListener::FullListener()
 {
     this->sockets.push_back(listenOnLoopback(0, this->port));
--- a/tests/adapters/RawServer.h
+++ b/tests/adapters/RawServer.h
@@ -16,19 +16,25 @@
     // Answer to request number `request` (from 0) of a connection; none: the connection is closed once the request has been read.
     using Script = std::function<std::optional<std::string>(size_t request)>;
 
+    // The same, with the text of the request, head and body.
+    using TextScript = std::function<std::optional<std::string>(size_t request, const std::string& text)>;
+
     explicit RawServer(Script script, bool closesAfterAnswers = false);
+    explicit RawServer(TextScript script, bool closesAfterAnswers = false);
     ~RawServer();
     RawServer(const RawServer&) = delete;
     RawServer& operator=(const RawServer&) = delete;
 
     std::string url() const { return "http://127.0.0.1:" + std::to_string(this->port); }
     size_t requests() const { return this->received.load(); } // read completely, on all connections
+    size_t connections();
+    void writeOnAll(const std::string& bytes); // on every connection that was accepted, whether or not a request waits there
 
 private:
     void acceptLoop();
     void serve(int fd);
 
-    Script script;
+    TextScript script;
     bool closesAfterAnswers; // in place of waiting for the next request
     uint16_t port = 0;       // before listener, whose initializer sets it
     int listener = -1;
