Let the id of an order come again after as many refusals as its route allows

What callers saw: an order that its last allowed target had refused got 503 (has not run); sent again, it got 409, and its tokens were not given back. Cause: RequestLife stayed in Sent when no further send was allowed, which Exchange::finish() takes for a request that may have run. EdgeRefusalCopyTest IdThatComesAgainAfterTheLastAllowedTargetRefused: 409 before, 200 now.

--- a/src/edge/RequestLife.cpp
+++ b/src/edge/RequestLife.cpp
@@ -74,9 +74,10 @@
             this->current = RequestState::Waiting;
         return NextStep::SendElsewhere;
     }
-    if (outcome == AttemptOutcome::Failed && this->current == RequestState::Sent)
-        return NextStep::ForwardFailure;
-    return this->finalStep();
+    const bool isFailure = outcome == AttemptOutcome::Failed && this->current == RequestState::Sent;
+    if (this->current == RequestState::Sent)
+        this->current = RequestState::Waiting; // mayHaveRun() tells what the send may have led to
+    return isFailure ? NextStep::ForwardFailure : this->finalStep();
 }
 
 NextStep RequestLife::onDeadline() const
--- a/tests/edge/RefusalCopyTest.cpp
+++ b/tests/edge/RefusalCopyTest.cpp
@@ -151,3 +151,25 @@
         CHECK_FALSE(connection->isOpen());
     }
 }
+
+// Guards against an id that counts as run, and tokens that are not given back, after a refusal by as many targets as the route allows.
+TEST(RefusalCopy, IdThatComesAgainAfterTheLastAllowedTargetRefused)
+{
+    EdgeWorld world;
+    world.setCatalog(world.catalog());
+    RefusingServer first(world.loop);
+    RefusingServer second(world.loop);
+    bool isBusy = true;
+    first.refuse = second.refuse = [&](const auto&) { return isBusy ? busy : ""; };
+    world.addTarget("t1", first.address(), 100);
+    world.addTarget("t2", second.address(), 100);
+    const auto refused = world.send("/once/x", "o");
+    CHECK(world.runUntilEnded(refused));
+    CHECK_EQUAL(503, refused->status);
+    CHECK_EQUAL(2, first.refused.size() + second.refused.size());
+    isBusy = false;
+    const auto answer = world.send("/once/x", "o");
+    CHECK(world.runUntilEnded(answer));
+    CHECK_EQUAL(200, answer->status);
+    CHECK_EQUAL(1, first.runs.size() + second.runs.size());
+}
