--- a/src/edge/HttpClient.cpp
+++ b/src/edge/HttpClient.cpp
@@ -432,7 +432,7 @@
 
 ConnectionPointer ConnectionPool::create(const Address& address, std::optional<RequestTag> tag)
 {
-    const auto created = std::make_shared<ClientConnection>(this->loop, address, this->settings, ++this->openedCount);
+    auto created = std::make_shared<ClientConnection>(this->loop, address, this->settings, ++this->openedCount);
     created->reserve(tag);
     return created;
 }
--- a/standins/edge/RefusingServer.cpp
+++ b/standins/edge/RefusingServer.cpp
@@ -83,7 +83,7 @@
     this->after(this->serviceTime, [this, peer, request] { this->run(peer, request); });
 }
 
-void RefusingServer::refuseWith(const PeerPointer& peer, std::string fields, const Request& request)
+void RefusingServer::refuseWith(const PeerPointer& peer, const std::string& fields, const Request& request)
 {
     this->refused.push_back(request);
     const std::string text = fields + "Content-Length: 0\r\n\r\n";
--- a/standins/edge/RefusingServer.h
+++ b/standins/edge/RefusingServer.h
@@ -50,7 +50,7 @@
     void read(const PeerPointer& peer);
     void readBody(const PeerPointer& peer, const Request& request, size_t bytes);
     void answer(const PeerPointer& peer, const Request& request);
-    void refuseWith(const PeerPointer& peer, std::string fields, const Request& request);
+    void refuseWith(const PeerPointer& peer, const std::string& fields, const Request& request);
     void run(const PeerPointer& peer, const Request& request);
     void write(const PeerPointer& peer, const std::string& text); // in full; the other side may have closed the connection
     void after(Duration delay, std::function<void()> step);
--- a/tests/edge/LateCopyTest.cpp
+++ b/tests/edge/LateCopyTest.cpp
@@ -73,7 +73,9 @@
 TEST(LateCopy, HeadThatBreaksOffBeforeTheAnswer)
 {
     std::string wrong;
-    for (const std::string& copy : { busy + notRun + firstId + noBody, "HTTP/1.1 421 Misdirected\r\n" + firstId + noBody }) {
+    const std::string busyCopy = busy + notRun + firstId + noBody;
+    const std::string misdirectedCopy = "HTTP/1.1 421 Misdirected\r\n" + firstId + noBody;
+    for (const std::string& copy : { busyCopy, misdirectedCopy }) {
         for (size_t length = 1; length < copy.size(); ++length)
             wrong += untruthBehind(
                 "the first " + std::to_string(length) + " bytes of " + copy.substr(0, 12), copy.substr(0, length) + success);
