Test when losses of one node count for all, and when a path is tried again

With recordLoss() taken out by hand EdgeTargetPoolTest LossesOfOneNodePauseATargetThatAnswersOthersForThatNodeOnly fails. A test with real links in which half of the targets are out of reach of one node passed with and without the change, so it shows nothing and is not landed.

--- a/tests/edge/TargetPoolTest.cpp
+++ b/tests/edge/TargetPoolTest.cpp
@@ -263,3 +263,63 @@
     pool.pauseFor(0, 24h, start);
     CHECK(pool.choose(makeDemand(1), {}, start + 61s).has_value());
 }
+
+// Guards against a sound target that is taken from all nodes, since one of them can't reach it.
+TEST(TargetPool, LossesOfOneNodePauseATargetThatAnswersOthersForThatNodeOnly)
+{
+    constexpr uint64_t first = 7;
+    constexpr uint64_t second = 8;
+    RunSample answered;
+    answered.outcome = TargetOutcome::Answered;
+    RunSample lost;
+    lost.outcome = TargetOutcome::Unreachable;
+    TargetPool pool = makePool(1, 4);
+    pool.applySample(0, answered, first, start);
+    pool.applySample(0, lost, second, start + 100ms);
+    CHECK(pool.choose(makeDemand(1), {}, start + 100ms).has_value());
+    CHECK(pool.takesWork(0, start + 100ms));
+    completeRequest(pool, 0, makeDemand(1), TargetOutcome::Unreachable, start + 101ms); // the second node that loses one
+    CHECK_FALSE(pool.choose(makeDemand(1), {}, start + 101ms).has_value());
+
+    TargetPool own = makePool(1, 4);
+    own.applySample(0, answered, first, start);
+    completeRequest(own, 0, makeDemand(1), TargetOutcome::Unreachable, start + 100ms);
+    CHECK(own.choose(makeDemand(1), {}, start + 100ms).has_value()); // for others' requests
+    CHECK_FALSE(own.takesWork(0, start + 100ms));
+    LONGS_EQUAL(1, own.unavailableTargets("", start + 100ms).size());
+}
+
+// Guards against a target that has ended and stays in use, since it answered lately.
+TEST(TargetPool, ALossWithoutLateAnswersToOthersPausesATargetForAllNodes)
+{
+    RunSample answered;
+    answered.outcome = TargetOutcome::Answered;
+    RunSample lost;
+    lost.outcome = TargetOutcome::Broken;
+    TargetPool pool = makePool(1, 4);
+    pool.applySample(0, answered, 7, start);
+    pool.applySample(0, lost, 7, start + 100ms); // the only node that knows the target
+    CHECK_FALSE(pool.choose(makeDemand(1), {}, start + 100ms).has_value());
+    TargetPool quiet = makePool(1, 4);
+    quiet.applySample(0, answered, 7, start);
+    quiet.applySample(0, lost, 8, start + 2s);
+    CHECK_FALSE(quiet.choose(makeDemand(1), {}, start + 2s).has_value());
+}
+
+// Guards against callers' requests that are spent on a path that is still cut, and against a target that stays out of use after the cut.
+TEST(TargetPool, AConnectionShowsWhetherATargetIsWithinReachAgain)
+{
+    TargetPool pool = makePool(2, 4);
+    completeRequest(pool, 0, makeDemand(1), TargetOutcome::Unreachable, start);
+    CHECK(pool.takeDueProbes(start + 100ms).empty());
+    LONGS_EQUAL(1, pool.takeDueProbes(start + 400ms).size());
+    CHECK(pool.takeDueProbes(start + 500ms).empty()); // one is under way
+    pool.probed(0, false, start + 700ms);
+    CHECK_FALSE(pool.takesWork(0, start + 1200ms));
+    CHECK(pool.takeDueProbes(start + 800ms).empty());
+    LONGS_EQUAL(1, pool.takeDueProbes(start + 2s).size());
+    CHECK_FALSE(pool.takesWork(0, start + 2s));
+    pool.probed(0, true, start + 2s);
+    CHECK(pool.takesWork(0, start + 2s));
+    CHECK(pool.unavailableTargets("", start + 2s).empty());
+}
