--- a/review/world-2/World.h
+++ b/review/world-2/World.h
@@ -31,6 +31,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <poll.h>
+#include <random>
 #include <set>
 #include <sstream>
 #include <string>
@@ -236,20 +237,38 @@
     return a;
 }
 
-inline int listenOn(uint16_t& port) // 0: a free one
+// A listening socket; -1: the port is taken.
+inline int tryToListen(uint16_t port)
 {
     const int handle = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int on = 1;
     setsockopt(handle, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    sockaddr_in a = loopback(port);
-    if (bind(handle, reinterpret_cast<sockaddr*>(&a), sizeof(a)) != 0 || listen(handle, 128) != 0) {
-        perror("listen");
-        _exit(2);
-    }
-    socklen_t size = sizeof(a);
-    getsockname(handle, reinterpret_cast<sockaddr*>(&a), &size);
-    port = ntohs(a.sin_port);
-    return handle;
+    const sockaddr_in a = loopback(port);
+    if (bind(handle, reinterpret_cast<const sockaddr*>(&a), sizeof(a)) == 0 && listen(handle, 128) == 0)
+        return handle;
+    ::close(handle);
+    return -1;
+}
+
+// Below the ports that the kernel gives to outgoing connections, so that none of these takes the port of a process that is restarted.
+inline int listenOn(uint16_t& port) // 0: a free one
+{
+    static std::mutex mutex;
+    static std::mt19937 random { std::random_device()() };
+    static std::set<uint16_t> used;
+    const std::lock_guard lock(mutex);
+    for (int attempt = 0; attempt < 500; ++attempt) {
+        const auto candidate = port != 0 ? port : static_cast<uint16_t>(10000 + random() % 20000);
+        if (port == 0 && !used.insert(candidate).second)
+            continue;
+        const int handle = tryToListen(candidate);
+        if (handle < 0)
+            continue;
+        port = candidate;
+        return handle;
+    }
+    perror("listen");
+    _exit(2);
 }
 
 inline uint16_t freePort()
