--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -110,10 +110,14 @@
         store.put(std::string("servers/") + id, runners.back()->entry());
     }
     std::vector<std::unique_ptr<Node>> nodes;
-    nodes.push_back(std::make_unique<Node>("n1", folder, store.port()));
-    nodes[0]->start();
-    if (!nodes[0]->waitReady())
-        return conclude(nodes, std::nullopt, "LOST");
+    for (const char* name : { "n1", "n2", "n3", "n4" }) { // one of four gets the SIGHUP and the callers
+        nodes.push_back(std::make_unique<Node>(name, folder, store.port()));
+        nodes.back()->start();
+    }
+    for (const auto& node : nodes) {
+        if (!node->waitReady())
+            return conclude(nodes, std::nullopt, "LOST");
+    }
     sleepMs(4000);
     nodes[0]->writeSettings();
     nodes[0]->signal(SIGHUP); // planned work; the requests are sent within config_apply_ms of it
