Keep the connection of a peer that reads slowly

Cause: TCP_USER_TIMEOUT (1.5 s) on all connections. On Linux it ends a connection whose peer acknowledges nothing, and just as well one whose peer answers each window probe and keeps its window closed for that long. One time-out stood for two things.

Ruled out: the listener's own timers (the idle time is 15 s, the write time 10 s; the ends came at 1.5 s of a closed window), the memory bound (answerDropped was not called) and the relay's deadline (12 s in the case).

Change: TransmitWatch looks at a connection each 250 ms while the peer has not acknowledged more than 2 KB. Once it sees that all that was sent is acknowledged and the rest waits (PeerLiveness: WindowClosed), it lifts the option and judges the peer itself: gone after 1.5 s without any acknowledgement of a segment or a probe. Related paths, same class: - The write and idle times of the listener end no answer that a caller still reads before the deadline of its request. - A target's answer is left unread for 1 s at most for a slow caller, then read ahead while less than half of the memory for unread answers is used: a target cuts off what stays unread for some seconds. - A target that takes a large request in slowly is not silent: a repeatable request goes to another target only after the same time without a byte taken. - Slow callers and slow targets are counted in /beliefs and as guavapond_edge_slow_callers and guavapond_edge_slow_targets.

--- a/src/edge/Beliefs.cpp
+++ b/src/edge/Beliefs.cpp
@@ -138,12 +138,13 @@
 
 } // namespace
 
-std::string nodeStatusPage(const std::string& node, Relay& relay, const PeerTable& peers, TimePoint now)
+std::string nodeStatusPage(const std::string& node, Relay& relay, const PeerTable& peers, TimePoint now, size_t slowCallers)
 {
     const auto proofAge = relay.freshness.age(now);
     json page { { "node", node }, { "ready", isReady(relay.readiness()) }, { "readiness", readinessName(relay.readiness()) },
-        { "inFlight", relay.inFlight() }, { "proofAgeMs", proofAge ? inMilliseconds(*proofAge) : -1 }, { "services", services(relay, now) },
-        { "nodes", nodes(peers, now) }, { "moves", moves(relay) }, { "evacuations", evacuations(relay, now) },
+        { "inFlight", relay.inFlight() }, { "slowCallers", slowCallers }, { "slowTargets", relay.slowTargets() },
+        { "proofAgeMs", proofAge ? inMilliseconds(*proofAge) : -1 }, { "services", services(relay, now) }, { "nodes", nodes(peers, now) },
+        { "moves", moves(relay) }, { "evacuations", evacuations(relay, now) },
         { "quarantinedParts", quarantined(relay.quarantine, false, now) },
         { "quarantinedRequests", quarantined(relay.quarantine, true, now) } };
     if (const CatalogPointer& catalog = relay.catalog()) {
--- a/src/edge/Beliefs.h
+++ b/src/edge/Beliefs.h
@@ -10,6 +10,6 @@
 
 namespace guavapond::edge {
 
-std::string nodeStatusPage(const std::string& node, Relay& relay, const PeerTable& peers, TimePoint now);
+std::string nodeStatusPage(const std::string& node, Relay& relay, const PeerTable& peers, TimePoint now, size_t slowCallers = 0);
 
 } // namespace guavapond::edge
--- a/src/edge/EdgeNode.cpp
+++ b/src/edge/EdgeNode.cpp
@@ -122,7 +122,8 @@
     const TimePoint now = bootTime();
     if (request.message.target() == this->paths.beliefs)
         return caller->sendResponse(makeResponse(
-            { statusOk, nodeStatusPage(this->settings.node, this->requests, this->peerLink.table(), now), "application/json", {} }));
+            { statusOk, nodeStatusPage(this->settings.node, this->requests, this->peerLink.table(), now, this->callers.slowCallers()),
+                "application/json", {} }));
     if (request.message.target() == wherePath)
         return this->onWhere(caller, request);
     if (const std::string_view target = request.message.target(); target.starts_with(liftPath))
@@ -185,6 +186,10 @@
         cutOffSince ? toSeconds(now - *cutOffSince) : 0);
     gauges.setGauge(
         "guavapond_edge_unsent_bytes", "Bytes of answers that callers have not read", static_cast<double>(this->callers.unsent()));
+    gauges.setGauge("guavapond_edge_slow_callers", "Callers that keep their window closed and read their answers slowly",
+        static_cast<double>(this->callers.slowCallers()));
+    gauges.setGauge("guavapond_edge_slow_targets", "Targets that keep their window closed and take a request in slowly",
+        static_cast<double>(this->requests.slowTargets()));
     gauges.setGauge("guavapond_edge_connections_opened", "Connections to targets since the start",
         static_cast<double>(this->requests.connectionsOpened()));
     caller->sendResponse(makeResponse({ statusOk, gauges.page(), "text/plain; version=0.0.4", {} }));
--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -15,6 +15,8 @@
 constexpr double bytesMeanWeight = 0.05;  // of a new answer in the moving mean of bytes per answer
 // From the grant of a place within a rate to the first byte of the request; a connection takes a few milliseconds.
 constexpr Duration maxHeldPlace = std::chrono::milliseconds(200);
+// Of reading a target's answer, for a slow caller. A target cuts off an answer that stays unread for some seconds.
+constexpr Duration maxPause = std::chrono::seconds(1);
 constexpr uint32_t maxRefusedPlaces = 3; // granted at targets that this node considers unusable; then the request is refused
 
 constexpr double maxRetryAfterSeconds = 1e6; // keeps the conversion to a duration in range
@@ -82,6 +84,7 @@
 {
     const auto self = this->shared_from_this();
     this->caller->onDisconnect([self] { self->onCallerGone(); });
+    this->caller->setDeadline(this->life.deadline());
     this->timer.expires_after(std::max(this->life.remaining(bootTime()), Duration::zero()));
     this->timer.async_wait([self](boost::system::error_code error) {
         if (!error)
@@ -469,11 +472,25 @@
 // Stops reading from the target while the caller reads slowly, so that the answer does not accumulate in memory.
 void Exchange::applyBackpressure()
 {
-    if (!this->caller->isBehind())
+    if (this->readsAhead ? !this->caller->isMemoryShort() : !this->caller->isBehind())
         return;
     const ConnectionPointer connection = this->attempt->connection;
     connection->pauseReading();
-    this->caller->onDrained([connection] { connection->resumeReading(); });
+    if (!this->pausedSince)
+        this->pausedSince = bootTime();
+    this->caller->onDrained([self = this->shared_from_this(), connection] {
+        self->pausedSince.reset();
+        connection->resumeReading();
+    });
+}
+
+void Exchange::readAhead(TimePoint now)
+{
+    if (!this->attempt || !this->pausedSince || now - *this->pausedSince < maxPause || this->caller->isMemoryShort())
+        return;
+    this->readsAhead = true;
+    this->pausedSince.reset();
+    this->attempt->connection->resumeReading();
 }
 
 void Exchange::onEvents(std::string_view events)
@@ -632,6 +649,7 @@
     const TimePoint now = bootTime();
     const Attempt finished = std::move(*this->attempt);
     this->attempt.reset();
+    this->pausedSince.reset();
     this->lastHadEvent = finished.firstEventAt.has_value();
     this->lastWrittenFrom = finished.writtenFrom;
     this->lastReusedConnection = finished.reusedConnection;
@@ -822,6 +840,8 @@
     // silence than other requests.
     const double factor = this->plan.route->kind == RouteKind::Streaming ? this->relay.settings.streamStallFactor : 1;
     const auto bound = std::chrono::duration_cast<Duration>(this->service.targets.maxSilence(this->attempt->predictedFirstEvent) * factor);
+    if (this->pausedSince || now - this->attempt->connection->lastTakenAt().value_or(this->attempt->sentAt) < bound)
+        return false; // the silence is the caller's, or the target still takes the request in
     return now - this->attempt->sentAt >= bound && this->service.targets.silence(this->attempt->target, now) >= bound;
 }
 
--- a/src/edge/Exchange.h
+++ b/src/edge/Exchange.h
@@ -7,7 +7,7 @@
 //   Attempt         one send of the request to a target
 //   AnswerForm      how the body of the answer is relayed
 //   promisesNotRun, isEventStream
-//   Exchange        begin, endForStop, abandon, isStalled, leaveStalledTarget, endQuarantined, judgePace
+//   Exchange        begin, endForStop, abandon, isStalled, leaveStalledTarget, readAhead, isTargetSlow, endQuarantined, judgePace
 #pragma once
 
 #include "edge/EventScanner.h"
@@ -120,8 +120,10 @@
     void abandon();                      // for the shutdown of the relay: closes the connections without an answer to the caller
     bool isStalled(TimePoint now) const; // its target has been silent for too long, and the request may be retried
     void leaveStalledTarget();           // cancels the attempt and retries, if that is allowed
-    void endQuarantined(TimePoint now);  // cancels the attempt and fails the request, if it or a part of its prompt is in quarantine
-    void judgePace(TimePoint now);       // counts the attempt for a move of its service to a new version, if it is slow already
+    void readAhead(TimePoint now);       // ends a long pause of the target's answer, if memory allows
+    bool isTargetSlow() const { return this->attempt && this->attempt->connection->isPeerSlow(); } // it takes the request in slowly
+    void endQuarantined(TimePoint now); // cancels the attempt and fails the request, if it or a part of its prompt is in quarantine
+    void judgePace(TimePoint now);      // counts the attempt for a move of its service to a new version, if it is slow already
 
 private:
     TargetPool& targets() { return this->isForwarding ? this->relay.forwarders.targets : this->service.targets; }
@@ -216,6 +218,8 @@
     bool lastHadEvent = false;                   // the last attempt delivered an event
     bool lastBegan = false;                      // its answer had begun: an event, or the head of an answer without events
     bool lastTargetLeft = false;                 // its target was leaving
+    std::optional<TimePoint> pausedSince;        // reading of the target's answer is paused for the caller
+    bool readsAhead = false;                     // the caller has held the answer up for long: it is read as far as memory allows
     bool isRefusedForGood = false;               // the request crashes targets, so that callers are not told to return
     AnswerForm form = AnswerForm::Buffered;
     bool isForwarding = false; // its targets are peers, for good: `tried` holds indices of peers
--- a/src/edge/HttpClient.cpp
+++ b/src/edge/HttpClient.cpp
@@ -10,9 +10,7 @@
 #include <charconv>
 #include <ctime>
 #include <limits>
-#include <linux/sockios.h>
 #include <netinet/tcp.h>
-#include <sys/ioctl.h>
 
 namespace guavapond::edge {
 
@@ -99,6 +97,7 @@
     : loop(loop)
     , socket(loop)
     , timer(loop)
+    , transmitWatch(loop, this->socket, settings.unacknowledgedTimeout)
     , remote(address)
     , settings(settings)
     , ownNumber(number)
@@ -212,6 +211,7 @@
     this->anyByteSent = true;
     this->sending = true;
     const std::array<net::const_buffer, 2> buffers { net::buffer(this->head), net::buffer(*this->body) };
+    this->transmitWatch.written(net::buffer_size(buffers), self, [this] { this->contain([&] { this->fail(ConnectionFault::Closed); }); });
     net::async_write(this->socket, buffers, [self](boost::system::error_code error, size_t sent) {
         self->sending = error && sent > 0;
         if (!error || !self->open)
@@ -232,14 +232,12 @@
 {
     if (this->sending)
         return false;
-    const int handle = this->socket.native_handle();
-    int unacknowledged = 0; // bytes
     tcp_info info {};
     socklen_t size = sizeof(info);
     // Where the system can't tell, the end of file decides.
-    if (ioctl(handle, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0)
+    if (unacknowledgedBytes(this->socket) > 0)
         return false;
-    return getsockopt(handle, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 || info.tcpi_state != TCP_CLOSE;
+    return getsockopt(this->socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0 || info.tcpi_state != TCP_CLOSE;
 }
 
 void ClientConnection::read()
@@ -386,8 +384,10 @@
 {
     this->busy = false;
     this->served = true;
-    if (!this->sending)
+    if (!this->sending) {
         this->body.reset();
+        this->transmitWatch.heard();
+    }
     this->paused = false; // the pause was for the caller of this response
     const bool keepOpen = this->reusable;
     const auto self = this->shared_from_this();
@@ -418,6 +418,7 @@
     this->busy = false;
     this->events.reset();
     this->timer.cancel();
+    this->transmitWatch.stop();
     boost::system::error_code ignored; // the socket is closed even if an error is reported
     this->socket.close(ignored);
 }
--- a/src/edge/HttpClient.h
+++ b/src/edge/HttpClient.h
@@ -17,6 +17,7 @@
 
 #include "edge/ReceiveBuffer.h"
 #include "edge/ReceivedBody.h"
+#include "edge/TransmitWatch.h"
 #include "scheduling/TargetPool.h"
 
 #include <boost/asio.hpp>
@@ -66,7 +67,7 @@
 
 struct ConnectionSettings {
     Duration connectTimeout = std::chrono::milliseconds(300);         // connecting within a region takes a few milliseconds
-    Duration unacknowledgedTimeout = std::chrono::milliseconds(1500); // TCP_USER_TIMEOUT; the connection is then considered dead
+    Duration unacknowledgedTimeout = std::chrono::milliseconds(1500); // the peer has acknowledged nothing: it counts as gone
     size_t maxSkippedBytes = 1 << 20;                                 // of skipped responses per request; more are reported as Malformed
     size_t maxInformationalResponses = 16;                            // 1xx responses before the final response
     size_t maxUnparsedBytes = 128 * 1024;                             // of a response head or chunk header that is not yet complete
@@ -96,6 +97,9 @@
 
     bool isOpen() const { return this->open; }
     bool isReusable() const { return this->open && this->reusable && !this->busy && this->carried.size() < maxTaggedRequests; }
+    bool isPeerSlow() const { return this->transmitWatch.isPeerSlow(); } // it keeps its window closed, and takes the request in slowly
+    // When the server last took bytes of a request that is too large for its buffers; empty: not seen.
+    std::optional<TimePoint> lastTakenAt() const { return this->transmitWatch.lastTakenAt(); }
     bool isQuiet(); // idle, and nothing has arrived that is not read yet: neither bytes nor the end of the connection
     bool hasServed() const { return this->served; } // at least one response was received on this connection
     const Address& address() const { return this->remote; }
@@ -124,6 +128,7 @@
     net::io_context& loop;
     tcp::socket socket;
     net::steady_timer timer;
+    TransmitWatch transmitWatch;
     Address remote;
     ConnectionSettings settings;
     const uint64_t ownNumber;
@@ -181,7 +186,8 @@
     uint64_t openedCount = 0;
 };
 
-// Sets TCP_NODELAY, keep-alive probes and the timeout for unacknowledged data.
+// Sets TCP_NODELAY, keep-alive probes and the timeout for unacknowledged data. TransmitWatch lifts that timeout for a peer that reads
+// slowly.
 void tuneSocket(tcp::socket& socket, const ConnectionSettings& settings);
 
 } // namespace guavapond::edge
--- a/src/edge/HttpListener.cpp
+++ b/src/edge/HttpListener.cpp
@@ -54,6 +54,7 @@
     : socket(std::move(connected))
     , listener(listener)
     , timer(listener.loop)
+    , transmitWatch(listener.loop, this->socket, ConnectionSettings {}.unacknowledgedTimeout)
     , number(number)
 {
 }
@@ -66,9 +67,9 @@
     this->read();
 }
 
-bool CallerConnection::isIdle(TimePoint now) const
+bool CallerConnection::isIdle(TimePoint now)
 {
-    if (!this->open || this->handling || this->receiving || this->isLingering || this->unsentBytes() > 0)
+    if (!this->open || this->handling || this->receiving || this->isLingering || this->hasUnread())
         return false;
     if (!this->hasAnswered && now - this->openedAt < firstRequestTime)
         return false;
@@ -95,15 +96,23 @@
     this->timer.async_wait([self = this->shared_from_this(), use, generation](boost::system::error_code error) {
         if (error || !self->open || generation != self->timerGeneration)
             return;
-        self->contain([&] {
-            if (use == TimerUse::Head || use == TimerUse::Body)
-                self->refuse(http::status::request_timeout, "the request did not arrive in time");
-            else
-                self->close();
-        });
+        self->contain([&] { self->onExpired(use); });
     });
 }
 
+void CallerConnection::onExpired(TimerUse use)
+{
+    if (use == TimerUse::Head || use == TimerUse::Body)
+        return this->refuse(http::status::request_timeout, "the request did not arrive in time");
+    // A caller that reads slowly is not idle.
+    const Duration left = this->readBy - bootTime();
+    if (left <= Duration::zero() || !this->hasUnread())
+        return this->close();
+    this->arm(use, std::min(left, use == TimerUse::Idle ? this->listener.limits().idleTimeout : lingerTime));
+}
+
+bool CallerConnection::hasUnread() { return this->unsentBytes() > 0 || unacknowledgedBytes(this->socket) > 0; }
+
 void CallerConnection::read()
 {
     const bool hasEnough = !this->mayBeginRequest() && (this->input.size() >= maxPipelinedBytes || this->listener.isFull());
@@ -161,6 +170,8 @@
     return hasStopped ? this->writtenAt < other.writtenAt : this->queuedAt < other.queuedAt;
 }
 
+bool CallerConnection::isMemoryShort() const { return this->listener.isMemoryShort(); }
+
 bool CallerConnection::isBehind() const { return this->unsentBytes() > this->listener.unsentAllowance(); }
 
 void CallerConnection::dropAnswer()
@@ -238,6 +249,8 @@
 void CallerConnection::onRequestComplete()
 {
     assert(!this->handling && "one request at a time");
+    if (!this->isPipelined)
+        this->transmitWatch.heard();
     this->receiving = false;
     this->handling = true;
     ++this->timerGeneration; // while it is handled, only the deadline of the request itself applies
@@ -360,9 +373,13 @@
     this->chunked = false;
     this->handledBytes = 0;
     this->countReceivedBytes();
+    const TimePoint now = bootTime();
+    this->readBy = std::max(this->deadline, now + this->listener.settings.writeTimeout);
     this->write();
-    if (!this->open || this->closeAfterWrite)
-        return this->arm(TimerUse::Write, this->listener.settings.writeTimeout);
+    if (!this->open)
+        return;
+    if (this->closeAfterWrite)
+        return this->arm(TimerUse::Write, this->readBy - now);
     this->arm(TimerUse::Idle, this->listener.limits().idleTimeout);
     // The next request may already be in the buffer. It is handled from the event loop, to avoid recursion into the request handler.
     net::post(this->listener.loop, [self = this->shared_from_this()] {
@@ -396,6 +413,7 @@
             self->writtenAt = bootTime();
         return net::transfer_all()(error, sent);
     };
+    this->transmitWatch.written(this->writing.size(), self, [this] { this->contain([&] { this->close(); }); });
     net::async_write(this->socket, net::buffer(this->writing), untilAll, [self](boost::system::error_code error, size_t) {
         self->isWriting = false;
         self->writing.clear();
@@ -440,6 +458,7 @@
         return;
     this->open = false;
     this->timer.cancel();
+    this->transmitWatch.stop();
     const auto self = this->shared_from_this();
     boost::system::error_code ignored; // the caller may have closed the connection first
     this->socket.shutdown(tcp::socket::shutdown_send, ignored);
@@ -526,6 +545,12 @@
     return std::max(static_cast<size_t>(left * static_cast<double>(maxAllowance)), minAllowance);
 }
 
+size_t HttpListener::slowCallers() const
+{
+    return static_cast<size_t>(std::count_if(this->openConnections.begin(), this->openConnections.end(),
+        [](const CallerPointer& connection) { return connection->isPeerSlow(); }));
+}
+
 void HttpListener::limitUnsentBytes()
 {
     this->isLimiting = false;
--- a/src/edge/HttpListener.h
+++ b/src/edge/HttpListener.h
@@ -26,9 +26,10 @@
 
 struct ListenerSettings {
     Address address;
-    size_t maxConnections = 4000;                     // further connections wait in the kernel's accept queue
-    Duration writeTimeout = std::chrono::seconds(10); // closes the connection of a caller that does not read the end of its response
-    size_t maxReceivedBytes = 32 << 20;               // of requests, of all connections together
+    size_t maxConnections = 4000; // further connections wait in the kernel's accept queue
+    // For a caller to read the end of its answer, where the deadline of its request is over sooner.
+    Duration writeTimeout = std::chrono::seconds(10);
+    size_t maxReceivedBytes = 32 << 20; // of requests, of all connections together
     // Of answers that callers have not read, of all connections together. Above it, the answers of those that read slowest are broken off.
     size_t maxUnsentBytes = 32 << 20;
     ExceptionHook exceptionContained {};                 // may be empty
@@ -61,12 +62,16 @@
     void onDisconnect(std::function<void()> hook) { this->disconnectHook = std::move(hook); } // called if the caller leaves before the end
     void onDrained(std::function<void()> hook) { this->drainedHook = std::move(hook); }       // called when all pending output was written
     size_t unsentBytes() const { return this->output.size() + this->writing.size(); }
-    bool isBehind() const; // it holds as much as the caller's share of the memory allows: the source of the answer should pause
+    bool isBehind() const;      // it holds as much as the caller's share of the memory allows: the source of the answer should pause
+    bool isMemoryShort() const; // of all unread answers together: no source should read ahead of its caller
+    bool isPeerSlow() const { return this->transmitWatch.isPeerSlow(); } // it keeps its window closed, and reads its answer slowly
+    void setDeadline(TimePoint value) { this->deadline = value; }        // of the current request: its caller may read until then
     // Order in which answers are dropped: callers that have taken nothing for a while, the longest first; then the oldest answers.
     bool isSlowerThan(const CallerConnection& other, TimePoint now) const;
     void dropAnswer(); // for memory: the caller sees that it is incomplete
-    // No request is in progress or on its way: nothing of one was received, and a new connection has had time to send its first.
-    bool isIdle(TimePoint now) const;
+    // No request is in progress or on its way: nothing of one was received, a new connection has had time to send its first, and the
+    // caller has received all of the last answer.
+    bool isIdle(TimePoint now);
     bool isReceiving() const { return this->open && this->receiving; } // a part of a request
     TimePoint lastReceivedAt() const { return this->receivedAt; }      // the newest bytes
     void refuseForMemory();                                            // the request being received
@@ -97,11 +102,14 @@
     void closeWhenRead(); // once the caller has received all output
     void onWritten(boost::system::error_code error);
     void arm(TimerUse use, Duration bound);
+    void onExpired(TimerUse use);
+    bool hasUnread(); // the caller has not received all that was sent
     void setConnectionFields(http::fields& fields);
 
     tcp::socket socket;
     HttpListener& listener;
     net::steady_timer timer;
+    TransmitWatch transmitWatch;
     ReceiveBuffer input;
     std::optional<http::request_parser<ReceivedBody>> parser;
     std::optional<http::request_header<>> chunkedHead; // of the request being received: the parser adds fields of a trailer to its own
@@ -129,6 +137,8 @@
     bool isLingering = false; // all output is with the kernel; the connection is open until the caller closes it too
     bool hasAnswered = false; // at least one request
     TimePoint openedAt {};
+    TimePoint deadline {};      // of the newest request that has one
+    TimePoint readBy {};        // until then a caller may read the end of its last answer
     bool isHeadRequest = false; // a response to HEAD has no body
     const uint64_t number;      // of this connection at its listener, from 1
     uint64_t requests = 0;      // received as a whole on this connection
@@ -153,13 +163,15 @@
     bool mayAddConnection() const { return this->acceptPending; }
     size_t connections() const { return this->openConnections.size(); }
     size_t unsent() const { return this->unsentBytes; } // bytes of answers that callers have not read
+    size_t slowCallers() const;                         // see CallerConnection::isPeerSlow
     uint16_t port() const { return this->acceptor.local_endpoint().port(); }
 
 private:
     friend class CallerConnection;
     bool isFull() const { return this->receivedBytes > this->settings.maxReceivedBytes; }
-    void limitReceivedBytes();      // refuses the requests whose bytes have stopped coming longest ago
-    void limitUnsentBytes();        // drops the answers of callers that have taken nothing for longest
+    void limitReceivedBytes(); // refuses the requests whose bytes have stopped coming longest ago
+    void limitUnsentBytes();   // drops the answers of callers that have taken nothing for longest
+    bool isMemoryShort() const { return this->unsentBytes > this->settings.maxUnsentBytes / 2; } // leaves room for sound callers
     size_t unsentAllowance() const; // bytes of one connection; less as the memory fills
     void accept();
     void add(tcp::socket socket);
--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -437,6 +437,8 @@
         for (const auto& exchange : this->exchanges)
             exchange->judgePace(now);
     }
+    for (const auto& exchange : this->exchanges)
+        exchange->readAhead(now);
     std::vector<std::shared_ptr<Exchange>> stalled; // a copy, since leaveStalledTarget() may end an exchange and remove it from the set
     std::copy_if(this->exchanges.begin(), this->exchanges.end(), std::back_inserter(stalled),
         [&](const auto& exchange) { return exchange->isStalled(now); });
@@ -528,6 +530,12 @@
     });
 }
 
+size_t Relay::slowTargets() const
+{
+    return static_cast<size_t>(
+        std::count_if(this->exchanges.begin(), this->exchanges.end(), [](const auto& exchange) { return exchange->isTargetSlow(); }));
+}
+
 std::optional<TimePoint> Relay::lastAnswerAt(uint64_t targetHash) const
 {
     for (const auto& [name, service] : this->byService) {
--- a/src/edge/Relay.h
+++ b/src/edge/Relay.h
@@ -130,6 +130,7 @@
     const std::string& nodeName() const { return this->name; }
     const CatalogPointer& catalog() const { return this->current; }
     size_t inFlight() const { return this->exchanges.size(); }
+    size_t slowTargets() const; // connections on which a target takes a request in slowly
     size_t waiting() const { return this->placement.waiting(); }
     // Sets the function that sends placement messages to other nodes. Without it, the node works alone.
     void onPlacementMessage(std::function<void(const std::string& node, const PlacementMessage&)> hook)
--- a/tests/edge/SlowCallersTest.cpp
+++ b/tests/edge/SlowCallersTest.cpp
@@ -2,6 +2,8 @@
 #include "Caller.h"
 #include "edge/HttpListener.h"
 
+#include "PacketLoss.h"
+
 #include <CppUTest/TestHarness.h>
 #include <deque>
 
@@ -13,6 +15,8 @@
 
 constexpr size_t answerBytes = 8 << 20; // more than the kernel's buffers hold
 constexpr size_t memory = 20 << 20;
+constexpr Duration longPause = 2500ms; // longer than the time-out of unacknowledged data
+constexpr Duration contact = 3s;       // the shortest bound of the platform's pages for noticing that a peer is gone
 
 } // namespace
 
@@ -46,16 +50,49 @@
         caller->sendResponse(makeResponse({ 200, std::string(answerBytes, 'a'), "text/plain", {} }));
     }
     // A caller that sends a request and reads nothing.
-    tcp::socket& ask(const std::string& path)
+    tcp::socket& ask(const std::string& path, const std::string& fields = "")
     {
         tcp::socket& socket = this->callers.emplace_back(this->loop);
         socket.open(tcp::v4());
         socket.set_option(net::socket_base::receive_buffer_size(4096));
         socket.connect({ net::ip::address_v4::loopback(), this->listener->port() });
-        net::write(socket, net::buffer("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n"));
+        net::write(socket, net::buffer("GET " + path + " HTTP/1.1\r\nHost: x\r\n" + fields + "\r\n"));
         CHECK(this->runUntil([&, before = this->handled] { return this->handled > before; }));
         return socket;
     }
+    void wait(Duration time)
+    {
+        CHECK(this->runUntil([end = bootTime() + time] { return bootTime() >= end; }));
+    }
+    // Reads until `bytes` of the body have come, or the connection has ended.
+    std::string readBody(tcp::socket & socket, size_t bytes)
+    {
+        std::string text;
+        std::array<char, 65536> space {};
+        bool hasEnded = false;
+        const auto bodyBytes = [&] {
+            const size_t head = text.find("\r\n\r\n");
+            return head == std::string::npos ? 0 : text.size() - head - 4;
+        };
+        std::function<void()> readOn = [&] {
+            socket.async_read_some(net::buffer(space), [&](boost::system::error_code error, size_t count) {
+                text.append(space.data(), count);
+                hasEnded = static_cast<bool>(error);
+                if (!hasEnded && bodyBytes() < bytes)
+                    readOn();
+            });
+        };
+        readOn();
+        CHECK(this->runUntil([&] { return hasEnded || bodyBytes() >= bytes; }));
+        return text.substr(text.find("\r\n\r\n") + 4);
+    }
+    // Returns the time from now until the listener has no connection any more.
+    Duration timeUntilClosed()
+    {
+        const TimePoint start = bootTime();
+        CHECK(this->runUntil([&] { return this->listener->connections() == 0; }));
+        return bootTime() - start;
+    }
     bool runUntil(const std::function<bool()>& condition)
     {
         const auto observed = [&] {
@@ -121,3 +158,61 @@
     CHECK(after < before / 2);
     CHECK(after >= 16 * 1024);
 }
+
+// Guards against a caller that reads slowly being taken for one that is gone: it acknowledges all that comes, but its window stays closed
+// for longer than the time-out of unacknowledged data.
+TEST(SlowCallers, CallersThatPauseGetTheirWholeAnswers)
+{
+    tcp::socket& kept = ask("/whole");
+    tcp::socket& closing = ask("/whole", "Connection: close\r\n");
+    wait(longPause);
+    LONGS_EQUAL(2, this->listener->slowCallers());
+    LONGS_EQUAL(answerBytes, readBody(kept, answerBytes).size());
+    LONGS_EQUAL(answerBytes, readBody(closing, answerBytes).size());
+}
+
+// Guards against the same in an answer that comes in pieces, each of which waits for the caller.
+TEST(SlowCallers, ACallerThatPausesGetsItsWholeStream)
+{
+    constexpr size_t streamBytes = 24 * 1024;
+    tcp::socket& caller = ask("/stream", "Connection: close\r\n");
+    for (size_t sent = 0; sent < streamBytes; sent += 1024)
+        this->streams.back()->sendPiece(std::string(1024, 'e'));
+    wait(longPause);
+    this->streams.back()->endStream();
+    const std::string body = readBody(caller, SIZE_MAX);
+    LONGS_EQUAL(streamBytes, std::count(body.begin(), body.end(), 'e') - std::count(body.begin(), body.end(), 'E'));
+    STRCMP_EQUAL("0\r\n\r\n", body.substr(body.size() - 5).c_str());
+}
+
+// Guards against callers that are gone, behind a cut or without power, and stay for as long as one that reads slowly may.
+TEST(SlowCallers, ACallerThatIsGoneIsFoundWhileItsAnswerWaits)
+{
+    tcp::socket& caller = ask("/whole");
+    wait(600ms); // its window is closed
+    dropIncoming(caller);
+    const Duration time = timeUntilClosed();
+    UT_PRINT(("found after " + std::to_string(toMilliseconds(time)) + " ms").c_str());
+    CHECK(time < contact);
+}
+
+// Guards against the same where the answer is under way when the caller is gone.
+TEST(SlowCallers, ACallerThatIsGoneIsFoundWhileBytesAreUnderWay)
+{
+    tcp::socket& caller = ask("/stream");
+    dropIncoming(caller);
+    this->streams.back()->sendPiece(std::string(20 * 1024, 'e'));
+    const Duration time = timeUntilClosed();
+    UT_PRINT(("found after " + std::to_string(toMilliseconds(time)) + " ms").c_str());
+    CHECK(time < contact);
+}
+
+// Guards against the same while nothing is sent.
+TEST(SlowCallers, ACallerThatIsGoneIsFoundWhileNothingIsSent)
+{
+    tcp::socket& caller = ask("/stream");
+    dropIncoming(caller);
+    const Duration time = timeUntilClosed();
+    UT_PRINT(("found after " + std::to_string(toMilliseconds(time)) + " ms").c_str());
+    CHECK(time < contact);
+}
