Judge prompt parts by all crashes, and withdraw verdicts that another part explains

Cause: a verdict hid the evidence against itself. After three crashes the part of a session is as likely as the culprit that stands before it, and is convicted as the more specific one. Its crashes then counted as explained, so that the culprit's count began anew with each session and never got ahead; and a part in quarantine gets no request, so that no event could clear it.

Ruled out: evidence that doesn't reach the other node (one node by itself fails the same way in the test), and events that clear the culprit (it has none in the test).

Change: PromptQuarantine compares the parts over all known crashes each time (judgeParts), those of quarantined parts included. A part that is in more than one crash more goes before the one in quarantine; between parts that are as good, the one in quarantine stays. A verdict whose crashes all hold a part with more crashes is withdrawn (withdrawReplaced): logged with the crashes of both, told to all nodes (new field withdrawn_parts of the beacon; a node of a former build ignores it and keeps the part for its time), removed from the store's list by the node that writes it, and not brought back by reports of before.

--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -418,6 +418,8 @@
         add(message.add_begun_parts(), part);
     for (const PartAge& part : report.quarantined)
         add(message.add_quarantined_parts(), part);
+    for (const PartAge& part : report.withdrawn)
+        add(message.add_withdrawn_parts(), part);
 }
 
 void PeerLink::readQuarantine(const wire::Beacon& message, TimePoint now)
@@ -431,6 +433,8 @@
         report.begun.push_back({ entry.part(), age(entry.age_us()), entry.is_request() });
     for (const auto& entry : message.quarantined_parts())
         report.quarantined.push_back({ entry.part(), age(entry.age_us()), entry.is_request() });
+    for (const auto& entry : message.withdrawn_parts())
+        report.withdrawn.push_back({ entry.part(), age(entry.age_us()), entry.is_request() });
     this->relay.quarantine.onPeerReport(report, now, message.node());
 }
 
--- a/src/edge/QuarantineRecord.cpp
+++ b/src/edge/QuarantineRecord.cpp
@@ -16,6 +16,10 @@
     this->quarantine.onPeerReport({ {}, {}, { listed.begin(), listed.end() } }, now);
     if (!this->hooks.isWriter(now))
         return;
+    for (const PartAge& entry : listed) {
+        if (this->quarantine.isWithdrawn(entry.part, now - entry.age))
+            this->hooks.remove(entry.part);
+    }
     for (const PartAge& known : this->quarantine.list(now)) {
         const auto isSame = [&](const PartAge& entry) { return entry.part == known.part; };
         if (std::none_of(listed.begin(), listed.end(), isSame))
@@ -25,7 +29,9 @@
 
 void QuarantineRecord::onChange(const PromptQuarantine::Change& change, TimePoint now)
 {
-    if (!change.isQuarantined && change.isOwn)
+    // All nodes withdraw a verdict; one of them removes its entry.
+    const bool mayRemove = change.replacedBy == 0 || this->hooks.isWriter(now);
+    if (!change.isQuarantined && change.isOwn && mayRemove)
         this->hooks.remove(change.part);
     else if (change.isQuarantined && this->hooks.isWriter(now))
         this->write({ change.part, Duration::zero(), change.isRequest });
--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -554,7 +554,9 @@
                                                           : "prompt part released";
         log(LogLevel::Warn, message,
             { { change.isRequest ? "requestKey" : "part", partText(change.part) }, { "crashes", change.crashes },
-                { "from", change.isOwn ? "this node" : "peer" }, { "seenBy", change.seenBy } });
+                { "from", change.isOwn ? "this node" : "peer" }, { "seenBy", change.seenBy },
+                { "replacedBy", change.replacedBy != 0 ? partText(change.replacedBy) : std::string() },
+                { "replacementCrashes", change.replacementCrashes } });
     }
     std::for_each(changes.begin(), changes.end(), this->quarantineChanged);
     const bool isAnyNew = std::any_of(changes.begin(), changes.end(), [](const auto& change) { return change.isQuarantined; });
--- a/src/scheduling/PromptQuarantine.cpp
+++ b/src/scheduling/PromptQuarantine.cpp
@@ -2,6 +2,7 @@
 #include "scheduling/PromptQuarantine.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace guavapond::edge {
 
@@ -14,6 +15,12 @@
 
 std::span<const PartKey> bounded(std::span<const PartKey> parts) { return parts.first(std::min(parts.size(), maxPartsPerPrompt)); }
 
+template <typename Crash> bool holds(const Crash& crash, PartKey part)
+{
+    return std::any_of(crash.lost.begin(), crash.lost.end(),
+        [&](const auto& lost) { return std::find(lost.parts.begin(), lost.parts.end(), part) != lost.parts.end(); });
+}
+
 bool contains(std::span<const PartKey> parts, PartKey part) { return std::find(parts.begin(), parts.end(), part) != parts.end(); }
 
 } // namespace
@@ -90,15 +97,12 @@
 
 // ---- What follows from it
 
-PromptQuarantine::Explanation PromptQuarantine::explanation(const Crash& crash) const
+bool PromptQuarantine::isExplained(const Crash& crash) const
 {
-    bool byRequest = false;
-    for (const Lost& lost : crash.lost) {
-        if (std::any_of(lost.parts.begin(), lost.parts.end(), [&](PartKey part) { return this->quarantined.contains(part); }))
-            return Explanation::Part;
-        byRequest = byRequest || this->quarantined.contains(lost.request);
-    }
-    return byRequest ? Explanation::Request : Explanation::None;
+    return std::any_of(crash.lost.begin(), crash.lost.end(), [&](const Lost& lost) {
+        return this->quarantined.contains(lost.request)
+            || std::any_of(lost.parts.begin(), lost.parts.end(), [&](PartKey part) { return this->quarantined.contains(part); });
+    });
 }
 
 // Connections may be lost without their target: an answer after them shows it. A target that starts again takes longer than that.
@@ -121,6 +125,7 @@
     if (!contains(this->targets, crash.target))
         this->targets.push_back(crash.target);
     this->in.push_back(&crash);
+    this->lastHeardAt = std::max(this->lastHeardAt, crash.heardAt);
     if (this->countedAt && std::chrono::abs(crash.at - *this->countedAt) < spacing)
         return;
     this->countedAt = crash.at;
@@ -128,24 +133,35 @@
     ++this->crashes;
 }
 
-std::unordered_map<PartKey, PromptQuarantine::Count> PromptQuarantine::countParts() const
+PromptQuarantine::Crashes PromptQuarantine::knownCrashes() const
 {
-    std::unordered_map<PartKey, Count> counts;
+    Crashes result;
     for (const Crash& crash : this->crashes) {
-        const Explanation explained = this->explanation(crash);
-        if (crash.isDismissed || explained == Explanation::Part)
-            continue;
-        for (const Lost& lost : crash.lost) {
+        if (!crash.isDismissed)
+            result.push_back(&crash);
+    }
+    std::sort(result.begin(), result.end(),
+        [](const Crash* a, const Crash* b) { return std::pair(a->at, a->target) < std::pair(b->at, b->target); });
+    return result;
+}
+
+std::unordered_map<PartKey, PromptQuarantine::Count> PromptQuarantine::countParts(const Crashes& among) const
+{
+    std::unordered_map<PartKey, Count> counts;
+    for (const Crash* crash : among) {
+        const bool isOfRequest = std::any_of(
+            crash->lost.begin(), crash->lost.end(), [&](const Lost& lost) { return this->quarantined.contains(lost.request); });
+        for (const Lost& lost : crash->lost) {
             // What has crashed the target is this request, but perhaps for a part that others have too.
-            if (explained == Explanation::Request && !this->quarantined.contains(lost.request))
+            if (isOfRequest && !this->quarantined.contains(lost.request))
                 continue;
             for (size_t i = 0; i < lost.parts.size(); ++i) {
-                if (this->hasBegunSince(lost.parts[i], crash.at))
+                if (this->hasBegunSince(lost.parts[i], crash->at) || this->isWithdrawn(lost.parts[i], crash->at))
                     continue;
                 const auto [entry, isNew] = counts.try_emplace(lost.parts[i]);
                 if (isNew)
-                    entry->second.heardAt = crash.heardAt;
-                entry->second.add(crash, lost, i, this->settings.crashSpacing);
+                    entry->second.heardAt = crash->heardAt;
+                entry->second.add(*crash, lost, i, this->settings.crashSpacing);
             }
         }
     }
@@ -156,12 +172,12 @@
 std::unordered_map<RequestKey, PromptQuarantine::Count> PromptQuarantine::countRequests(TimePoint now) const
 {
     std::unordered_map<RequestKey, Count> counts;
-    for (const Crash& crash : this->crashes) {
-        if (now - crash.heardAt < this->settleTime || crash.isDismissed || this->explanation(crash) != Explanation::None)
+    for (const Crash* crash : this->knownCrashes()) {
+        if (now - crash->heardAt < this->settleTime || this->isExplained(*crash))
             continue;
-        for (const Lost& lost : crash.lost) {
-            if (lost.request != 0 && !this->hasBegunSince(lost.request, crash.at))
-                counts[lost.request].add(crash, lost, 0, this->settings.requestCrashSpacing);
+        for (const Lost& lost : crash->lost) {
+            if (lost.request != 0 && !this->hasBegunSince(lost.request, crash->at))
+                counts[lost.request].add(*crash, lost, 0, this->settings.requestCrashSpacing);
         }
     }
     return counts;
@@ -198,41 +214,105 @@
     }));
 }
 
-// Of the parts that are in as many crashes as any other, or one fewer, the most specific: keeping it out refuses the fewest requests. One
-// crash makes no difference, since a less specific part is also in the prompts of bystanders.
-std::optional<PartKey> PromptQuarantine::likeliest(const std::unordered_map<PartKey, Count>& counts, bool begun) const
+// A part in quarantine explains whatever it was lost in. Until the time has settled, peers may know of an event that clears a part; one
+// that has delivered events is probably used by sound requests too, so that each of its crashes is given that time.
+bool PromptQuarantine::mayConvict(PartKey part, const Count& count, TimePoint now) const
 {
+    if (this->quarantined.contains(part))
+        return true;
+    const bool hasBegun = this->begunAt(part).has_value();
+    const size_t required = hasBegun ? this->settings.minCrashesOfKnown : this->settings.minCrashes;
+    return count.crashes >= required && count.prompts.size() >= required && count.targets.size() >= this->settings.minTargets
+        && now - (hasBegun ? count.lastHeardAt : count.heardAt) >= this->settleTime;
+}
+
+// The part that is in most crashes. One crash makes no difference, since a less specific part is also in the prompts of bystanders: of
+// parts that are as good, one in quarantine comes first, the latest verdict before others, then one that never delivered an event, then
+// the most specific, since keeping it out refuses the fewest requests.
+std::optional<PartKey> PromptQuarantine::nextCulprit(const std::unordered_map<PartKey, Count>& counts, TimePoint now) const
+{
+    // Parts that have delivered events are in most prompts, and stand back until enough speaks against them.
+    const auto isCandidate = [&](PartKey part, const Count& count) { return !this->begunAt(part) || this->mayConvict(part, count, now); };
     size_t most = 0;
-    for (const auto& [part, count] : counts) {
-        if (this->begunAt(part).has_value() == begun)
-            most = std::max(most, count.crashes);
+    for (const auto& [part, count] : counts)
+        most = std::max(most, isCandidate(part, count) ? count.crashes : 0);
+    const auto rank = [&](PartKey part, const Count& count) {
+        const auto known = this->quarantined.find(part);
+        const TimePoint since = known == this->quarantined.end() ? TimePoint::min() : known->second.since;
+        return std::tuple(since, !this->begunAt(part), count.position, count.crashes, part);
+    };
+    const std::pair<const PartKey, Count>* best = nullptr;
+    for (const auto& entry : counts) {
+        const auto& [part, count] = entry;
+        if (isCandidate(part, count) && count.crashes + 1 >= most && (!best || rank(part, count) > rank(best->first, best->second)))
+            best = &entry;
     }
-    std::optional<PartKey> best;
-    for (const auto& [part, count] : counts) {
-        if (this->begunAt(part).has_value() != begun || count.crashes + 1 < most)
-            continue;
-        const auto key = [&](PartKey candidate) { return std::pair(counts.at(candidate).position, counts.at(candidate).crashes); };
-        if (!best || key(part) > key(*best))
-            best = part;
+    if (!best || !this->mayConvict(best->first, best->second, now))
+        return std::nullopt;
+    return best->first;
+}
+
+void PromptQuarantine::judgeParts(TimePoint now)
+{
+    Crashes open = this->knownCrashes();
+    const auto all = this->countParts(open);
+    std::vector<Culprit> culprits;
+    std::unordered_map<PartKey, Count> rest; // of the crashes that no culprit explains
+    while (const auto part = this->nextCulprit(culprits.empty() ? all : rest, now)) {
+        if (!this->quarantined.contains(*part))
+            this->convict(*part, (culprits.empty() ? all : rest).at(*part), false, now);
+        culprits.push_back({ *part, all.at(*part).crashes });
+        std::erase_if(open, [&](const Crash* crash) { return holds(*crash, *part); });
+        rest = this->countParts(open);
     }
-    return best;
+    if (!culprits.empty())
+        this->withdrawReplaced(culprits, now);
 }
 
-// Parts that never delivered an event come first: the others are in the same prompts.
-std::optional<PartKey> PromptQuarantine::nextCulprit(const std::unordered_map<PartKey, Count>& counts, TimePoint now) const
+// A verdict is wrong if another part was lost in all of its crashes, and in more. A node that knows fewer of them than a verdict needs
+// leaves it to others.
+void PromptQuarantine::withdrawReplaced(const std::vector<Culprit>& culprits, TimePoint now)
 {
-    for (const bool begun : { false, true }) {
-        const size_t required = begun ? this->settings.minCrashesOfKnown : this->settings.minCrashes;
-        const auto part = this->likeliest(counts, begun);
-        if (!part)
-            continue;
-        const Count& count = counts.at(*part);
-        // Until the time has settled, peers may know of an event that clears the part.
-        if (count.crashes >= required && count.prompts.size() >= required && count.targets.size() >= this->settings.minTargets
-            && now - count.heardAt >= this->settleTime)
-            return part;
+    const Crashes known = this->knownCrashes();
+    std::vector<PartKey> parts;
+    for (const auto& [part, entry] : this->quarantined) {
+        const auto isPart = [part = part](const Culprit& culprit) { return culprit.part == part; };
+        if (!entry.isRequest && std::none_of(culprits.begin(), culprits.end(), isPart))
+            parts.push_back(part);
+    }
+    for (const PartKey part : parts) {
+        Count count;
+        for (const Crash* crash : known) {
+            const auto lost
+                = std::find_if(crash->lost.begin(), crash->lost.end(), [&](const Lost& item) { return contains(item.parts, part); });
+            if (lost != crash->lost.end())
+                count.add(*crash, *lost, 0, this->settings.crashSpacing);
+        }
+        const auto better = std::find_if(culprits.begin(), culprits.end(), [&](const Culprit& culprit) {
+            return culprit.crashes > count.crashes
+                && std::all_of(count.in.begin(), count.in.end(), [&](const Crash* crash) { return holds(*crash, culprit.part); });
+        });
+        if (count.crashes >= this->settings.minCrashes && better != culprits.end())
+            this->withdraw(part, now, { part, false, count.crashes, true, false, {}, better->part, better->crashes });
     }
-    return std::nullopt;
+}
+
+void PromptQuarantine::withdraw(PartKey part, TimePoint at, Change change)
+{
+    if (this->withdrawnAt.size() >= this->settings.maxQuarantined && !this->withdrawnAt.contains(part))
+        this->withdrawnAt.erase(std::min_element(
+            this->withdrawnAt.begin(), this->withdrawnAt.end(), [](const auto& a, const auto& b) { return a.second < b.second; }));
+    TimePoint& last = this->withdrawnAt[part];
+    last = std::max(last, at);
+    if (this->quarantined.erase(part) > 0)
+        this->pendingChanges.push_back(std::move(change));
+    ++this->changeCount;
+}
+
+bool PromptQuarantine::isWithdrawn(PartKey part, TimePoint quarantinedAt) const
+{
+    const auto found = this->withdrawnAt.find(part);
+    return found != this->withdrawnAt.end() && found->second >= quarantinedAt;
 }
 
 void PromptQuarantine::convict(PartKey key, const Count& count, bool isRequest, TimePoint now)
@@ -314,6 +394,7 @@
     std::erase_if(
         this->quarantined, [&](const auto& item) { return now - item.second.since >= forgottenAfter * this->settings.quarantineTime; });
     std::erase_if(this->releasedAt, [&](const auto& item) { return now - item.second >= this->settings.releaseReportTime; });
+    std::erase_if(this->withdrawnAt, [&](const auto& item) { return now - item.second >= forgottenAfter * this->settings.quarantineTime; });
 }
 
 // A part explains more than a request that holds it, so parts go first.
@@ -323,13 +404,12 @@
     if (this->decidedAt > this->lastLossAt + this->settleTime + this->settings.rivalTime)
         return;
     this->decidedAt = now;
-    for (size_t i = 0; i < this->settings.maxCrashes; ++i) {
-        const auto counts = this->countParts();
-        const auto culprit = this->nextCulprit(counts, now);
-        if (!culprit)
-            break;
-        this->convict(*culprit, counts.at(*culprit), false, now);
-    }
+    this->judgeParts(now);
+    this->judgeRequests(now);
+}
+
+void PromptQuarantine::judgeRequests(TimePoint now)
+{
     for (size_t i = 0; i < this->settings.maxCrashes; ++i) {
         const auto counts = this->countRequests(now);
         const auto culprits = this->culpritRequests(counts, now);
@@ -458,6 +538,11 @@
     result.quarantined = this->list(now);
     std::sort(result.quarantined.begin(), result.quarantined.end(), [](const PartAge& a, const PartAge& b) { return a.age < b.age; });
     result.quarantined.resize(std::min(result.quarantined.size(), this->settings.maxReportedParts)); // the store lists them all
+    for (const auto& [part, at] : this->withdrawnAt) {
+        if (now - at < this->settings.releaseReportTime && result.withdrawn.size() < this->settings.maxReportedParts)
+            result.withdrawn.push_back({ part, now - at });
+    }
+    std::sort(result.withdrawn.begin(), result.withdrawn.end(), [](const PartAge& a, const PartAge& b) { return a.part < b.part; });
     return result;
 }
 
@@ -475,6 +560,13 @@
         if (!lost.parts.empty() || lost.request != 0)
             this->addLost(lost.target, now - lost.age, { lost.prompt, lost.parts, lost.request, false, std::string(peer) }, now);
     }
+    for (const PartAge& entry : report.withdrawn) {
+        const TimePoint at = now - entry.age;
+        const auto known = this->quarantined.find(entry.part);
+        const bool isNews = !this->isWithdrawn(entry.part, at - this->settings.renewalMargin);
+        if (isNews && (known == this->quarantined.end() || known->second.since <= at + this->settings.renewalMargin))
+            this->withdraw(entry.part, at, { entry.part, false, 0, false, false, std::string(peer) });
+    }
     for (const PartAge& begun : report.begun) {
         if (this->peerBegunAt.size() >= this->settings.maxParts && !this->peerBegunAt.contains(begun.part))
             continue;
@@ -490,7 +582,8 @@
         const TimePoint since = now - entry.age;
         const auto known = this->quarantined.find(entry.part);
         const bool isRenewed = known != this->quarantined.end() && since > known->second.since + this->settings.renewalMargin;
-        const bool isReleased = this->hasBegunSince(entry.part, since - this->settings.renewalMargin);
+        const bool isReleased = this->hasBegunSince(entry.part, since - this->settings.renewalMargin)
+            || this->isWithdrawn(entry.part, since - this->settings.renewalMargin);
         if ((known == this->quarantined.end() && !isReleased) || isRenewed)
             this->quarantine(entry.part, 0, since, entry.isRequest);
     }
--- a/src/scheduling/PromptQuarantine.h
+++ b/src/scheduling/PromptQuarantine.h
@@ -6,12 +6,15 @@
 // suspects, when one of them last began its answer. Each node draws the conclusion by itself and passes it on, so that a node that starts
 // later knows it too.
 //
+// The parts are judged by all known crashes each time, those of a quarantined part included: a part that explains more crashes than the
+// one in quarantine takes its place, and the verdict on that one is withdrawn on all nodes.
+//
 // Index
 //   LostStream           a request whose target ended before it began to answer
 //   PartAge              a suspect, and how long ago something was seen of it
 //   QuarantineReport     what a node tells its peers
 //   QuarantineSettings
-//   PromptQuarantine     onBegan, onLost, decide; blocks, isBlocked, isSuspect, lift; report, onPeerReport
+//   PromptQuarantine     onBegan, onLost, decide; blocks, isBlocked, isSuspect, lift; report, onPeerReport, isWithdrawn
 //
 //   if (quarantine.blocks(parts, now, request))
 //       refuse the request
@@ -46,9 +49,10 @@
 };
 
 struct QuarantineReport {
-    std::vector<LostStream> lost;     // by this node, lately
-    std::vector<PartAge> begun;       // last event that this node saw, of the parts in question
-    std::vector<PartAge> quarantined; // since when
+    std::vector<LostStream> lost;      // by this node, lately
+    std::vector<PartAge> begun;        // last event that this node saw, of the parts in question
+    std::vector<PartAge> quarantined;  // since when
+    std::vector<PartAge> withdrawn {}; // parts whose crashes another part explains, and since when; nodes of earlier versions tell none
     bool operator==(const QuarantineReport&) const = default;
 };
 
@@ -84,7 +88,9 @@
         size_t crashes = 0;         // that led to it; 0: told by a peer
         bool isOwn = false;         // decided, or released, by what this node knows by itself
         bool isRequest = false;
-        std::string seenBy; // the nodes that saw these crashes, joined by commas
+        std::string seenBy;            // the nodes that saw these crashes, joined by commas
+        PartKey replacedBy {};         // released, since this part explains its crashes; 0: for another reason
+        size_t replacementCrashes = 0; // of that part
     };
     // Last byte of an answer of the target, by the hash of its id; empty: none.
     using LastAnswer = std::function<std::optional<TimePoint>(uint64_t target)>;
@@ -122,7 +128,8 @@
 
     QuarantineReport report(TimePoint now) const;
     void onPeerReport(const QuarantineReport& report, TimePoint now, std::string_view peer = {});
-    uint64_t changes() const { return this->changeCount; } // grows with each change of report() but for ages
+    bool isWithdrawn(PartKey part, TimePoint quarantinedAt) const; // the verdict of that time is withdrawn since
+    uint64_t changes() const { return this->changeCount; }         // grows with each change of report() but for ages
 
 private:
     struct Lost {
@@ -153,6 +160,7 @@
         std::optional<TimePoint> countedAt;    // the last of these
         size_t position = 0;                   // in the prompt; later parts are more specific
         TimePoint heardAt {};                  // of the first crash
+        TimePoint lastHeardAt {};              // of the crash that was heard of last
         std::vector<TimePoint> countedHeardAt; // when this node first knew of each crash that counts
         std::vector<const Crash*> in;          // the crashes
         void add(const Crash& crash, const Lost& lost, size_t partPosition, Duration spacing);
@@ -161,20 +169,25 @@
     void addLost(uint64_t target, TimePoint at, Lost lost, TimePoint now);
     std::optional<TimePoint> begunAt(PartKey part) const; // last event of a stream with the part, at any node
     bool hasBegunSince(PartKey part, TimePoint time) const;
-    enum class Explanation : uint8_t {
-        None,
-        Request, // a request in quarantine was lost in the crash
-        Part,    // a part in quarantine was
-    };
-    Explanation explanation(const Crash& crash) const;
+    bool isExplained(const Crash& crash) const; // a part or a request in quarantine was lost in it
     void judgeCrashes(TimePoint now);
-    std::unordered_map<PartKey, Count> countParts() const;
+    using Crashes = std::vector<const Crash*>;
+    Crashes knownCrashes() const; // the oldest first, whatever the order of the reports
+    std::unordered_map<PartKey, Count> countParts(const Crashes& among) const;
     std::unordered_map<RequestKey, Count> countRequests(TimePoint now) const;
     std::vector<RequestKey> culpritRequests(const std::unordered_map<RequestKey, Count>& counts, TimePoint now) const;
     size_t crashesOf(RequestKey request) const; // in which it was lost without an answer since
     bool isInQuestion(RequestKey request) const;
-    std::optional<PartKey> likeliest(const std::unordered_map<PartKey, Count>& counts, bool begun) const;
+    bool mayConvict(PartKey part, const Count& count, TimePoint now) const;
     std::optional<PartKey> nextCulprit(const std::unordered_map<PartKey, Count>& counts, TimePoint now) const;
+    struct Culprit {
+        PartKey part = 0;
+        size_t crashes = 0; // that it was lost in
+    };
+    void judgeParts(TimePoint now);
+    void judgeRequests(TimePoint now);
+    void withdrawReplaced(const std::vector<Culprit>& culprits, TimePoint now);
+    void withdraw(PartKey part, TimePoint at, Change change);
     void convictAll(TimePoint now);
     void convict(PartKey key, const Count& count, bool isRequest, TimePoint now);
     void quarantine(PartKey part, size_t crashes, TimePoint since, bool isRequest, std::string seenBy = {});
@@ -196,6 +209,8 @@
     std::unordered_map<PartKey, TimePoint> peerBegunAt; // of parts in question only; never reported, so that ages don't drift
     std::unordered_map<PartKey, Quarantine> quarantined;
     std::unordered_map<PartKey, TimePoint> releasedAt; // by an event that this node saw; peers are told for a while
+    // Parts whose crashes another one explains. Crashes of before that time speak no longer against them. Peers are told for a while.
+    std::unordered_map<PartKey, TimePoint> withdrawnAt; // bounded
     std::vector<Change> pendingChanges;
     uint64_t changeCount = 0;
 };
--- a/tests/edge/PromptQuarantineTest.cpp
+++ b/tests/edge/PromptQuarantineTest.cpp
@@ -3,6 +3,7 @@
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
+#include <deque>
 #include <random>
 
 using namespace guavapond;
@@ -353,3 +354,201 @@
     record.onListed(std::vector<PartAge> { { crashing, 4min } }, this->now);
     CHECK(isIn(this->quarantine, crashing, this->now));
 }
+
+namespace {
+
+// Requests with the crashing part come in sessions, whose requests share further parts.
+struct Sessions {
+    size_t count = 6;
+    size_t size = 4;            // requests of a session
+    size_t place = 1;           // of the crashing part in the prompt; the common part and the session's parts are around it
+    bool areSideBySide = false; // otherwise one after the other
+    bool haveGroups = false;    // each two sessions share one more part
+    bool holdsBegun = false;    // the crashing part has delivered events before
+};
+
+struct SessionResult {
+    size_t crashes = 0;
+    size_t refusedSound = 0; // sessions whose requests without the part are refused in the end
+    bool isFound = false;
+    std::string text;
+};
+
+constexpr PartKey firstSession = 1000;
+constexpr PartKey firstGroup = 2000;
+
+std::vector<PartKey> partsOf(size_t session, const Sessions& sessions, bool isCrashing)
+{
+    std::vector<PartKey> parts { common };
+    if (sessions.haveGroups)
+        parts.push_back(firstGroup + session / 2);
+    parts.push_back(firstSession + session);
+    if (isCrashing)
+        parts.insert(parts.begin() + static_cast<std::ptrdiff_t>(std::min(sessions.place, parts.size())), crashing);
+    return parts;
+}
+
+SessionResult playSessions(const Sessions& sessions)
+{
+    constexpr Duration between = 1500ms;
+    PromptQuarantine quarantine { {} };
+    quarantine.setSettleTime(200ms);
+    Losses losses { quarantine };
+    TimePoint now = TimePoint(1h);
+    SessionResult result;
+    if (sessions.holdsBegun)
+        quarantine.onBegan(std::vector { crashing }, now);
+    const auto pass = [&](Duration time) {
+        for (const TimePoint end = now + time; now < end; now += 100ms) {
+            quarantine.onBegan(std::vector { common }, now); // sound requests of other callers
+            quarantine.decide(now);
+        }
+    };
+    for (size_t i = 0; i < sessions.count * sessions.size; ++i) {
+        const size_t session = sessions.areSideBySide ? i % sessions.count : i / sessions.size;
+        const std::vector<PartKey> parts = partsOf(session, sessions, true);
+        if (!quarantine.blocks(parts, now))
+            losses.add(++result.crashes, parts, now);
+        pass(between);
+    }
+    for (size_t session = 0; session < sessions.count; ++session)
+        result.refusedSound += quarantine.isBlocked(partsOf(session, sessions, false), now) ? 1 : 0;
+    result.isFound = isIn(quarantine, crashing, now);
+    result.text = std::to_string(sessions.count) + " sessions of " + std::to_string(sessions.size) + ", part at place "
+        + std::to_string(sessions.place) + (sessions.areSideBySide ? ", side by side" : "") + (sessions.haveGroups ? ", in groups" : "")
+        + (sessions.holdsBegun ? ", was fine before" : "") + ": " + std::to_string(result.crashes) + " crashes, "
+        + std::to_string(result.refusedSound) + " sessions refused";
+    return result;
+}
+
+constexpr size_t crashesBeforeBound = 5; // the platform's rule counts from the fifth crash
+constexpr size_t maxAfterBound = 3;
+
+} // namespace
+
+// Guards against parts of sessions that are quarantined one after the other in the place of the part that all of them share: each wrong
+// verdict explains the crashes that would show the culprit.
+TEST(PromptQuarantine, CulpritOfManySessionsIsFound)
+{
+    for (const size_t size : { 2, 3, 4, 8 }) {
+        for (const size_t place : { 0, 1, 2 }) {
+            for (const bool areSideBySide : { false, true }) {
+                for (const bool haveGroups : { false, true }) {
+                    const SessionResult result
+                        = playSessions({ .size = size, .place = place, .areSideBySide = areSideBySide, .haveGroups = haveGroups });
+                    CHECK_TEXT(result.isFound, result.text.c_str());
+                    CHECK_TEXT(result.crashes <= crashesBeforeBound + maxAfterBound, result.text.c_str());
+                }
+            }
+        }
+    }
+}
+
+// Guards against sessions that stay refused after the culprit was found, though nothing speaks against their parts any more.
+TEST(PromptQuarantine, PartsOfSessionsAreInUseAgainOnceTheCulpritIsFound)
+{
+    for (const size_t size : { 2, 3, 4, 8 }) {
+        for (const bool areSideBySide : { false, true }) {
+            const SessionResult result = playSessions({ .size = size, .areSideBySide = areSideBySide });
+            CHECK_EQUAL_TEXT(0, result.refusedSound, result.text.c_str());
+        }
+    }
+}
+
+// Guards against the same where the part crashes targets since an update of them, and delivered events before.
+TEST(PromptQuarantine, CulpritThatWorkedBeforeIsFoundBehindSessions)
+{
+    for (const size_t size : { 2, 4, 8 }) {
+        const SessionResult result = playSessions({ .size = size, .holdsBegun = true });
+        CHECK_TEXT(result.isFound, result.text.c_str());
+        CHECK_TEXT(result.crashes <= crashesBeforeBound + maxAfterBound, result.text.c_str());
+        CHECK_EQUAL_TEXT(0, result.refusedSound, result.text.c_str());
+    }
+}
+
+// Guards against a withdrawn verdict that late reports or the store's list bring back, or that stays in the store's list.
+TEST(PromptQuarantine, WithdrawnVerdictStaysWithdrawn)
+{
+    constexpr PartKey session = firstSession;
+    for (int i = 0; i < 3; ++i)
+        this->crash({ crashing, session });
+    CHECK_TEXT(isIn(this->quarantine, session, this->now), "the most specific part comes first");
+    const QuarantineReport late = this->quarantine.report(this->now);
+    PromptQuarantine started { {} };
+    started.onPeerReport(late, this->now);
+    std::vector<PartKey> removed;
+    bool isWriter = false;
+    QuarantineRecord record(
+        this->quarantine, { [&](TimePoint) { return isWriter; }, [](const PartAge&) {}, [&](PartKey part) { removed.push_back(part); } });
+    for (PartKey other = session + 1; other < session + 3; ++other) {
+        this->losses.add(++this->target, { crashing, other }, this->now);
+        this->now += 2s;
+        for (const PromptQuarantine::Change& change : this->quarantine.decide(this->now)) {
+            record.onChange(change, this->now);
+            if (change.part != session)
+                continue;
+            CHECK(!change.isQuarantined && change.crashes == 3);
+            CHECK(change.replacedBy == crashing && change.replacementCrashes == 5);
+        }
+    }
+    CHECK(isIn(this->quarantine, crashing, this->now));
+    CHECK_FALSE(isIn(this->quarantine, session, this->now));
+    CHECK_TEXT(removed.empty(), "another node writes");
+    this->quarantine.onPeerReport({ {}, {}, { { session, 5s } } }, this->now);
+    CHECK_FALSE_TEXT(isIn(this->quarantine, session, this->now), "a report of before the withdrawal");
+    isWriter = true;
+    record.onListed(std::vector<PartAge> { { session, 5s } }, this->now);
+    CHECK(removed == std::vector<PartKey> { session });
+    started.onPeerReport(this->quarantine.report(this->now), this->now);
+    CHECK_FALSE_TEXT(isIn(started, session, this->now), "a node without any evidence of its own");
+    CHECK(isIn(started, crashing, this->now));
+}
+
+// Guards against nodes that keep the wrong verdict since they know fewer crashes, or hear of them late, twice or in another order.
+TEST(PromptQuarantine, EveryNodeComesToTheSameVerdict)
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        std::mt19937_64 generator(seed);
+        const size_t nodeCount = seed % 3 == 0 ? 33 : 4;
+        std::deque<PromptQuarantine> nodes;
+        for (size_t i = 0; i < nodeCount; ++i)
+            nodes.emplace_back(QuarantineSettings {}).setSettleTime(400ms);
+        TimePoint time = TimePoint(1h);
+        uint64_t prompt = 0;
+        std::vector<std::pair<TimePoint, std::pair<size_t, QuarantineReport>>> underWay;
+        const auto pass = [&](Duration span) {
+            for (const TimePoint end = time + span; time < end; time += 100ms) {
+                for (PromptQuarantine& node : nodes) {
+                    for (size_t to = 0; to < nodeCount; ++to) {
+                        if (&nodes[to] != &node && generator() % 10 >= 3)
+                            underWay.push_back({ time + 1ms * (generator() % 500), { to, node.report(time) } });
+                    }
+                }
+                std::erase_if(underWay, [&](const auto& item) {
+                    if (item.first <= time)
+                        nodes[item.second.first].onPeerReport(item.second.second, time);
+                    return item.first <= time;
+                });
+                for (PromptQuarantine& node : nodes) {
+                    node.onBegan(std::vector { common }, time);
+                    node.decide(time);
+                }
+            }
+        };
+        for (PartKey session = 0; session < 4; ++session) {
+            for (int i = 0; i < 4; ++i) {
+                const std::vector<PartKey> parts { common, crashing, firstSession + session };
+                PromptQuarantine& node = nodes[generator() % nodeCount];
+                ++prompt;
+                if (!node.blocks(parts, time))
+                    node.onLost(prompt, prompt, parts, time);
+                pass(800ms);
+            }
+        }
+        pass(4s);
+        for (const PromptQuarantine& node : nodes) {
+            CHECK_TEXT(isIn(node, crashing, time), ("seed " + std::to_string(seed)).c_str());
+            CHECK_EQUAL_TEXT(1, node.size(), ("seed " + std::to_string(seed)).c_str());
+        }
+    }
+}
