Tell an empty list of workspaces from none

Cause: the decoded configuration holds a vector of workspaces, and Relay::identify asked for no key if it was empty. "tenants": [] and no such field at all were the same to it.

Ruled out: the age of the proof, and the copies of the configuration: both nodes had the new version in force and passed keys because of it.

Change: WorkspaceList names the three states (None, Empty, Some); Catalog::needsKey decides for requests and for `guavapond where`. The log line of a configuration says whether it asks for keys. All ways to a configuration (the store, a peer's copy, a start, a store that is back from a copy) go through the same decoding of the same text.

--- a/src/edge/ConfigCopy.cpp
+++ b/src/edge/ConfigCopy.cpp
@@ -42,7 +42,7 @@
     log(LogLevel::Info, "configuration in force",
         { { "from", source }, { "era", eraOf(item.revision) }, { "revision", revisionInEra(item.revision) },
             { "version", decoded.value->version }, { "routes", decoded.value->routes.size() },
-            { "workspaces", decoded.value->workspaces.size() } });
+            { "workspaces", decoded.value->workspaces.size() }, { "asksForKeys", decoded.value->workspaceList() != WorkspaceList::None } });
     decoded.value->source = std::string(source);
     this->hooks.inForce(std::make_shared<const Catalog>(std::move(*decoded.value)));
 }
--- a/src/edge/PlacementReport.cpp
+++ b/src/edge/PlacementReport.cpp
@@ -93,7 +93,7 @@
     if (!route || route->shares.empty())
         return failure(404, "no such route");
     const Workspace* workspace = question.key.empty() ? nullptr : catalog->findWorkspace(question.key);
-    if (route->needsKey && !catalog->workspaces.empty() && !workspace)
+    if (catalog->needsKey(*route) && !workspace)
         return failure(401, question.key.empty() ? "the route needs a key" : "unknown key");
     const Rank rank { workspace ? workspace->priority.value_or(route->priority) : route->priority, route->priority };
     Demand demand;
--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -348,7 +348,7 @@
         return Refusal { 404, "no such route", std::nullopt };
     }
     plan.rank = { plan.route->priority, plan.route->priority };
-    if (!plan.route->needsKey || this->current->workspaces.empty())
+    if (!this->current->needsKey(*plan.route))
         return std::nullopt;
     if (request.message.count(names.key) == 1)
         plan.workspace = this->current->findWorkspace(request.message[names.key]);
--- a/src/scheduling/Catalog.cpp
+++ b/src/scheduling/Catalog.cpp
@@ -33,6 +33,13 @@
     return nullptr;
 }
 
+WorkspaceList Catalog::workspaceList() const
+{
+    if (!this->workspaces.empty())
+        return WorkspaceList::Some;
+    return this->hasWorkspaceList ? WorkspaceList::Empty : WorkspaceList::None;
+}
+
 const Workspace* Catalog::findWorkspace(std::string_view key) const
 {
     const auto found = this->workspacesByKey.find(std::string(key));
--- a/src/scheduling/Catalog.h
+++ b/src/scheduling/Catalog.h
@@ -74,6 +74,13 @@
     double burst = 0;            // tokens or requests
 };
 
+// Whether requests need a key, as the configuration says.
+enum class WorkspaceList : uint8_t {
+    None,  // it has no list of workspaces: no request needs a key
+    Empty, // its list is empty: no key is valid
+    Some,
+};
+
 class Catalog {
 public:
     uint64_t version = 0;  // set by the operators; grows, but may skip numbers
@@ -82,9 +89,12 @@
     std::vector<Route> routes;
     std::vector<Service> services;
     std::vector<Workspace> workspaces;
+    bool hasWorkspaceList = false; // also an empty one; true if there are workspaces
     CallerLimits limits;
 
-    void index();                                                               // builds the lookups; called once, after the last change
+    void index(); // builds the lookups; called once, after the last change
+    WorkspaceList workspaceList() const;
+    bool needsKey(const Route& route) const { return route.needsKey && this->workspaceList() != WorkspaceList::None; }
     const Route* findRoute(std::string_view host, std::string_view path) const; // longest matching prefix of that host
     const Workspace* findWorkspace(std::string_view key) const;
     const Service* findService(std::string_view name) const;
