Clear a request that may crash targets only by its whole answer

Cause: a sign of life was taken for the end. The head of an answer without events cleared the request (onBegan in Exchange::onHead), and a loss after the head, or after the first event of a stream, was no crash (lastBegan). A resumed stream crashed one target after the other.

Ruled out: evidence that is dismissed since the target goes on answering (it is down for 2 s), and too few targets (six in the case).

Change, by kind of answer - what clears a request is what its target can't send if it crashes on it: - with a length or chunks: all of its body, or its last chunk; without a body (HEAD, 204, 304): its head; a failure too. - that ends with its connection: nothing by itself, as a crash ends it just so; the target's next bytes after the settling time clear it. - events: the first one clears the parts of the prompt, which crash a target before it; the request only the last chunk. Informational answers never counted. Each loss before that is a crash of the request; the parts are blamed only without an event. A resumed stream that has ended two targets is not sent to a third. A target that goes on answering dismisses the crash, as before; losses at leaving targets, of callers that leave and in a cut of the node are none. Answers also reach other nodes when the crash that they speak about is long known, so that more losses blame no sound request; what a node of a former build tells of requests (no is_request mark) is not believed, since it takes heads for ends.

--- a/src/edge/Exchange.cpp
+++ b/src/edge/Exchange.cpp
@@ -24,6 +24,8 @@
 constexpr std::string_view partReason = "a part of the prompt crashes targets";
 constexpr std::string_view requestReason = "the request crashes targets";
 
+constexpr unsigned noContent = 204;
+constexpr unsigned notModified = 304;
 constexpr unsigned firstFailureStatus = 400;
 constexpr unsigned requestTimeout = 408;
 constexpr unsigned misdirectedRequest = 421;
@@ -426,9 +428,6 @@
         this->attempt->verdict = AttemptOutcome::Failed;
     const bool isEvents = !this->attempt->verdict && this->plan.route->kind == RouteKind::Streaming && isEventStream(head);
     this->form = isEvents ? AnswerForm::Events : AnswerForm::Buffered;
-    const bool hasRun = !this->attempt->verdict || this->attempt->verdict == AttemptOutcome::Failed;
-    if (!isEvents && hasRun)
-        this->relay.quarantine.onBegan({}, bootTime(), this->suspectKey());
     return HeadVerdict::Accept;
 }
 
@@ -502,7 +501,7 @@
             this->attempt->target, this->attempt->prefillPending, this->attempt->backlogTokens, now - this->attempt->sentAt, now);
         if (!this->isForwarding)
             this->targets().recordCachedPrompt(this->attempt->target, this->plan.parts, now);
-        this->relay.quarantine.onBegan(this->plan.sharedParts, now, this->suspectKey());
+        this->relay.quarantine.onBegan(this->plan.sharedParts, now);
         RunSample sample;
         sample.backlogTokens = this->attempt->backlogTokens;
         sample.firstAfter = now - this->attempt->sentAt;
@@ -543,6 +542,8 @@
         const AttemptOutcome verdict = *finished.verdict;
         if (this->isForwarding && verdict == AttemptOutcome::Declined)
             return this->onForwarderRefused();
+        if (verdict == AttemptOutcome::Failed)
+            this->noteWholeAnswer(now);
         this->failure = this->bufferedAnswer();
         this->endAttempt(verdict == AttemptOutcome::Failed ? TargetOutcome::Failed : TargetOutcome::Declined);
         if (verdict == AttemptOutcome::Moved)
@@ -550,6 +551,7 @@
         return this->onAttemptEnded(verdict);
     }
     if (this->form == AnswerForm::PassThrough) {
+        this->noteWholeAnswer(now);
         this->caller->endStream();
         this->endAttempt(TargetOutcome::Answered);
         return this->finish(RequestResult::Answered, "whole");
@@ -562,6 +564,7 @@
             this->endAttempt(TargetOutcome::Failed);
             return this->onAttemptEnded(AttemptOutcome::Broken);
         }
+        this->noteWholeAnswer(now);
         if (events >= minEventsForMeanGap) {
             const Duration gap = (finished.lastEventAt - *finished.firstEventAt) / (events - 1);
             this->targets().eventGap(finished.target, gap, now);
@@ -576,9 +579,25 @@
         this->endAttempt(TargetOutcome::Answered);
         return this->finish(RequestResult::Answered, "whole");
     }
+    this->noteWholeAnswer(now);
     this->sendBufferedAnswer();
 }
 
+// A target that crashes on a request can't end its answer: with all bytes of its length, or with its last chunk. An answer without either
+// ends with its connection, as a crash ends it.
+void Exchange::noteWholeAnswer(TimePoint now)
+{
+    if (this->isForwarding)
+        return;
+    const http::response_header<>& head = this->attempt->head;
+    const unsigned status = head.result_int();
+    const bool hasNoBody = this->request.message.method() == http::verb::head || status == noContent || status == notModified;
+    if (hasNoBody || !endsWithConnection(head))
+        this->relay.quarantine.onBegan({}, now, this->suspectKey());
+    else
+        this->relay.quarantine.onUnprovedEnd(this->targets().hashOf(this->attempt->target), this->suspectKey(), now);
+}
+
 http::response<http::string_body> Exchange::bufferedAnswer()
 {
     http::response<http::string_body> message;
@@ -657,7 +676,6 @@
     this->lastPosition = finished.connection->requests();
     this->lastSkippedAnswers = finished.skippedAnswers;
     this->lastStatus = finished.headSeen ? finished.head.result_int() : 0;
-    this->lastBegan = this->lastHadEvent || (finished.headSeen && this->form != AnswerForm::Events);
     this->lastTargetLeft = this->targets().isLeaving(finished.target);
     if (outcome == TargetOutcome::Answered) {
         double& meanBytes = this->relay.bytesOfRoute[this->plan.route->name];
@@ -705,10 +723,9 @@
     this->form = AnswerForm::Buffered;
     this->relay.metrics.runFailed(outcome);
     const TimePoint now = bootTime();
-    this->noteLostStream(outcome, now);
+    this->noteLostRun(outcome, now);
     // A repeat of a request that seems to crash targets would only crash another one.
-    const bool isSuspect
-        = !this->lastHadEvent && this->relay.quarantine.isSuspect(this->promptHash(), this->plan.sharedParts, this->suspectKey());
+    const bool isSuspect = this->relay.quarantine.isSuspect(this->promptHash(), this->lostParts(), this->suspectKey());
     const NextStep step = this->life.attemptEnded(
         outcome, [&] { return !isSuspect && this->relay.secondTries.take(this->plan.service, now); }, now);
     if (this->plan.route->kind == RouteKind::Streaming && (outcome == AttemptOutcome::Broken || outcome == AttemptOutcome::Silent))
@@ -717,12 +734,18 @@
     this->takeStep(step, attemptOutcomeName(outcome));
 }
 
-void Exchange::noteLostStream(AttemptOutcome outcome, TimePoint now)
+// A part of a prompt crashes its target before the first event; a request may do so at any time until its answer is whole.
+std::span<const PartKey> Exchange::lostParts() const
+{
+    return this->lastHadEvent ? std::span<const PartKey>() : std::span<const PartKey>(this->plan.sharedParts);
+}
+
+void Exchange::noteLostRun(AttemptOutcome outcome, TimePoint now)
 {
     // The end of a target that was leaving is no crash.
-    if (outcome != AttemptOutcome::Broken || this->lastBegan || this->lastTargetLeft || this->isForwarding || this->relay.reach.isCutOff())
+    if (outcome != AttemptOutcome::Broken || this->lastTargetLeft || this->isForwarding || this->relay.reach.isCutOff())
         return;
-    this->relay.quarantine.onLost(nameHash(this->lastTarget), this->promptHash(), this->plan.sharedParts, now, this->requestKey());
+    this->relay.quarantine.onLost(nameHash(this->lastTarget), this->promptHash(), this->lostParts(), now, this->requestKey());
     this->relay.updateQuarantine(now);
 }
 
--- a/src/edge/Exchange.h
+++ b/src/edge/Exchange.h
@@ -145,7 +145,9 @@
     RequestKey requestKey(); // computed when it is first needed
     RequestKey suspectKey(); // requestKey(), or 0 while it is not needed
     uint64_t promptHash() const { return this->plan.parts.empty() ? 0 : this->plan.parts.back().prefixHash; }
-    void noteLostStream(AttemptOutcome outcome, TimePoint now);
+    void noteLostRun(AttemptOutcome outcome, TimePoint now);
+    void noteWholeAnswer(TimePoint now);
+    std::span<const PartKey> lostParts() const; // of the prompt, that the last attempt speaks against
     void send(const TargetPool::Choice& choice, bool countedByLimit, TimePoint now);
     std::string requestHead(const TargetInfo& target, TimePoint now) const;
     bool maySend(TimePoint now) const;
@@ -216,7 +218,6 @@
     uint32_t lastSkippedAnswers = 0;             // Attempt::skippedAnswers of the last attempt
     unsigned lastStatus = 0;                     // of the answer to it; 0: none
     bool lastHadEvent = false;                   // the last attempt delivered an event
-    bool lastBegan = false;                      // its answer had begun: an event, or the head of an answer without events
     bool lastTargetLeft = false;                 // its target was leaving
     std::optional<TimePoint> pausedSince;        // reading of the target's answer is paused for the caller
     bool readsAhead = false;                     // the caller has held the answer up for long: it is read as far as memory allows
--- a/src/scheduling/PromptQuarantine.cpp
+++ b/src/scheduling/PromptQuarantine.cpp
@@ -46,6 +46,21 @@
         this->onBegan(request, now);
 }
 
+void PromptQuarantine::onUnprovedEnd(uint64_t target, RequestKey request, TimePoint now)
+{
+    if (request == 0 || !this->isInQuestion(request))
+        return;
+    if (this->unprovedEnds.size() >= this->settings.maxCrashes)
+        this->unprovedEnds.pop_front();
+    this->unprovedEnds.push_back({ target, request, now });
+}
+
+bool PromptQuarantine::isKnownRequest(RequestKey key) const
+{
+    const auto entry = this->quarantined.find(key);
+    return entry == this->quarantined.end() ? this->isInQuestion(key) : entry->second.isRequest;
+}
+
 bool PromptQuarantine::isInQuestion(RequestKey request) const
 {
     return this->quarantined.contains(request) || std::any_of(this->crashes.begin(), this->crashes.end(), [&](const Crash& crash) {
@@ -117,6 +132,17 @@
     }
 }
 
+void PromptQuarantine::judgeEnds(TimePoint now)
+{
+    while (!this->unprovedEnds.empty() && now - this->unprovedEnds.front().at >= this->settleTime) {
+        const UnprovedEnd end = this->unprovedEnds.front();
+        this->unprovedEnds.pop_front();
+        const auto answeredAt = this->lastAnswer ? this->lastAnswer(end.target) : std::nullopt;
+        if (answeredAt && *answeredAt > end.at + this->settings.answerMargin)
+            this->onBegan(end.request, now);
+    }
+}
+
 void PromptQuarantine::Count::add(const Crash& crash, const Lost& lost, size_t partPosition, Duration spacing)
 {
     this->position = std::max(this->position, partPosition);
@@ -425,6 +451,7 @@
     this->expire(now);
     if (!this->crashes.empty()) {
         this->judgeCrashes(now);
+        this->judgeEnds(now);
         this->renewAfterProbe(now);
         this->convictAll(now);
     }
@@ -505,25 +532,33 @@
 {
     QuarantineReport result;
     std::vector<PartKey> inQuestion;
-    const auto ask = [&](PartKey part) {
+    const auto ask = [&](PartKey part, bool isRequest) {
         const auto found = this->ownBegunAt.find(part);
         if (found == this->ownBegunAt.end() || contains(inQuestion, part) || result.begun.size() >= this->settings.maxReportedParts)
             return;
         inQuestion.push_back(part);
-        result.begun.push_back({ part, now - found->second });
+        result.begun.push_back({ part, now - found->second, isRequest });
     };
     for (const auto& [part, at] : this->releasedAt)
-        ask(part);
+        ask(part, this->isKnownRequest(part));
     std::vector<std::pair<const Crash*, const Lost*>> own; // to be told, the newest first
     for (size_t i = this->crashes.size(); i > 0; --i) {
         const Crash& crash = this->crashes[i - 1];
-        const bool isNew = now - crash.heardAt < this->settings.reportTime + this->settleTime;
-        if (!isNew)
+        const Duration reportSpan = this->settings.reportTime + this->settleTime;
+        if (now - crash.heardAt >= reportSpan) {
+            // Of a crash that all nodes know, only what has changed since.
+            for (const Lost& lost : crash.lost) {
+                const auto answered = this->ownBegunAt.find(lost.request);
+                if (lost.request != 0 && answered != this->ownBegunAt.end() && now - answered->second < reportSpan)
+                    ask(lost.request, true);
+            }
             continue;
+        }
         for (const Lost& lost : crash.lost) {
-            std::for_each(lost.parts.begin(), lost.parts.end(), ask);
+            for (const PartKey part : lost.parts)
+                ask(part, false);
             if (lost.request != 0)
-                ask(lost.request);
+                ask(lost.request, true);
             if (lost.isOwn)
                 own.emplace_back(&crash, &lost);
         }
@@ -568,6 +603,8 @@
             this->withdraw(entry.part, at, { entry.part, false, 0, false, false, std::string(peer) });
     }
     for (const PartAge& begun : report.begun) {
+        if (!begun.isRequest && this->isKnownRequest(begun.part))
+            continue; // a node of a former build takes the head of an answer for its end
         if (this->peerBegunAt.size() >= this->settings.maxParts && !this->peerBegunAt.contains(begun.part))
             continue;
         TimePoint& last = this->peerBegunAt[begun.part];
--- a/src/scheduling/PromptQuarantine.h
+++ b/src/scheduling/PromptQuarantine.h
@@ -2,19 +2,20 @@
 //
 // A target that ends loses all its requests, so each crash has one culprit and several bystanders. Two kinds of suspects are compared
 // over all crashes: a part of a prompt, which is lost in crash after crash in different prompts, and a request, which is lost itself each
-// time it is repeated. Neither ever delivers an event or gets an answer. All nodes tell each other their lost requests, and, for the
-// suspects, when one of them last began its answer. Each node draws the conclusion by itself and passes it on, so that a node that starts
+// time it is repeated. No prompt with such a part ever delivers an event, and no such request gets a whole answer: its target may send the
+// head, or a part of the answer, before it ends. All nodes tell each other their lost requests, and, for the
+// suspects, when one of them was last seen sound. Each node draws the conclusion by itself and passes it on, so that a node that starts
 // later knows it too.
 //
 // The parts are judged by all known crashes each time, those of a quarantined part included: a part that explains more crashes than the
 // one in quarantine takes its place, and the verdict on that one is withdrawn on all nodes.
 //
 // Index
-//   LostStream           a request whose target ended before it began to answer
+//   LostStream           a request whose target ended before its answer was whole
 //   PartAge              a suspect, and how long ago something was seen of it
 //   QuarantineReport     what a node tells its peers
 //   QuarantineSettings
-//   PromptQuarantine     onBegan, onLost, decide; blocks, isBlocked, isSuspect, lift; report, onPeerReport, isWithdrawn
+//   PromptQuarantine     onBegan, onUnprovedEnd, onLost, decide; blocks, isBlocked, isSuspect, lift; report, onPeerReport, isWithdrawn
 //
 //   if (quarantine.blocks(parts, now, request))
 //       refuse the request
@@ -107,8 +108,10 @@
 
     // While it is false no key of a request is needed below. A key is a hash of the whole request, so it is not computed for nothing.
     bool needsRequestKeys() const { return !this->crashes.empty() || !this->quarantined.empty(); }
-    // A stream with these parts delivered an event, or the request got an answer.
+    // A stream with these parts delivered an event, or the request got a whole answer.
     void onBegan(std::span<const PartKey> parts, TimePoint now, RequestKey request = 0);
+    // The request got an answer that ended with its connection, as a crash would end it: it is sound if the target goes on answering.
+    void onUnprovedEnd(uint64_t target, RequestKey request, TimePoint now);
     void onLost(uint64_t target, uint64_t prompt, std::span<const PartKey> parts, TimePoint now, RequestKey request = 0);
     std::vector<Change> decide(TimePoint now); // call often; returns what has changed since the last call
 
@@ -147,6 +150,11 @@
         bool isJudged = false;    // whether it is a crash
         bool isDismissed = false; // the target went on answering: connections were lost, not the target
     };
+    struct UnprovedEnd {
+        uint64_t target = 0;
+        RequestKey request = 0;
+        TimePoint at {};
+    };
     struct Quarantine {
         TimePoint since {};
         std::optional<TimePoint> probedAt {}; // a request was let through to probe the suspect
@@ -178,6 +186,8 @@
     std::vector<RequestKey> culpritRequests(const std::unordered_map<RequestKey, Count>& counts, TimePoint now) const;
     size_t crashesOf(RequestKey request) const; // in which it was lost without an answer since
     bool isInQuestion(RequestKey request) const;
+    bool isKnownRequest(RequestKey key) const; // it is that of a request, and not of a part
+    void judgeEnds(TimePoint now);
     bool mayConvict(PartKey part, const Count& count, TimePoint now) const;
     std::optional<PartKey> nextCulprit(const std::unordered_map<PartKey, Count>& counts, TimePoint now) const;
     struct Culprit {
@@ -205,6 +215,7 @@
     Duration settleTime {};
     bool isProbing = true;
     std::deque<Crash> crashes;                          // oldest first
+    std::deque<UnprovedEnd> unprovedEnds;               // oldest first; bounded
     std::unordered_map<PartKey, TimePoint> ownBegunAt;  // bounded
     std::unordered_map<PartKey, TimePoint> peerBegunAt; // of parts in question only; never reported, so that ages don't drift
     std::unordered_map<PartKey, Quarantine> quarantined;
--- a/standins/edge/PlatformRunner.cpp
+++ b/standins/edge/PlatformRunner.cpp
@@ -72,6 +72,28 @@
         && run.request[partsField].find(boost::beast::string_view(this->crashPart + ":")) != boost::beast::string_view::npos;
 }
 
+void PlatformRunner::beginCrash(const edge::CallerPointer& caller, size_t run)
+{
+    constexpr int eventsBeforeCrash = 2;
+    if (this->crashMoment != CrashMoment::BeforeAnswer) {
+        auto message = this->makeHead(run, 200);
+        const bool stream = isStream(this->runs[run].request);
+        if (stream)
+            message.set(http::field::content_type, "text/event-stream");
+        caller->beginStream(message.base());
+        if (this->crashMoment == CrashMoment::AfterPart && !stream)
+            caller->sendPiece("half");
+        const auto last = this->runs[run].request["Last-Event-Id"];
+        const int first = last.empty() ? 1 : std::stoi(std::string(last)) + 1;
+        for (int event = first; this->crashMoment == CrashMoment::AfterPart && stream && event < first + eventsBeforeCrash; ++event)
+            caller->sendPiece(eventText(event));
+    }
+    this->after(this->settings.work, [this, run] {
+        if (!this->runs[run].cancelled)
+            this->crash(run);
+    });
+}
+
 // Breaks all answers off and takes no request until downTime has passed.
 void PlatformRunner::crash(size_t run)
 {
@@ -122,10 +144,7 @@
         this->answering.erase(run);
     });
     if (this->crashesOn(this->runs[run]))
-        return this->after(this->settings.work, [this, run] {
-            if (!this->runs[run].cancelled)
-                this->crash(run);
-        });
+        return this->beginCrash(caller, run);
     if (now == RunnerFault::Hangs)
         return this->hanging.push_back(caller);
     if (now == RunnerFault::BreaksBefore)
--- a/standins/edge/PlatformRunner.h
+++ b/standins/edge/PlatformRunner.h
@@ -2,6 +2,7 @@
 //
 // Index
 //   RunnerFault      what it does wrong with the next requests
+//   CrashMoment
 //   RunnerSettings
 //   PlatformRunner
 #pragma once
@@ -27,6 +28,13 @@
     Hangs,        // never answers
 };
 
+// How far its answer is when a runner crashes on a request.
+enum class CrashMoment : uint8_t {
+    BeforeAnswer,
+    AfterHead,
+    AfterPart, // of the body; two events of a stream
+};
+
 struct RunnerSettings {
     std::string id = "r1";
     edge::Address address;
@@ -57,8 +65,9 @@
     std::string retryAfter;                                                  // of its refusals, seconds; empty: none
     std::string crashPart;                                                   // crashes on prompts with this part; empty: on none
     std::string crashBody;                                                   // crashes on requests with this body; empty: on none
-    Duration downTime = std::chrono::milliseconds(500);                      // after a crash
-    std::vector<Run> runs;                                                   // that began, in order
+    CrashMoment crashMoment = CrashMoment::BeforeAnswer;
+    Duration downTime = std::chrono::milliseconds(500);                             // after a crash
+    std::vector<Run> runs;                                                          // that began, in order
     std::function<void(const std::string& attempt)> onArrival = [](const auto&) {}; // a request arrived
     std::function<void(const std::string& attempt)> onAnswer = [](const auto&) {};  // the head of an answer is sent
     std::function<void(const std::string& attempt)> onCrash = [](const auto&) {};   // the request has ended this runner
@@ -71,6 +80,7 @@
     void sendEvent(const edge::CallerPointer& caller, size_t run, int next, RunnerFault now);
     edge::http::response<edge::http::string_body> makeHead(size_t run, unsigned status) const;
     bool crashesOn(const Run& run) const;
+    void beginCrash(const edge::CallerPointer& caller, size_t run); // answers as far as crashMoment says, then crashes
     void crash(size_t run);
     void after(Duration delay, std::function<void()> action);
 
--- a/tests/edge/RequestQuarantineTest.cpp
+++ b/tests/edge/RequestQuarantineTest.cpp
@@ -123,6 +123,55 @@
     CHECK_EQUAL(0, node.size());
 }
 
+// Guards against clearing a request by an answer that a crash may have ended, and against never clearing one whose answers all end so.
+TEST(RequestQuarantine, AnswerThatEndsWithItsConnectionClearsOnlyIfItsTargetLives)
+{
+    for (const bool isAlive : { true, false }) {
+        TimePoint lastByte {};
+        PromptQuarantine node { {}, [&](uint64_t target) { return target == 50 ? std::optional<TimePoint>(lastByte) : std::nullopt; } };
+        node.setSettleTime(240ms);
+        for (uint64_t lost = 1; lost <= 3; ++lost) {
+            node.onLost(lost, 0, {}, this->now, deadly);
+            this->now += 300ms;
+            node.decide(this->now);
+        }
+        CHECK(isIn(node, deadly, this->now));
+        node.onUnprovedEnd(50, deadly, this->now);
+        lastByte = this->now + (isAlive ? 100ms : 20ms);
+        this->now += 300ms;
+        node.decide(this->now);
+        CHECK_EQUAL(!isAlive, isIn(node, deadly, this->now));
+    }
+}
+
+// Guards against nodes of a former build, which take the head of an answer for its end and tell so of a request that crashes targets.
+TEST(RequestQuarantine, HeadThatAFormerBuildSawClearsNothing)
+{
+    for (int i = 0; i < 2; ++i)
+        this->crash({ deadly });
+    this->quarantine.onPeerReport({ {}, { { deadly, 0ms } }, {} }, this->now);
+    this->crash({ deadly });
+    CHECK(this->isBlocked(deadly));
+    this->quarantine.onPeerReport({ {}, { { deadly, 0ms, true } }, {} }, this->now);
+    CHECK_FALSE_TEXT(this->isBlocked(deadly), "a whole answer at a node of this build");
+}
+
+// Guards against a sound request that is a bystander of crashes with long pauses between them, and is answered at other nodes meanwhile.
+TEST(RequestQuarantine, AnswersAtOtherNodesCountLongAfterACrash)
+{
+    PromptQuarantine peer { {} };
+    for (int i = 0; i < 6; ++i) {
+        this->crash({ bystander }, 10ms);
+        peer.onPeerReport(this->quarantine.report(this->now), this->now);
+        this->now += 20s;
+        peer.onBegan({}, this->now, bystander);
+        this->now += 100ms;
+        this->quarantine.onPeerReport(peer.report(this->now), this->now);
+        this->quarantine.decide(this->now);
+        CHECK_FALSE(this->isBlocked(bystander));
+    }
+}
+
 // Guards against bytes that were under way when the target ended and that make its end no crash.
 TEST(RequestQuarantine, BytesOfBeforeTheCrashDismissNothing)
 {
