Keep what peers tell of requests apart from what they tell of prompt parts

A key in a peer's report counted for parts and requests alike, so that each report was compared with all remembered losses to find requests of a former build. Answers of requests have a map of their own now; what a former build tells without a mark counts as that of a part, which is no request's.

--- a/src/edge/TransmitWatch.cpp
+++ b/src/edge/TransmitWatch.cpp
@@ -14,10 +14,7 @@
 constexpr Duration checkInterval = std::chrono::milliseconds(250); // several checks within the bound of silence
 constexpr size_t minWatchedBytes = 2048;                           // fewer fit into any peer's window
 constexpr int maxProbeIntervalMs = 1000;                           // between window probes; the least that the kernel takes
-
-#ifndef TCP_RTO_MAX_MS
-#define TCP_RTO_MAX_MS 44 // Linux 6.15
-#endif
+constexpr int probeIntervalOption = 44;                            // TCP_RTO_MAX_MS of Linux 6.15, which older headers lack
 
 template <int Name> using TcpOption = net::detail::socket_option::integer<IPPROTO_TCP, Name>;
 
@@ -91,7 +88,7 @@
         this->hasClosedWindow = true;
         this->setUserTimeout(Duration::zero());
         boost::system::error_code ignored; // a kernel without the option probes less and less often, and finds a gone peer later
-        this->socket.set_option(TcpOption<TCP_RTO_MAX_MS>(maxProbeIntervalMs), ignored);
+        this->socket.set_option(TcpOption<probeIntervalOption>(maxProbeIntervalMs), ignored);
     }
     // While its own option is in force, the kernel finds a peer that is gone.
     if (peer == PeerState::Gone && this->hasClosedWindow) {
--- a/src/scheduling/Catalog.h
+++ b/src/scheduling/Catalog.h
@@ -89,7 +89,7 @@
     std::vector<Route> routes;
     std::vector<Service> services;
     std::vector<Workspace> workspaces;
-    bool hasWorkspaceList = false; // also an empty one; true if there are workspaces
+    bool hasWorkspaceList = false; // the configuration has a list, perhaps an empty one; see workspaceList()
     CallerLimits limits;
 
     void index(); // builds the lookups; called once, after the last change
--- a/src/scheduling/PromptQuarantine.cpp
+++ b/src/scheduling/PromptQuarantine.cpp
@@ -8,13 +8,21 @@
 
 namespace {
 
-constexpr int forgottenAfter = 2;      // quarantine times; no request has probed the suspect meanwhile
-constexpr size_t crashesOfSuspect = 2; // from here on a request is not sent a second time
-
 constexpr size_t maxPartsPerPrompt = 64; // that are looked at; keeps a prompt of very many parts from filling beacons and the memory
 
 std::span<const PartKey> bounded(std::span<const PartKey> parts) { return parts.first(std::min(parts.size(), maxPartsPerPrompt)); }
 
+using Times = std::unordered_map<uint64_t, TimePoint>;
+std::optional<TimePoint> latest(uint64_t key, const Times& own, const Times& ofPeers)
+{
+    std::optional<TimePoint> last;
+    for (const Times* times : { &own, &ofPeers }) {
+        if (const auto found = times->find(key); found != times->end())
+            last = std::max(last.value_or(found->second), found->second);
+    }
+    return last;
+}
+
 template <typename Crash> bool holds(const Crash& crash, PartKey part)
 {
     return std::any_of(crash.lost.begin(), crash.lost.end(),
@@ -33,8 +41,10 @@
         std::erase_if(this->ownBegunAt, [&](const auto& item) { return now - item.second >= this->settings.knownTime / 2; });
     if (this->ownBegunAt.size() < this->settings.maxParts || this->ownBegunAt.contains(key))
         this->ownBegunAt[key] = now;
+    const auto found = this->quarantined.find(key);
+    const bool isRequest = found != this->quarantined.end() && found->second.isRequest;
     if (this->release(key, true))
-        this->releasedAt[key] = now;
+        this->releasedAt[key] = { now, isRequest };
 }
 
 void PromptQuarantine::onBegan(std::span<const PartKey> parts, TimePoint now, RequestKey request)
@@ -55,12 +65,6 @@
     this->unprovedEnds.push_back({ target, request, now });
 }
 
-bool PromptQuarantine::isKnownRequest(RequestKey key) const
-{
-    const auto entry = this->quarantined.find(key);
-    return entry == this->quarantined.end() ? this->isInQuestion(key) : entry->second.isRequest;
-}
-
 bool PromptQuarantine::isInQuestion(RequestKey request) const
 {
     return this->quarantined.contains(request) || std::any_of(this->crashes.begin(), this->crashes.end(), [&](const Crash& crash) {
@@ -94,14 +98,11 @@
     ++this->changeCount;
 }
 
-std::optional<TimePoint> PromptQuarantine::begunAt(PartKey part) const
+std::optional<TimePoint> PromptQuarantine::begunAt(PartKey part) const { return latest(part, this->ownBegunAt, this->peerBegunAt); }
+
+std::optional<TimePoint> PromptQuarantine::answeredAt(RequestKey request) const
 {
-    std::optional<TimePoint> last;
-    for (const auto* times : { &this->ownBegunAt, &this->peerBegunAt }) {
-        if (const auto found = times->find(part); found != times->end())
-            last = std::max(last.value_or(found->second), found->second);
-    }
-    return last;
+    return latest(request, this->ownBegunAt, this->peerAnsweredAt);
 }
 
 bool PromptQuarantine::hasBegunSince(PartKey part, TimePoint time) const
@@ -110,6 +111,12 @@
     return last && *last >= time;
 }
 
+bool PromptQuarantine::isAnsweredSince(RequestKey request, TimePoint time) const
+{
+    const auto last = this->answeredAt(request);
+    return last && *last >= time;
+}
+
 // ---- What follows from it
 
 bool PromptQuarantine::isExplained(const Crash& crash) const
@@ -202,7 +209,7 @@
         if (now - crash->heardAt < this->settleTime || this->isExplained(*crash))
             continue;
         for (const Lost& lost : crash->lost) {
-            if (lost.request != 0 && !this->hasBegunSince(lost.request, crash->at))
+            if (lost.request != 0 && !this->isAnsweredSince(lost.request, crash->at))
                 counts[lost.request].add(*crash, lost, 0, this->settings.requestCrashSpacing);
         }
     }
@@ -235,7 +242,7 @@
 size_t PromptQuarantine::crashesOf(RequestKey request) const
 {
     return static_cast<size_t>(std::count_if(this->crashes.begin(), this->crashes.end(), [&](const Crash& crash) {
-        return !crash.isDismissed && !this->hasBegunSince(request, crash.at)
+        return !crash.isDismissed && !this->isAnsweredSince(request, crash.at)
             && std::any_of(crash.lost.begin(), crash.lost.end(), [&](const Lost& lost) { return lost.request == request; });
     }));
 }
@@ -417,9 +424,10 @@
     const auto isOld = [&](const auto& item) { return now - item.second >= this->settings.knownTime; };
     std::erase_if(this->crashes, [&](const Crash& crash) { return now - crash.at >= this->settings.knownTime; });
     std::erase_if(this->peerBegunAt, isOld);
+    std::erase_if(this->peerAnsweredAt, isOld);
     std::erase_if(
         this->quarantined, [&](const auto& item) { return now - item.second.since >= forgottenAfter * this->settings.quarantineTime; });
-    std::erase_if(this->releasedAt, [&](const auto& item) { return now - item.second >= this->settings.releaseReportTime; });
+    std::erase_if(this->releasedAt, [&](const auto& item) { return now - item.second.at >= this->settings.releaseReportTime; });
     std::erase_if(this->withdrawnAt, [&](const auto& item) { return now - item.second >= forgottenAfter * this->settings.quarantineTime; });
 }
 
@@ -449,9 +457,9 @@
 std::vector<PromptQuarantine::Change> PromptQuarantine::decide(TimePoint now)
 {
     this->expire(now);
+    this->judgeEnds(now);
     if (!this->crashes.empty()) {
         this->judgeCrashes(now);
-        this->judgeEnds(now);
         this->renewAfterProbe(now);
         this->convictAll(now);
     }
@@ -526,104 +534,4 @@
     return longest;
 }
 
-// ---- Peers
-
-QuarantineReport PromptQuarantine::report(TimePoint now) const
-{
-    QuarantineReport result;
-    std::vector<PartKey> inQuestion;
-    const auto ask = [&](PartKey part, bool isRequest) {
-        const auto found = this->ownBegunAt.find(part);
-        if (found == this->ownBegunAt.end() || contains(inQuestion, part) || result.begun.size() >= this->settings.maxReportedParts)
-            return;
-        inQuestion.push_back(part);
-        result.begun.push_back({ part, now - found->second, isRequest });
-    };
-    for (const auto& [part, at] : this->releasedAt)
-        ask(part, this->isKnownRequest(part));
-    std::vector<std::pair<const Crash*, const Lost*>> own; // to be told, the newest first
-    for (size_t i = this->crashes.size(); i > 0; --i) {
-        const Crash& crash = this->crashes[i - 1];
-        const Duration reportSpan = this->settings.reportTime + this->settleTime;
-        if (now - crash.heardAt >= reportSpan) {
-            // Of a crash that all nodes know, only what has changed since.
-            for (const Lost& lost : crash.lost) {
-                const auto answered = this->ownBegunAt.find(lost.request);
-                if (lost.request != 0 && answered != this->ownBegunAt.end() && now - answered->second < reportSpan)
-                    ask(lost.request, true);
-            }
-            continue;
-        }
-        for (const Lost& lost : crash.lost) {
-            for (const PartKey part : lost.parts)
-                ask(part, false);
-            if (lost.request != 0)
-                ask(lost.request, true);
-            if (lost.isOwn)
-                own.emplace_back(&crash, &lost);
-        }
-    }
-    // What was lost before goes first, where not all fit into a report.
-    if (own.size() > this->settings.maxReportedStreams)
-        std::stable_partition(own.begin(), own.end(),
-            [&](const auto& item) { return item.second->request != 0 && this->crashesOf(item.second->request) >= crashesOfSuspect; });
-    own.resize(std::min(own.size(), this->settings.maxReportedStreams));
-    for (const auto& [crash, lost] : own)
-        result.lost.push_back({ crash->target, lost->prompt, now - crash->at, lost->parts, lost->request });
-    result.quarantined = this->list(now);
-    std::sort(result.quarantined.begin(), result.quarantined.end(), [](const PartAge& a, const PartAge& b) { return a.age < b.age; });
-    result.quarantined.resize(std::min(result.quarantined.size(), this->settings.maxReportedParts)); // the store lists them all
-    for (const auto& [part, at] : this->withdrawnAt) {
-        if (now - at < this->settings.releaseReportTime && result.withdrawn.size() < this->settings.maxReportedParts)
-            result.withdrawn.push_back({ part, now - at });
-    }
-    std::sort(result.withdrawn.begin(), result.withdrawn.end(), [](const PartAge& a, const PartAge& b) { return a.part < b.part; });
-    return result;
-}
-
-std::vector<PartAge> PromptQuarantine::list(TimePoint now) const
-{
-    std::vector<PartAge> result;
-    for (const auto& [part, entry] : this->quarantined)
-        result.push_back({ part, now - entry.since, entry.isRequest });
-    return result;
-}
-
-void PromptQuarantine::onPeerReport(const QuarantineReport& report, TimePoint now, std::string_view peer)
-{
-    for (const LostStream& lost : report.lost) {
-        if (!lost.parts.empty() || lost.request != 0)
-            this->addLost(lost.target, now - lost.age, { lost.prompt, lost.parts, lost.request, false, std::string(peer) }, now);
-    }
-    for (const PartAge& entry : report.withdrawn) {
-        const TimePoint at = now - entry.age;
-        const auto known = this->quarantined.find(entry.part);
-        const bool isNews = !this->isWithdrawn(entry.part, at - this->settings.renewalMargin);
-        if (isNews && (known == this->quarantined.end() || known->second.since <= at + this->settings.renewalMargin))
-            this->withdraw(entry.part, at, { entry.part, false, 0, false, false, std::string(peer) });
-    }
-    for (const PartAge& begun : report.begun) {
-        if (!begun.isRequest && this->isKnownRequest(begun.part))
-            continue; // a node of a former build takes the head of an answer for its end
-        if (this->peerBegunAt.size() >= this->settings.maxParts && !this->peerBegunAt.contains(begun.part))
-            continue;
-        TimePoint& last = this->peerBegunAt[begun.part];
-        last = std::max(last, now - begun.age);
-        const auto found = this->quarantined.find(begun.part);
-        if (found != this->quarantined.end() && last >= found->second.since)
-            this->release(begun.part, false);
-    }
-    for (const PartAge& entry : report.quarantined) {
-        if (entry.age >= forgottenAfter * this->settings.quarantineTime)
-            continue;
-        const TimePoint since = now - entry.age;
-        const auto known = this->quarantined.find(entry.part);
-        const bool isRenewed = known != this->quarantined.end() && since > known->second.since + this->settings.renewalMargin;
-        const bool isReleased = this->hasBegunSince(entry.part, since - this->settings.renewalMargin)
-            || this->isWithdrawn(entry.part, since - this->settings.renewalMargin);
-        if ((known == this->quarantined.end() && !isReleased) || isRenewed)
-            this->quarantine(entry.part, 0, since, entry.isRequest);
-    }
-}
-
 } // namespace guavapond::edge
--- a/src/scheduling/PromptQuarantine.h
+++ b/src/scheduling/PromptQuarantine.h
@@ -150,6 +150,10 @@
         bool isJudged = false;    // whether it is a crash
         bool isDismissed = false; // the target went on answering: connections were lost, not the target
     };
+    struct PartRelease {
+        TimePoint at {};
+        bool isRequest = false;
+    };
     struct UnprovedEnd {
         uint64_t target = 0;
         RequestKey request = 0;
@@ -175,8 +179,12 @@
     };
 
     void addLost(uint64_t target, TimePoint at, Lost lost, TimePoint now);
-    std::optional<TimePoint> begunAt(PartKey part) const; // last event of a stream with the part, at any node
+    static constexpr int forgottenAfter = 2;                       // quarantine times; no request has probed the suspect meanwhile
+    static constexpr size_t crashesOfSuspect = 2;                  // from here on a request is not sent a second time
+    std::optional<TimePoint> begunAt(PartKey part) const;          // last event of a stream with the part, at any node
+    std::optional<TimePoint> answeredAt(RequestKey request) const; // last whole answer, at any node
     bool hasBegunSince(PartKey part, TimePoint time) const;
+    bool isAnsweredSince(RequestKey request, TimePoint time) const;
     bool isExplained(const Crash& crash) const; // a part or a request in quarantine was lost in it
     void judgeCrashes(TimePoint now);
     using Crashes = std::vector<const Crash*>;
@@ -186,7 +194,9 @@
     std::vector<RequestKey> culpritRequests(const std::unordered_map<RequestKey, Count>& counts, TimePoint now) const;
     size_t crashesOf(RequestKey request) const; // in which it was lost without an answer since
     bool isInQuestion(RequestKey request) const;
-    bool isKnownRequest(RequestKey key) const; // it is that of a request, and not of a part
+    void onPeerBegun(const PartAge& begun, TimePoint now);
+    void onPeerWithdrawn(const PartAge& withdrawn, TimePoint now, std::string_view peer);
+    void onPeerVerdict(const PartAge& quarantined, TimePoint now);
     void judgeEnds(TimePoint now);
     bool mayConvict(PartKey part, const Count& count, TimePoint now) const;
     std::optional<PartKey> nextCulprit(const std::unordered_map<PartKey, Count>& counts, TimePoint now) const;
@@ -214,12 +224,13 @@
     TimePoint decidedAt {};  // last time at which the crashes were compared
     Duration settleTime {};
     bool isProbing = true;
-    std::deque<Crash> crashes;                          // oldest first
-    std::deque<UnprovedEnd> unprovedEnds;               // oldest first; bounded
-    std::unordered_map<PartKey, TimePoint> ownBegunAt;  // bounded
-    std::unordered_map<PartKey, TimePoint> peerBegunAt; // of parts in question only; never reported, so that ages don't drift
+    std::deque<Crash> crashes;                                // oldest first
+    std::deque<UnprovedEnd> unprovedEnds;                     // oldest first; bounded
+    std::unordered_map<PartKey, TimePoint> ownBegunAt;        // bounded; of parts, and of requests in question
+    std::unordered_map<PartKey, TimePoint> peerBegunAt;       // of parts in question only; never reported, so that ages don't drift
+    std::unordered_map<RequestKey, TimePoint> peerAnsweredAt; // the same of requests
     std::unordered_map<PartKey, Quarantine> quarantined;
-    std::unordered_map<PartKey, TimePoint> releasedAt; // by an event that this node saw; peers are told for a while
+    std::unordered_map<PartKey, PartRelease> releasedAt; // by an event that this node saw; peers are told for a while
     // Parts whose crashes another one explains. Crashes of before that time speak no longer against them. Peers are told for a while.
     std::unordered_map<PartKey, TimePoint> withdrawnAt; // bounded
     std::vector<Change> pendingChanges;
