Test the memory that 200 slow callers take at the smallest VM

200 callers that read nothing ask for 400 KB each at a node of 110 MB, and 40 sound callers beside them read theirs.

--- a/tests/edge/LargeAnswerProgramTest.cpp
+++ b/tests/edge/LargeAnswerProgramTest.cpp
@@ -91,3 +91,52 @@
     CHECK_TEXT(peak > 0 && peak < test::residentBound(memoryMb), std::to_string(peak).c_str());
     std::filesystem::remove_all(directory);
 }
+
+// Guards against callers that read slowly and together take the memory of the smallest VM, or the service of those who read at once.
+TEST(LargeAnswerProgram, SlowCallersLeaveRoomForOthers)
+{
+    constexpr size_t slowCallers = 200;
+    constexpr size_t bodyBytes = 400'000;
+    constexpr int soundCallers = 40;
+    edge::net::io_context loop;
+    standins::PlatformStore store(loop, { "127.0.0.1", 0 });
+    store.start();
+    std::string directory = (std::filesystem::temp_directory_path() / "guavapond-slow-XXXXXX").string();
+    CHECK(::mkdtemp(directory.data()) != nullptr);
+    test::EdgeProcess files("node", directory, store.port());
+    const std::string head = "HTTP/1.1 200 OK\r\nGuavapond-Attempt-Id: {id}\r\nGuavapond-Response-Seal: s\r\nContent-Length: "
+        + std::to_string(bodyBytes) + "\r\n\r\n";
+    standins::ScriptedServer target(loop, head + std::string(bodyBytes, 'x'), standins::ScriptedEnd::KeepOpen);
+    store.model.put("op/config", test::plainConfigText(1, "idempotent", 60000));
+    std::string entry = test::targetText("ready", 1, test::loopbackAddress(target.address().port));
+    entry.replace(entry.find("\"slots\":13"), 10, "\"slots\":" + std::to_string(slowCallers));
+    store.model.put("servers/r1", entry);
+    files.writeSettings();
+    const auto node = files.start();
+    const auto runUntil = [&](const std::function<bool()>& condition) { return edge::runLoopUntil(loop, condition, test::patience); };
+    CHECK(runUntil([&] { return test::hasLogMessage(*node, "ready"); }));
+    const edge::Address address { "127.0.0.1", files.callers.port() };
+    const std::string fields = "Host: a.example\r\nGuavapond-Key: k\r\nGuavapond-Attempt-Id: ";
+
+    std::deque<edge::tcp::socket> slow;
+    for (size_t i = 0; i < slowCallers; ++i) {
+        edge::tcp::socket& socket = slow.emplace_back(loop);
+        socket.open(edge::tcp::v4());
+        socket.set_option(edge::net::socket_base::receive_buffer_size(4096));
+        socket.connect({ edge::net::ip::address_v4::loopback(), address.port });
+        edge::net::write(socket, edge::net::buffer("GET /x/large HTTP/1.1\r\n" + fields + "s" + std::to_string(i) + "\r\n\r\n"));
+    }
+    CHECK(runUntil([&] { return target.requests >= slowCallers; }));
+    std::vector<edge::ConnectionPointer> connections;
+    for (int i = 0; i < soundCallers; ++i) {
+        const auto answer = edge::callNode(loop, address, "GET /x/large", fields + "q" + std::to_string(i) + "\r\n", "", connections);
+        CHECK(runUntil([&] { return answer->ended; }));
+        LONGS_EQUAL(200, answer->status);
+        CHECK(answer->complete);
+        LONGS_EQUAL(bodyBytes, answer->body.size());
+    }
+    const size_t peak = test::peakResidentBytes(node->id());
+    UT_PRINT(("peak " + std::to_string(peak)).c_str());
+    CHECK_TEXT(peak > 0 && peak < test::residentBound(memoryMb), std::to_string(peak).c_str());
+    std::filesystem::remove_all(directory);
+}
