--- a/src/edge/JsonFields.h
+++ b/src/edge/JsonFields.h
@@ -6,6 +6,7 @@
 //   jsonField        a value of any type, whole numbers with their range
 //   valueOr          a field of an object, or what holds without it
 //   millisecondsOr   the same of a duration, in range
+//   forEachIn        entries of a list, if there is one
 #pragma once
 
 #include "core/Types.h"
@@ -54,6 +55,19 @@
     return found == object.end() || found->is_null() ? fallback : jsonField<T>(*found);
 }
 
+// Calls the function for each entry of a list. False: the object has no such field. A null is an empty list, and a value of another type
+// throws JsonFieldError: neither may be taken for an absent field.
+template <typename Function> bool forEachIn(const nlohmann::json& object, const char* name, Function&& function)
+{
+    const auto found = object.find(name);
+    if (found == object.end())
+        return false;
+    if (!found->is_array() && !found->is_null())
+        throw JsonFieldError(std::string(name) + " is no list");
+    std::for_each(found->begin(), found->end(), std::forward<Function>(function));
+    return true;
+}
+
 constexpr double maxMilliseconds = 24.0 * 3600 * 1000; // of any duration
 
 inline Duration millisecondsOr(const nlohmann::json& object, const char* name, Duration fallback)
