--- a/tests/edge/CrashMomentsTest.cpp
+++ b/tests/edge/CrashMomentsTest.cpp
@@ -41,7 +41,7 @@
         std::shared_ptr<CallerAnswer> ask(const std::string& path, const std::string& body)
         {
             this->world.relay.freshness.prove(bootTime());
-            const auto answer = this->world.send(
+            auto answer = this->world.send(
                 path, "a" + std::to_string(++this->attempts), "Guavapond-Key: key-1\r\nGuavapond-Token-Count: 10,5\r\n", "POST", body);
             CHECK(this->world.runUntilEnded(answer));
             return answer;
