--- a/review/12/case.cpp
+++ b/review/12/case.cpp
@@ -1,80 +1,80 @@
-// A key is taken away; later the store comes back from a copy that is some seconds old, and one node is restarted at that time. Four nodes,
-// three runners of a plain service. Judged by what the runners have run: no request with the key that was sent later than revoke_ms after
-// the acknowledgement of the configuration without it.
+// A roll-out of a plain service to a version that is bad under load only. Four nodes, three runners of each version; nothing else is
+// disturbed. Judged by what the runners have seen: how many requests the bad version got until the deadline, and whether it got requests
+// that clients sent later than rollback_ms after its 50th bad answer.
 #include "../world-3/World.h"
 
 #include <memory>
+#include <semaphore>
 
 using namespace world;
 
 namespace {
 
 constexpr int nodeCount = 4;
-constexpr int runnerCount = 3;
+constexpr int runnersOfVersion = 3;
 constexpr int slots = 6;
+constexpr int queueLength = 24;
 constexpr double workSeconds = 0.015;
-constexpr double requestsPerSecond = 5; // of each key at each node
-constexpr double revokeSeconds = 5;     // revoke_ms
-// Seconds after all nodes are ready.
-constexpr double copyAt = 3;
-constexpr double revokeAt = 4;
-constexpr double storeAwayAt = 9.2;
-constexpr double storeBackAt = 9.5;   // from a copy that is 6.5 s old
-constexpr double killAt = 9.0;        // of one node, which starts again when the store is back
-constexpr double writtenAgainAt = 11; // what the operator and the runners wrote since the copy
-constexpr double endAt = 18;
+constexpr double certIssuesPerSecond = 35.3;
+constexpr double listingChecksPerSecond = 14.1;
+constexpr double badShare = 0.5;    // of the new version's answers under load
+constexpr size_t loadPerSecond = 6; // requests in the last second from which on a runner of the new version is under load
+constexpr double orderAfter = 4;    // once all nodes are ready
+constexpr double orderSeconds = 12;
+constexpr double endAfter = 34;          // the same
+constexpr double rollbackSeconds = 5;    // rollback_ms
+constexpr double exposureShare = 0.1;    // exposure_share
+constexpr double exposureAllowance = 50; // exposure_allowance
+constexpr size_t badAnswersUntilVerdict = 50;
 
 const std::string service = "approvals-app";
-const std::string keptKey = "n2ctnfzs989anu6wsjnb";
-const std::string takenKey = "i9n73hh2b9wu3fexd9dn";
 
-struct Sent {
-    double at = 0;
-    bool hasTakenKey = false;
-    int node = 0;
-};
 struct Seen {
     std::mutex mutex;
-    std::map<std::string, Sent> sent; // by attempt
-    std::vector<std::pair<double, std::string>> runs;
+    std::map<std::string, double> sentAt; // by attempt
+    struct Arrival {
+        double at = 0;
+        std::string attempt;
+        std::string version;
+        bool isBad = false;
+    };
+    std::vector<Arrival> arrivals;
+    std::vector<std::string> statuses; // written by the system
+    std::map<unsigned, size_t> answers;
 };
 
-std::string config(int version, const std::vector<std::string>& keys)
-{
-    json result { { "version", version }, { "limits", limits() } };
-    json cert = route("cert", "/cert/", "non_idempotent", 1500, service);
-    cert["anonymous"] = false;
-    result["routes"] = json::array({ cert });
-    result["services"] = json::array(
-        { { { "name", service }, { "health_path", "/healthz" }, { "max_conns", 100 }, { "protocol", "h1" }, { "tls", false } } });
-    result["tenants"] = json::array({ { { "name", "hule930" }, { "api_keys", keys }, { "priority", 1 }, { "unit", "token_count" },
-        { "uncached_tokens", 200 }, { "rate_per_s", 310182 }, { "burst", 310182 } } });
-    return result.dump();
-}
-
 class Runner {
 public:
-    Runner(Store& store, Seen& seen, Record& record, const std::string& id)
+    Runner(Store& store, Seen& seen, Record& record, const std::string& id, const std::string& version, bool isBad)
         : store(store)
         , seen(seen)
         , record(record)
         , id(id)
+        , version(version)
+        , isBad(isBad)
         , server([this](Connection& connection, Request& request) { return this->onRequest(connection, request); })
         , heart([this] { this->beat(); })
     {
     }
     ~Runner()
     {
-        this->isStopped = true;
-        this->server.stop();
+        this->stop();
         this->heart.join();
     }
+    void stop() // at once, without draining; its entry goes with it
+    {
+        if (this->isStopped.exchange(true))
+            return;
+        this->server.stop();
+        this->store.remove("servers/" + this->id);
+        this->record.line("runner " + this->id + " of " + this->version + " stops");
+    }
 
 private:
     void beat()
     {
         for (int sequence = 1; !this->isStopped; ++sequence) {
-            this->store.put("servers/" + this->id, serverEntry(service, this->server.address(), "v1", slots, "ready", sequence));
+            this->store.put("servers/" + this->id, serverEntry(service, this->server.address(), this->version, slots, "ready", sequence));
             for (int i = 0; i < 12 && !this->isStopped; ++i)
                 sleepFor(0.1);
         }
@@ -84,13 +84,25 @@
         const std::string attempt(request["Guavapond-Attempt-Id"]);
         if (request["Guavapond-Target-Instance"] != this->id)
             return answer(connection, 421, "", { { "Guavapond-Attempt-Id", attempt }, { "Guavapond-Instance-Id", this->id } });
+        if (++this->present > slots + queueLength) {
+            --this->present;
+            return answer(connection, 503, "", { { "Guavapond-Attempt-Id", attempt }, { "Guavapond-Not-Executed", "1" } });
+        }
+        this->slot.acquire();
+        bool fails = false;
         {
             const std::lock_guard lock(this->seen.mutex);
-            this->seen.runs.emplace_back(seconds(), attempt);
+            std::erase_if(this->lately, [](double at) { return seconds() - at > 1; });
+            this->lately.push_back(seconds());
+            fails = this->isBad && this->lately.size() > loadPerSecond && this->uniform(this->generator) < badShare;
+            this->seen.arrivals.push_back({ seconds(), attempt, this->version, fails });
         }
-        this->record.line("run " + attempt + " at " + this->id + " for " + std::string(request["Guavapond-Tenant"]));
         sleepFor(workSeconds);
-        return answer(connection, 200, std::string(800, 'x'),
+        this->slot.release();
+        --this->present;
+        this->record.line("run " + attempt + " at " + this->id + " " + this->version + " " + std::string(request.method_string()) + " "
+            + std::string(request.target()) + (fails ? " 500" : " 200"));
+        return answer(connection, fails ? 500 : 200, std::string(800, 'x'),
             { { "Guavapond-Attempt-Id", attempt }, { "Guavapond-Response-Seal", "seal." + attempt } });
     }
 
@@ -98,45 +110,104 @@
     Seen& seen;
     Record& record;
     std::string id;
+    std::string version;
+    bool isBad;
+    std::vector<double> lately; // arrivals in the last second
     std::atomic<bool> isStopped = false;
+    std::atomic<int> present = 0; // requests, those that wait for a slot included
+    std::counting_semaphore<slots> slot { slots };
+    std::mt19937 generator { std::random_device()() };
+    std::uniform_real_distribution<double> uniform { 0, 1 };
     HttpServer server;
     std::thread heart;
 };
 
-void runClient(Seen& seen, Record& record, int node, uint16_t port, const std::string& key, double end)
+// One client of one node: requests at fixed mean distances, on a kept connection.
+void runClient(Seen& seen, Record& record, uint16_t port, double perSecond, bool isOrder, double endAt)
 {
+    std::mt19937 generator(std::random_device {}());
+    std::exponential_distribution<double> gap(perSecond);
     Client client(port);
-    for (double next = seconds(); next < end; next += 1 / requestsPerSecond) {
+    for (double next = seconds() + gap(generator); next < endAt; next += gap(generator)) {
         sleepUntil(next);
         const std::string attempt = newAttempt();
         {
             const std::lock_guard lock(seen.mutex);
-            seen.sent[attempt] = { seconds(), key == takenKey, node };
+            seen.sentAt[attempt] = seconds();
         }
-        record.line("send " + attempt + " to edge-" + std::to_string(node) + " with the "
-            + (key == takenKey ? "key that is taken away" : "other key"));
-        const Answer got = client.ask(
-            "POST", "/cert/2f", attempt, std::string(600, 'b'), { { "Guavapond-Deadline-Ms", "1500" }, { "Guavapond-Key", key } }, 1.6);
+        const Answer got = isOrder
+            ? client.ask("POST", "/cert/2f", attempt, std::string(600, 'b'), { { "Guavapond-Deadline-Ms", "1500" } }, 1.6)
+            : client.ask("GET", "/listing/2f", attempt, "", { { "Guavapond-Deadline-Ms", "1500" } }, 1.6);
         record.line("answer " + attempt + " " + (got.isWhole ? std::to_string(got.status) : "none: " + got.fault));
         if (!got.isWhole)
             client.close();
+        const std::lock_guard lock(seen.mutex);
+        ++seen.answers[got.isWhole ? got.status : 0];
+    }
+}
+
+int judge(Seen& seen, Record& record, double orderAt)
+{
+    const std::lock_guard lock(seen.mutex);
+    const double deadline = orderAt + orderSeconds;
+    size_t all = 0;
+    size_t exposed = 0;
+    size_t bad = 0;
+    size_t late = 0;
+    std::optional<double> verdictAt;
+    for (const Seen::Arrival& arrival : seen.arrivals) {
+        if (arrival.at >= orderAt && arrival.at < deadline) {
+            ++all;
+            exposed += arrival.version == "v2" ? 1 : 0;
+        }
+        if (arrival.version != "v2")
+            continue;
+        const auto sent = seen.sentAt.find(arrival.attempt);
+        if (verdictAt && sent != seen.sentAt.end() && sent->second > *verdictAt + rollbackSeconds)
+            ++late;
+        if (arrival.isBad && ++bad == badAnswersUntilVerdict)
+            verdictAt = arrival.at + workSeconds;
     }
+    const double allowed = exposureShare * static_cast<double>(all) + exposureAllowance;
+    std::ostringstream text;
+    text << "order at " << orderAt << ", its deadline at " << deadline << "; statuses:";
+    for (const std::string& status : seen.statuses)
+        text << " " << status;
+    text << "; answers:";
+    for (const auto& [status, count] : seen.answers)
+        text << " " << count << " x " << status;
+    text << "; until the deadline " << exposed << " of " << all << " at v2, allowed " << allowed << "; bad answers of v2 " << bad
+         << "; 50th at " << verdictAt.value_or(-1) << " s; requests at v2 sent later than 5 s after it: " << late;
+    record.line(text.str());
+    std::cout << text.str() << std::endl;
+    return disrupts() && (static_cast<double>(exposed) > allowed || late > 0) ? ruleBroken : ruleHeld;
 }
 
 int run(const std::string& directory, Record& record)
 {
     Store store;
-    std::atomic<bool> isAway = false;
-    store.interrupt = [&](Connection& connection, const Request&) {
-        if (isAway)
-            connection.reset();
-        return isAway.load();
-    };
     Seen seen;
-    store.put("op/config", config(7, { takenKey, keptKey }));
-    std::vector<std::unique_ptr<Runner>> runners;
-    for (int i = 0; i < runnerCount; ++i)
-        runners.push_back(std::make_unique<Runner>(store, seen, record, "i-" + std::to_string(i)));
+    json config { { "version", 7 }, { "limits", limits() } };
+    config["routes"] = json::array(
+        { route("cert", "/cert/", "non_idempotent", 1500, service), route("listing", "/listing/", "idempotent", 1500, service) });
+    config["services"] = json::array(
+        { { { "name", service }, { "health_path", "/healthz" }, { "max_conns", 100 }, { "protocol", "h1" }, { "tls", false } } });
+    store.put("op/config", config.dump());
+    std::vector<std::unique_ptr<Runner>> oldRunners;
+    std::vector<std::unique_ptr<Runner>> newRunners;
+    for (int i = 0; i < runnersOfVersion; ++i)
+        oldRunners.push_back(std::make_unique<Runner>(store, seen, record, "i-old" + std::to_string(i), "v1", false));
+    std::atomic<bool> isCompleted = false;
+    store.onWrite = [&](const std::string& key, const std::string& value) {
+        if (!key.starts_with("status/rollout/"))
+            return;
+        record.line("the system writes " + key + " " + value);
+        const std::string state = json::parse(value).value("state", "");
+        const std::lock_guard lock(seen.mutex);
+        seen.statuses.push_back(state + "@" + std::to_string(seconds()).substr(0, 6));
+        if (state == "completed")
+            isCompleted = true;
+    };
     std::vector<std::unique_ptr<EdgeNode>> nodes;
     for (int i = 1; i <= nodeCount; ++i)
         nodes.push_back(
@@ -145,71 +216,38 @@
         if (!node->waitUntilReady())
             return couldNotRun;
     }
-    const double start = seconds();
+    const double orderAt = seconds() + orderAfter;
+    const double endAt = seconds() + endAfter;
+    constexpr int clientsOfNode = 3;
     std::vector<std::thread> clients;
-    for (int i = 0; i < nodeCount; ++i) {
-        for (const std::string& key : { takenKey, keptKey })
-            clients.emplace_back(
-                [&, i, key] { runClient(seen, record, i + 1, nodes[static_cast<size_t>(i)]->frontPort(), key, start + endAt); });
-    }
-    sleepUntil(start + copyAt);
-    const Store::Copy copy = store.copy();
-    record.line("the platform copies the store");
-    sleepUntil(start + revokeAt);
-    const std::string present = config(8, { keptKey });
-    store.put("op/config", present);
-    const double acknowledgedAt = seconds();
-    record.line("the operator takes a key away; acknowledged");
-    sleepUntil(start + killAt);
-    EdgeNode& restarted = *nodes.front();
-    restarted.kill();
-    record.line("edge-1 is killed");
-    if (disrupts()) {
-        sleepUntil(start + storeAwayAt);
-        isAway = true;
-        record.line("the store is away");
-        sleepUntil(start + storeBackAt);
-        store.restore(copy);
-        isAway = false;
-        record.line("the store is back from the copy");
+    for (const auto& node : nodes) {
+        for (int i = 0; i < clientsOfNode; ++i) {
+            clients.emplace_back([&, port = node->frontPort()] {
+                runClient(seen, record, port, certIssuesPerSecond / nodeCount / clientsOfNode, true, endAt);
+            });
+            clients.emplace_back([&, port = node->frontPort()] {
+                runClient(seen, record, port, listingChecksPerSecond / nodeCount / clientsOfNode, false, endAt);
+            });
+        }
     }
-    sleepUntil(start + storeBackAt);
-    restarted.start();
-    record.line("edge-1 starts again");
-    sleepUntil(start + writtenAgainAt);
-    if (disrupts()) {
-        store.put("op/config", present);
-        record.line("the operator's configuration is written again");
+    sleepUntil(orderAt);
+    for (int i = 0; i < runnersOfVersion; ++i)
+        newRunners.push_back(std::make_unique<Runner>(store, seen, record, "i-new" + std::to_string(i), "v2", disrupts()));
+    store.put("op/rollout/" + service, json { { "service", service }, { "target", "v2" }, { "duration_s", orderSeconds } }.dump());
+    record.line("the operator orders v2");
+    while (seconds() < endAt) {
+        sleepFor(0.01);
+        if (isCompleted.exchange(false)) {
+            for (const auto& runner : oldRunners)
+                runner->stop();
+        }
     }
     for (std::thread& client : clients)
         client.join();
     for (const auto& node : nodes)
         node->kill();
     store.stop();
-
-    const std::lock_guard lock(seen.mutex);
-    size_t late = 0;
-    size_t lateAsked = 0;
-    size_t served = 0;
-    for (const auto& [attempt, sent] : seen.sent)
-        lateAsked += sent.hasTakenKey && sent.at > acknowledgedAt + revokeSeconds ? 1 : 0;
-    for (const auto& [at, attempt] : seen.runs) {
-        const Sent& sent = seen.sent.at(attempt);
-        ++served;
-        if (!sent.hasTakenKey || sent.at <= acknowledgedAt + revokeSeconds)
-            continue;
-        ++late;
-        record.line("broken: " + attempt + " was sent to edge-" + std::to_string(sent.node) + " " + std::to_string(sent.at - acknowledgedAt)
-            + " s after the key was taken away, and ran");
-    }
-    std::ostringstream text;
-    text << "runs " << served << "; requests sent with the key later than 5 s after it was taken away: " << lateAsked
-         << ", of which ran: " << late;
-    record.line(text.str());
-    std::cout << text.str() << std::endl;
-    if (served == 0)
-        return couldNotRun;
-    return late > 0 ? ruleBroken : ruleHeld;
+    return judge(seen, record, orderAt);
 }
 
 } // namespace
