--- a/review/world-3/World.h
+++ b/review/world-3/World.h
@@ -124,11 +124,27 @@
     return result;
 }
 
+// Below the ports of outgoing connections, so that none of these takes it before its process does.
 inline uint16_t freePort()
 {
-    net::io_context loop;
-    tcp::acceptor acceptor(loop, { net::ip::make_address("127.0.0.1"), 0 });
-    return acceptor.local_endpoint().port();
+    static std::mt19937 generator(std::random_device {}());
+    static std::set<uint16_t> given;
+    std::uniform_int_distribution<int> choose(15000, 30000);
+    for (;;) {
+        const auto port = static_cast<uint16_t>(choose(generator));
+        net::io_context loop;
+        const net::ip::address local = net::ip::make_address("127.0.0.1");
+        tcp::acceptor acceptor(loop);
+        net::ip::udp::socket datagrams(loop);
+        boost::system::error_code isTaken;
+        boost::system::error_code isTakenByDatagrams;
+        acceptor.open(tcp::v4());
+        acceptor.bind({ local, port }, isTaken);
+        datagrams.open(net::ip::udp::v4());
+        datagrams.bind({ local, port }, isTakenByDatagrams);
+        if (!isTaken && !isTakenByDatagrams && given.insert(port).second)
+            return port;
+    }
 }
 
 // A connection that a server has accepted. Handlers write to `socket`.
