--- a/review/world-3/World.h
+++ b/review/world-3/World.h
@@ -37,6 +37,7 @@
 #include <set>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -525,6 +526,7 @@
     {
         this->pid = fork();
         if (this->pid == 0) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL); // it ends with the case, however that ends
             const int log = open((this->directory + "/" + this->settings.name + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(log, 1);
             dup2(log, 2);
