Order the reports of a target by its start and their numbers

Cause: the order in which the store carries out writes was taken for the order in which they were made. A report that the target had sent before its entry was removed was done 6 s later, under a higher revision; TargetEntries orders entries by revisions alone, and nothing read the number that reports bear. Ruled out: a peer that was behind (all nodes read the entry in the store themselves), and the rule for copies of the store (one era).

Change: - A report of the process that is known, with a lower number than the known one, is late and says nothing. For a target that is gone, an equal number doesn't either. - A higher number after the removal may be the last report, done late, or a target that goes on after a silence: the next report tells. So does it for a report of a process that started before the known one (the former process, or a clock that was set back). After an outage or a loss of changes lapsed entries count at once, as before. - `draining` is believed with any number of the present process. Entries that name no start or number are ordered by revision as before. - What a node tells its peers of a target that is gone holds its last entry, since the last read of another node may be older than the late report.

Cost: a target whose entry lapsed while the store was well is used again with the second report after it, one heartbeat later than before.

--- a/src/edge/JsonFields.h
+++ b/src/edge/JsonFields.h
@@ -5,6 +5,7 @@
 //   wholeNumber
 //   jsonField        a value of any type, whole numbers with their range
 //   valueOr          a field of an object, or what holds without it
+//   wholeNumberOr    the same of a number that nothing else depends on: one that makes no sense counts as absent
 //   millisecondsOr   the same of a duration, in range
 //   forEachIn        entries of a list, if there is one
 #pragma once
@@ -55,6 +56,15 @@
     return found == object.end() || found->is_null() ? fallback : jsonField<T>(*found);
 }
 
+template <typename T> T wholeNumberOr(const nlohmann::json& object, const char* name, T fallback)
+{
+    try {
+        return valueOr(object, name, fallback);
+    } catch (const JsonFieldError&) {
+        return fallback;
+    }
+}
+
 // Calls the function for each entry of a list. False: the object has no such field. A null is an empty list, and a value of another type
 // throws JsonFieldError: neither may be taken for an absent field.
 template <typename Function> bool forEachIn(const nlohmann::json& object, const char* name, Function&& function)
--- a/src/edge/TargetEntries.cpp
+++ b/src/edge/TargetEntries.cpp
@@ -38,10 +38,58 @@
     if (info.draining || !this->mayBeCopied(entry))
         return false;
     if (const auto former = this->gone.find(entry.id); former != this->gone.end())
-        return info.startedUnixMs <= former->second.startedUnixMs;
+        return info.startedUnixMs <= former->second.report.startedUnixMs;
     const auto known = this->targets.find(entry.id);
     return known != this->targets.end() && known->second.digest != 0 && !known->second.usable
-        && info.startedUnixMs <= known->second.startedUnixMs;
+        && info.startedUnixMs <= known->second.report.startedUnixMs;
+}
+
+TargetEntries::Credibility TargetEntries::credibility(const TargetReport& report, const TargetReport& known, bool isGone) const
+{
+    if (report.startedUnixMs != known.startedUnixMs && report.startedUnixMs != 0 && known.startedUnixMs != 0) {
+        // The former process under this id, unless the clock was set back between the two starts.
+        return report.startedUnixMs < known.startedUnixMs ? Credibility::Unclear : Credibility::Later;
+    }
+    const bool isSameProcess = report.startedUnixMs != 0 && report.startedUnixMs == known.startedUnixMs;
+    const bool isOrdered = report.number != 0 && known.number != 0;
+    if (isOrdered && (report.number < known.number || (isGone && report.number == known.number)))
+        return isSameProcess ? Credibility::Late : Credibility::Unclear; // after a restart the numbers begin anew
+    // A write of the last report that is done after the removal of the entry looks like a target that goes on after a silence.
+    return isGone && isOrdered && isSameProcess && !this->mayHaveLapsed ? Credibility::Unclear : Credibility::Later;
+}
+
+// Whether the entry says something later than what is known of its target.
+bool TargetEntries::isBelieved(const TargetEntry& entry, const TargetInfo& info)
+{
+    const auto former = this->gone.find(entry.id);
+    const auto present = this->targets.find(entry.id);
+    const bool isGone = former != this->gone.end() && present == this->targets.end();
+    if (!isGone && (present == this->targets.end() || present->second.digest == 0))
+        return true;
+    const TargetReport& known = isGone ? former->second.report : present->second.report;
+    const TargetReport report { info.startedUnixMs, info.reportNumber };
+    Credibility verdict = this->credibility(report, known, isGone);
+    const bool isFormer = report.startedUnixMs != 0 && report.startedUnixMs < known.startedUnixMs;
+    if (info.draining && !isFormer)
+        verdict = Credibility::Later; // a process that drains is never ready again
+    if (verdict == Credibility::Later) {
+        this->unclear.erase(entry.id);
+        return true;
+    }
+    const auto [waiting, isNew] = this->unclear.try_emplace(entry.id, report);
+    const bool isNext = !isNew && waiting->second.startedUnixMs == report.startedUnixMs && report.number > waiting->second.number;
+    if (verdict == Credibility::Unclear && isNext) {
+        this->unclear.erase(waiting);
+        return true;
+    }
+    const bool isRepeated = !isNew && waiting->second.startedUnixMs == report.startedUnixMs && waiting->second.number == report.number;
+    if (!isRepeated)
+        log(LogLevel::Info, "report of a target is late or waits for its next one",
+            { { "target", entry.id }, { "revision", revisionInEra(entry.revision) }, { "isGone", isGone },
+                { "isLate", verdict == Credibility::Late }, { "startedUnixMs", report.startedUnixMs }, { "number", report.number },
+                { "knownStartedUnixMs", known.startedUnixMs }, { "knownNumber", known.number } });
+    waiting->second = report;
+    return false;
 }
 
 void TargetEntries::apply(const TargetEntry& entry)
@@ -57,7 +105,7 @@
         return;
     }
     const auto decoded = this->hooks.decode(entry);
-    if (decoded && this->isOutdated(entry, *decoded))
+    if (decoded && (this->isOutdated(entry, *decoded) || !this->isBelieved(entry, *decoded)))
         return;
     Known& known = this->targets[entry.id];
     known.entry = entry;
@@ -74,7 +122,7 @@
         log(LogLevel::Info, usable ? "target joined" : "target is draining",
             { { "target", entry.id }, { "service", decoded->service }, { "revision", revisionInEra(entry.revision) } });
     known.usable = usable;
-    known.startedUnixMs = decoded->startedUnixMs;
+    known.report = { decoded->startedUnixMs, decoded->reportNumber };
     known.digest = targetDigest(*decoded);
     if (known.digest == formerDigest)
         return; // a heartbeat
@@ -107,21 +155,54 @@
     return true;
 }
 
-void TargetEntries::removeOlder(const std::string& id, StoreRevision missingAt, TimePoint now)
+void TargetEntries::merge(const Change& change, TimePoint now)
+{
+    if (change.gone)
+        this->removeGone(change.entry, now);
+    else
+        this->apply(change.entry);
+}
+
+void TargetEntries::removeGone(const TargetEntry& last, TimePoint now)
+{
+    const auto info = last.value.empty() ? std::nullopt : this->hooks.decode(last);
+    const auto known = this->targets.find(last.id);
+    if (known == this->targets.end()) {
+        if (info)
+            this->rememberGone(last, { info->startedUnixMs, info->reportNumber }, now);
+        return;
+    }
+    Known& target = known->second;
+    // The peer may have seen later reports than this node, which takes a late write for news then.
+    const bool hasSaidMore = info && info->startedUnixMs != 0 && info->startedUnixMs == target.report.startedUnixMs
+        && target.report.number != 0 && info->reportNumber >= target.report.number;
+    if (target.entry.revision > last.revision && !hasSaidMore)
+        return;
+    if (info && info->startedUnixMs == target.report.startedUnixMs)
+        target.report.number = std::max(target.report.number, info->reportNumber);
+    this->remove(last.id, last.revision, now);
+}
+
+// This node may hear of a late write before it has read of the target itself.
+void TargetEntries::rememberGone(const TargetEntry& last, const TargetReport& report, TimePoint now)
 {
-    const auto known = this->targets.find(id);
-    if (known != this->targets.end() && known->second.entry.revision <= missingAt)
-        this->remove(id, missingAt, now);
+    const auto [former, isNew] = this->gone.try_emplace(last.id, Gone { last.revision, now, report, last.value });
+    if (!isNew && former->second.report.startedUnixMs == report.startedUnixMs)
+        former->second.report.number = std::max(former->second.report.number, report.number);
 }
 
 void TargetEntries::remove(const std::string& id, StoreRevision missingAt, TimePoint now)
 {
     const auto found = this->targets.find(id);
-    log(LogLevel::Info, "target is gone", { { "target", id }, { "revision", revisionInEra(found->second.entry.revision) } });
-    this->gone[id] = { missingAt, now, found->second.startedUnixMs };
+    Known& target = found->second;
+    log(LogLevel::Info, "target is gone",
+        { { "target", id }, { "revision", revisionInEra(target.entry.revision) }, { "number", target.report.number } });
+    this->gone[id] = { missingAt, now, target.report, std::move(target.entry.value) };
     this->targets.erase(found);
+    this->unclear.erase(id);
     this->hooks.gone(id);
     std::erase_if(this->gone, [&](const auto& item) { return now - item.second.at > goneKept; });
+    std::erase_if(this->unclear, [&](const auto& item) { return !this->gone.contains(item.first) && !this->targets.contains(item.first); });
 }
 
 std::vector<TargetEntries::Change> TargetEntries::changesAfter(StoreRevision revision) const
@@ -133,7 +214,7 @@
     }
     for (const auto& [id, former] : this->gone) {
         if (former.revision > revision)
-            result.push_back({ { id, "", former.revision }, true });
+            result.push_back({ { id, former.value, former.revision }, true });
     }
     return result;
 }
--- a/src/edge/TargetEntries.h
+++ b/src/edge/TargetEntries.h
@@ -1,9 +1,13 @@
 // The store's entries of targets, as this node knows them from its reads and its peers. Entries are ordered by their revisions. What is
 // gone is remembered for a while, so that a peer that is behind does not bring it back.
 //
+// The store may carry out a write seconds after others that were made later, so a higher revision may hold an older report. What a
+// process says of itself is ordered by the number of its report, and processes under one id by their starts.
+//
 // Index
 //   TargetEntry      an entry as the store holds it
-//   TargetEntries    apply, onChangesLost, onStoreReturned, onRead, removeMissing, removeOlder; changesAfter, digest
+//   TargetReport     a process of a target, and the number of its report
+//   TargetEntries    apply, onChangesLost, onStoreReturned, onRead, removeMissing; changesAfter, merge, digest
 #pragma once
 
 #include "scheduling/StoreRevision.h"
@@ -19,6 +23,11 @@
     StoreRevision revision = 0;
 };
 
+struct TargetReport {
+    int64_t startedUnixMs = 0; // of the process; 0: unknown
+    uint64_t number = 0;       // grows with each report of the process; 0: unknown
+};
+
 class TargetEntries {
 public:
     struct Hooks {
@@ -43,35 +52,46 @@
     // Returns false if entries are missing and kept for that, so that the copy differs from the store's. After an outage a list that
     // lacks most targets is not believed: only unresponsive ones are removed, until most are listed again.
     bool removeMissing(const std::set<std::string>& present, StoreRevision revision, bool isKept, TimePoint now);
-    void removeOlder(const std::string& id, StoreRevision missingAt, TimePoint now); // a peer has found it missing at that revision
-
     struct Change {
-        TargetEntry entry;
+        TargetEntry entry; // if it is gone: the last one, with the store's revision when it was missing
         bool gone = false;
     };
     std::vector<Change> changesAfter(StoreRevision revision) const; // without heartbeats
+    void merge(const Change& change, TimePoint now);                // of a peer
     uint64_t digest() const;                                        // of all that the targets say of themselves
 
 private:
     struct Known {
         TargetEntry entry;
         bool usable = false;
-        int64_t startedUnixMs = 0;         // of the target's process
+        TargetReport report;               // in the entry
         uint64_t digest = 0;               // of what it says, without its heartbeats; 0: can't be read
         StoreRevision changedRevision = 0; // of the newest entry that says something else than the one before
     };
     struct Gone {
         StoreRevision revision = 0; // of the store when it was missing
         TimePoint at {};
-        int64_t startedUnixMs = 0; // of the process that left
+        TargetReport report; // the last one
+        std::string value;   // of the entry that held it
     };
     void remove(const std::string& id, StoreRevision missingAt, TimePoint now);
+    // Removes the target unless it has said more since than the entry does.
+    void removeGone(const TargetEntry& last, TimePoint now);
+    void rememberGone(const TargetEntry& last, const TargetReport& report, TimePoint now);
     bool mayBeCopied(const TargetEntry& entry) const; // from the copy that the store came back from
     bool isOutdated(const TargetEntry& entry, const TargetInfo& info) const;
+    enum class Credibility : uint8_t {
+        Later,  // than all that is known of the target
+        Late,   // the process has said something else since
+        Unclear // a late write, or a living target: its next report tells
+    };
+    Credibility credibility(const TargetReport& report, const TargetReport& known, bool isGone) const;
+    bool isBelieved(const TargetEntry& entry, const TargetInfo& info);
 
     Hooks hooks;
     std::map<std::string, Known> targets;        // by id
     std::map<std::string, Gone> gone;            // by id
+    std::map<std::string, TargetReport> unclear; // reports that wait for the next one of their process, by id
     std::optional<StoreRevision> copiedUpTo = 0; // the copy holds no later one; empty: not known yet
     bool mayHaveLapsed = false;                  // no read has listed most targets since the store was away
     size_t keptMissing = 0;                      // entries that the last read did not list and that were kept
--- a/src/scheduling/TargetPool.h
+++ b/src/scheduling/TargetPool.h
@@ -42,6 +42,7 @@
     bool draining = false;
     std::optional<Duration> warmUpLeft {}; // how much longer it warms up, when the entry was written; empty: it does not say
     int64_t startedUnixMs = 0;             // changes when the target restarts under the same id; 0: unknown
+    uint64_t reportNumber = 0;             // grows with each report of the target's process on itself; 0: unknown
     uint64_t revision = 0;                 // of the target's entry in the store
 };
 
--- a/tests/edge/StoreSyncTest.cpp
+++ b/tests/edge/StoreSyncTest.cpp
@@ -17,6 +17,7 @@
 using edge::bootTime;
 using standins::StoreMode;
 using test::configText;
+using test::reportText;
 using test::targetText;
 
 TEST_GROUP_BASE(StoreSync, test::StoreSyncWorld) {};
@@ -83,6 +84,41 @@
         CHECK_FALSE_TEXT(leftOf(field).has_value(), field);
 }
 
+// Guards against a target that has left and gets requests again, since the store carries out one of its reports seconds late.
+TEST(StoreSync, LateReportDoesNotBringBackATargetThatHasLeft)
+{
+    store->model.put("op/config", configText(1, "r"));
+    store->model.put("servers/stays", reportText("ready", 1, 1000));
+    store->model.put("servers/leaves", reportText("ready", 7, 1000));
+    startSync();
+    CHECK(runUntil([&] { return this->usable.size() == 2; }));
+    const size_t readsBefore = reads;
+    store->model.put("servers/leaves", reportText("ready", 8, 1000));
+    CHECK(runUntil([&] { return this->reads > readsBefore + 2; }));
+    store->model.remove("servers/leaves");
+    CHECK(runUntil([&] { return !this->usable.contains("leaves"); }));
+    store->model.put("servers/leaves", reportText("ready", 5, 1000));
+    CHECK_FALSE(runUntil([&] { return this->usable.contains("leaves"); }, 500ms));
+    store->model.put("servers/leaves", reportText("ready", 1, 2000));
+    CHECK_TEXT(runUntil([&] { return this->usable.contains("leaves"); }), "it has started again under its id");
+}
+
+// Guards against a report number that makes no sense and orders reports, or costs a target its entry.
+TEST(StoreSync, AnEntryWithoutASensibleReportNumberHasNone)
+{
+    const auto numberIn = [](const std::string& value) {
+        const std::string entry = targetText("ready", 1);
+        const std::string former = R"("sequence":1)";
+        const auto decoded = platform::decodeTarget("t1", std::string(entry).replace(entry.find(former), former.size(), value), 1);
+        return decoded.value.value().reportNumber;
+    };
+    LONGS_EQUAL(7, numberIn(R"("sequence":7)"));
+    CHECK(numberIn(R"("sequence":18446744073709551615)") == std::numeric_limits<uint64_t>::max());
+    for (const char* value : { R"("note":1)", R"("sequence":0)", R"("sequence":-3)", R"("sequence":null)", R"("sequence":"7")",
+             R"("sequence":7.5)", R"("sequence":[7])", R"("sequence":18446744073709551616)", R"("sequence":1e300)" })
+        LONGS_EQUAL_TEXT(0, numberIn(value), value);
+}
+
 // Guards against one odd entry that ends the process, stops the reading of the list, or is taken for a target.
 TEST(StoreSync, OddEntryCostsOnlyItself)
 {
--- a/tests/edge/StoreTexts.h
+++ b/tests/edge/StoreTexts.h
@@ -38,4 +38,11 @@
         + R"(","cold_left_ms":0,"sequence":)" + std::to_string(sequence) + "}";
 }
 
+// Of a target's process that tells when it started.
+inline std::string reportText(const std::string& state, int sequence, int64_t startedUnixMs)
+{
+    std::string text = targetText(state, sequence);
+    return text.insert(1, R"("born":)" + std::to_string(startedUnixMs) + ",");
+}
+
 } // namespace guavapond::test
--- a/tests/edge/TargetEntriesTest.cpp
+++ b/tests/edge/TargetEntriesTest.cpp
@@ -141,3 +141,204 @@
     LONGS_EQUAL(12, this->usable.size());
     CHECK_FALSE(this->usable.contains(id(2)));
 }
+
+namespace {
+
+constexpr int64_t firstStart = 1'000; // Unix ms
+constexpr int64_t secondStart = 9'000;
+
+// One target whose reports the store may carry out late.
+class ReportsWorld : public Utest {
+public:
+    struct Report {
+        uint64_t number = 0;
+        int64_t startedUnixMs = firstStart;
+        std::string address = "10.0.0.9:8080";
+        bool draining = false;
+    };
+    std::map<std::string, Report> written; // by value of the entry
+    StoreRevision revision = 100;
+    TimePoint now { 100s };
+    std::optional<TargetInfo> known; // by the node; empty: gone or never seen
+    TargetEntries entries { this->hooks(this->known) };
+
+    TargetEntries::Hooks hooks(std::optional<TargetInfo>& target)
+    {
+        TargetEntries::Hooks result;
+        result.decode = [this](const TargetEntry& entry) {
+            const Report& report = this->written.at(entry.value);
+            TargetInfo info;
+            info.id = entry.id;
+            info.service = "s";
+            info.address = parseAddress(report.address).value();
+            info.startedUnixMs = report.startedUnixMs;
+            info.reportNumber = report.number;
+            info.draining = report.draining;
+            return std::optional<TargetInfo>(info);
+        };
+        result.changed = [&target](const TargetInfo& info) { target = info; };
+        result.gone = [&target](const std::string&) { target.reset(); };
+        result.isUnresponsive = [](const std::string&) { return false; };
+        return result;
+    }
+    bool isUsed() const { return this->known && !this->known->draining; }
+    TargetEntry write(const Report& report)
+    {
+        const std::string value = "value " + std::to_string(this->written.size());
+        this->written[value] = report;
+        return { "t", value, ++this->revision };
+    }
+    void read(const Report& report) { this->readAgain(this->write(report)); }
+    void readAgain(const TargetEntry& entry)
+    {
+        this->entries.onRead(this->revision);
+        this->entries.apply(entry);
+        this->entries.removeMissing({ "t" }, this->revision, false, this->now += readInterval);
+    }
+    void readNone() { this->entries.removeMissing({}, ++this->revision, false, this->now += readInterval); }
+};
+
+} // namespace
+
+TEST_GROUP_BASE(TargetReports, ReportsWorld) {};
+
+// Guards against a target that has left and is in use again on a report that the store carries out late.
+TEST(TargetReports, LateReportDoesNotBringBackATargetThatHasLeft)
+{
+    for (const uint64_t number : { 4, 5, 8 })
+        this->read({ .number = number });
+    this->readNone();
+    this->read({ .number = 6 });
+    CHECK_FALSE(this->isUsed());
+    this->read({ .number = 7 });
+    CHECK_FALSE_TEXT(this->isUsed(), "two in a row");
+    this->read({ .number = 8 });
+    CHECK_FALSE_TEXT(this->isUsed(), "the last one that was read before");
+}
+
+// Guards against the same by the last report that the target made. A living target that was silent for a while looks alike, and is in use
+// again with its next report.
+TEST(TargetReports, ReportAfterTheRemovalCountsWithTheNextOne)
+{
+    this->read({ .number = 5 });
+    this->readNone();
+    const TargetEntry last = this->write({ .number = 6 });
+    for (int i = 0; i < 4; ++i)
+        this->readAgain(last);
+    CHECK_FALSE(this->isUsed());
+    this->read({ .number = 7 });
+    CHECK(this->isUsed());
+}
+
+// Guards against entries that lapsed in an outage of the store and are taken for late writes when they come back.
+TEST(TargetReports, TargetThatLapsedInAnOutageIsBackAtOnce)
+{
+    this->read({ .number = 5 });
+    this->entries.onStoreReturned();
+    this->entries.removeMissing({ "other" }, ++this->revision, true, this->now += readInterval);
+    this->entries.merge({ { "t", "", this->revision }, true }, this->now);
+    CHECK_FALSE(this->isUsed());
+    this->read({ .number = 9 });
+    CHECK(this->isUsed());
+}
+
+// Guards against a target that drains and gets requests again on an earlier report.
+TEST(TargetReports, LateReadyDoesNotEndADrain)
+{
+    this->read({ .number = 4 });
+    this->read({ .number = 6, .draining = true });
+    this->read({ .number = 5 });
+    CHECK_FALSE(this->isUsed());
+    CHECK(this->known.has_value());
+    this->read({ .number = 1, .startedUnixMs = secondStart });
+    CHECK_TEXT(this->isUsed(), "a restart under the same id");
+}
+
+// Guards against a draining target that goes on getting requests, since its number is unknown or out of order.
+TEST(TargetReports, DrainIsBelievedWithAnyNumber)
+{
+    this->read({ .number = 9 });
+    this->read({ .number = 3, .draining = true });
+    CHECK_FALSE(this->isUsed());
+    CHECK(this->known.has_value());
+}
+
+// Guards against an address that a target has left, which a report between two later ones brings back for a heartbeat.
+TEST(TargetReports, LateReportDoesNotBringBackAFormerAddress)
+{
+    this->read({ .number = 4, .address = "10.0.0.1:80" });
+    this->read({ .number = 6, .address = "10.0.0.2:80" });
+    this->read({ .number = 5, .address = "10.0.0.1:80" });
+    CHECK_EQUAL(std::string("10.0.0.2:80"), addressText(this->known->address));
+    this->read({ .number = 7, .address = "10.0.0.3:80" });
+    CHECK_EQUAL(std::string("10.0.0.3:80"), addressText(this->known->address));
+}
+
+// Guards against the report of the former process under an id that is taken for the present one's, and against a target that is never
+// used again since its machine's clock was set back before its start.
+TEST(TargetReports, ReportOfAFormerProcessCountsOnlyIfItGoesOn)
+{
+    this->read({ .number = 50, .startedUnixMs = firstStart, .address = "10.0.0.1:80" });
+    this->read({ .number = 1, .startedUnixMs = secondStart, .address = "10.0.0.2:80" });
+    CHECK_EQUAL(std::string("10.0.0.2:80"), addressText(this->known->address));
+    this->read({ .number = 51, .startedUnixMs = firstStart, .address = "10.0.0.1:80" });
+    CHECK_EQUAL(std::string("10.0.0.2:80"), addressText(this->known->address));
+    this->read({ .number = 2, .startedUnixMs = secondStart, .address = "10.0.0.2:80" });
+    this->read({ .number = 52, .startedUnixMs = firstStart, .address = "10.0.0.1:80" });
+    CHECK_EQUAL_TEXT(std::string("10.0.0.2:80"), addressText(this->known->address), "the present process has reported since");
+    this->read({ .number = 53, .startedUnixMs = firstStart, .address = "10.0.0.1:80" });
+    CHECK_EQUAL(std::string("10.0.0.1:80"), addressText(this->known->address));
+}
+
+// Guards against entries without a usable start or number that are never taken: they are ordered by revision as far as can be told.
+TEST(TargetReports, EntriesWithoutStartOrNumberAreOrderedByRevision)
+{
+    this->read({ .number = 0, .startedUnixMs = 0, .address = "10.0.0.1:80" });
+    this->read({ .number = 0, .startedUnixMs = 0, .address = "10.0.0.2:80" });
+    CHECK_EQUAL(std::string("10.0.0.2:80"), addressText(this->known->address));
+    this->readNone();
+    this->read({ .number = 0, .startedUnixMs = 0 });
+    CHECK(this->isUsed());
+    this->read({ .number = 7, .startedUnixMs = 0, .address = "10.0.0.3:80" });
+    this->read({ .number = 1, .startedUnixMs = 0, .address = "10.0.0.4:80" });
+    this->read({ .number = 2, .startedUnixMs = 0, .address = "10.0.0.4:80" });
+    CHECK_EQUAL_TEXT(std::string("10.0.0.4:80"), addressText(this->known->address), "a restart that names no start");
+    this->read({ .number = 3, .startedUnixMs = firstStart, .address = "10.0.0.5:80" });
+    CHECK_EQUAL(std::string("10.0.0.5:80"), addressText(this->known->address));
+}
+
+// Guards against nodes that use a target that has left, since their own last read of it is older than the late report: they start, or
+// rely on the reads of peers.
+TEST(TargetReports, PeersTellTheLastReportOfATargetThatIsGone)
+{
+    this->read({ .number = 8 });
+    const StoreRevision before = this->revision;
+    this->readNone();
+    const auto changes = this->entries.changesAfter(before);
+    LONGS_EQUAL(1, changes.size());
+    CHECK(changes[0].gone);
+    const TargetEntry late = this->write({ .number = 6 });
+
+    std::optional<TargetInfo> ofBehind;
+    TargetEntries behind(this->hooks(ofBehind));
+    behind.apply(this->write({ .number = 2 }));
+    behind.removeMissing({}, this->revision, false, this->now);
+    behind.merge(changes[0], this->now);
+    behind.apply({ late.id, late.value, ++this->revision });
+    CHECK_FALSE_TEXT(ofBehind.has_value(), "a node that knew an earlier report");
+
+    std::optional<TargetInfo> ofStarted;
+    TargetEntries started(this->hooks(ofStarted));
+    started.apply({ late.id, late.value, ++this->revision });
+    CHECK(ofStarted.has_value());
+    started.merge(changes[0], this->now);
+    CHECK_FALSE_TEXT(ofStarted.has_value(), "a node that has read the late report first");
+    started.apply({ late.id, late.value, ++this->revision });
+    CHECK_FALSE(ofStarted.has_value());
+
+    std::optional<TargetInfo> ofLater;
+    TargetEntries later(this->hooks(ofLater));
+    later.merge(changes[0], this->now);
+    later.apply({ late.id, late.value, ++this->revision });
+    CHECK_FALSE_TEXT(ofLater.has_value(), "a node that has heard of the target from the peer only");
+}
