Write once that a move is in progress

StoreSync ProgressOfAMoveIsNotWrittenAgain failed before and passes. A late write of the status is no danger: each is conditional on the revision of the status that was read.

--- a/src/edge/MoveRecord.cpp
+++ b/src/edge/MoveRecord.cpp
@@ -49,11 +49,13 @@
         Known& move = found->second;
         move.statusRevision = read.revision;
         // A status older than the order speaks of an earlier move.
-        if (read.status && read.revision > move.order.revision && read.status->version == move.order.version
-            && read.status->state != MoveState::Trying) {
+        if (!read.status || read.revision <= move.order.revision || read.status->version != move.order.version)
+            continue;
+        if (isFinal(read.status->state)) {
             move.written = read.status->state;
             this->hooks.ended(move.order, read.status->state);
-        }
+        } else if (!move.written)
+            move.written = read.status->state; // by another node
     }
     for (auto& [service, move] : this->moves) {
         move.wasRead = true;
--- a/tests/edge/StoreSyncTest.cpp
+++ b/tests/edge/StoreSyncTest.cpp
@@ -396,6 +396,24 @@
     LONGS_EQUAL(revision, store->model.items().at("status/rollout/s1").revision);
 }
 
+// Guards against each node of a large deployment writing in turn that a move is in progress.
+TEST(StoreSync, ProgressOfAMoveIsNotWrittenAgain)
+{
+    store->model.put("op/rollout/s1", R"({"service":"s1","target":"v2","duration_s":12})");
+    startSync();
+    CHECK(runUntil([&] { return this->order.has_value(); }));
+    this->loop.run_for(60ms);
+    store->model.put("status/rollout/s1", R"({"target":"v2","state":"in_progress"})"); // by a peer
+    const uint64_t revision = store->model.items().at("status/rollout/s1").revision;
+    for (int i = 0; i < 20; ++i) {
+        sync->publishMove(*order, edge::MoveState::Trying);
+        this->loop.run_for(10ms);
+    }
+    LONGS_EQUAL(revision, store->model.items().at("status/rollout/s1").revision);
+    sync->publishMove(*order, edge::MoveState::Reverted);
+    CHECK(runUntil([&] { return this->store->model.items().at("status/rollout/s1").value.find("reverted") != std::string::npos; }));
+}
+
 // Guards against a move's state that is dropped because the write of the previous state has not been answered yet.
 TEST(StoreSync, WritesNewestMoveStateAfterPendingWrite)
 {
