Keep a version that was taken back out of use under the next order

The service keeps the versions that were taken back, and each request excludes their targets until operators order the version again.

EdgeRelayTest VersionThatWasTakenBackGetsNoRequestsUnderTheNextOrder failed without the exclusion and passes. An order of the same version starts anew with a canary: the operators may know that what made it fail is gone.

--- a/src/edge/ExchangeMove.cpp
+++ b/src/edge/ExchangeMove.cpp
@@ -11,6 +11,9 @@
     if (!running)
         return;
     const VersionMove& move = *running;
+    // What was learnt of a version holds after its order has been replaced.
+    for (const std::string& reverted : this->service.revertedVersions)
+        this->service.targets.addTargetsOf(reverted, ask.excludedTargets);
     const std::string& version = move.order().version;
     const bool isKnown = this->service.targets.hasVersion(version);
     if (move.hasSwitched()) {
--- a/src/edge/Relay.cpp
+++ b/src/edge/Relay.cpp
@@ -579,6 +579,10 @@
     log(LogLevel::Info, "move ordered",
         { { "service", order.service }, { "version", order.version }, { "revision", order.revision },
             { "spanMs", toMilliseconds(order.span) }, { "isDated", earliest.has_value() } });
+    std::set<std::string>& reverted = this->service(order.service).revertedVersions;
+    if (known != this->movesByService.end() && known->second.plan.state() == MoveState::Reverted)
+        reverted.insert(known->second.plan.order().version);
+    reverted.erase(order.version);
     this->movesByService.insert_or_assign(
         order.service, RunningMove { VersionMove(order, bounds, earliest, bootTime()), MoveState::Trying, {} });
 }
--- a/src/edge/Relay.h
+++ b/src/edge/Relay.h
@@ -78,7 +78,8 @@
     {
     }
     TargetPool targets;
-    uint64_t hash; // of the service's name
+    uint64_t hash;                          // of the service's name
+    std::set<std::string> revertedVersions; // by earlier moves; their targets may still be there
 };
 
 class Relay {
--- a/src/scheduling/TargetPool.h
+++ b/src/scheduling/TargetPool.h
@@ -224,7 +224,8 @@
     std::optional<TimePoint> lastAnswerAt(Index target) const { return this->targets[target].answeredAt; } // to this node; last byte
     Duration maxSilence(Duration predictedFirst) const; // longest silence of a healthy target, given the predicted time to a first event
     bool hasVersion(std::string_view version) const;    // a target of this version is not leaving
-    uint64_t inFlightOutside(std::string_view version) const; // this node's requests at targets of other versions
+    uint64_t inFlightOutside(std::string_view version) const;                         // this node's requests at targets of other versions
+    void addTargetsOf(std::string_view version, std::vector<uint64_t>& hashes) const; // those that are not leaving, by their ids
     // The targets of a version that get its requests while a move loads one of them (in each group): all nodes choose the same ones.
     struct LoadedTargets {
         double targetsPerLoaded = 0;     // targets of the version that take work, for each loaded one
--- a/src/scheduling/TargetVersions.cpp
+++ b/src/scheduling/TargetVersions.cpp
@@ -18,6 +18,14 @@
     return count;
 }
 
+void TargetPool::addTargetsOf(std::string_view version, std::vector<uint64_t>& hashes) const
+{
+    for (const Target& target : this->targets) {
+        if (isOpen(target) && target.info.version == version)
+            hashes.push_back(target.hash);
+    }
+}
+
 TargetPool::LoadedTargets TargetPool::loadedTargets(std::string_view version, TimePoint now) const
 {
     std::map<std::string_view, const Target*> loaded; // by group; the lowest hash, so that nodes need not agree on it
--- a/tests/edge/RelayTest.cpp
+++ b/tests/edge/RelayTest.cpp
@@ -616,6 +616,30 @@
     CHECK_TEXT(asked[2] > 10, "a third of 60 requests and a margin");
 }
 
+// Guards against a bad version that gets requests again under the next order, while its targets have yet to leave.
+TEST(Relay, VersionThatWasTakenBackGetsNoRequestsUnderTheNextOrder)
+{
+    world.addRunner({ .id = "old", .address = {} }, 40, "v1");
+    const standins::PlatformRunner& bad = world.addRunner({ .id = "bad", .address = {} }, 40, "v2");
+    const standins::PlatformRunner& next = world.addRunner({ .id = "next", .address = {} }, 40, "v3");
+    MoveSettings bounds;
+    bounds.canaryShare = 0.3;
+    world.relay.orderMove({ "drafts", "v2", 60s, 9 }, bounds, bootTime());
+    world.relay.moves().at("drafts").plan.settle(MoveState::Reverted);
+    world.relay.orderMove({ "drafts", "v3", 60s, 10 }, bounds, bootTime());
+    for (int i = 0; i < 40; ++i) {
+        const auto answer = world.send("/plain/a", "request-" + std::to_string(i));
+        CHECK(world.runUntilEnded(answer));
+        LONGS_EQUAL(200, answer->status);
+    }
+    LONGS_EQUAL(0, bad.asked);
+    CHECK(next.asked > 0);
+    world.relay.orderMove({ "drafts", "v2", 60s, 11 }, bounds, bootTime());
+    for (int i = 0; i < 40; ++i)
+        CHECK(world.runUntilEnded(world.send("/plain/a", "again-" + std::to_string(i))));
+    CHECK_TEXT(bad.asked > 0, "the operators have ordered it again");
+}
+
 // Guards against streams without length or chunks that break off and reach the caller as whole, and against whole ones taken for broken.
 TEST(Relay, StreamThatEndsWithItsConnectionIsWholeOnlyAfterAnEvent)
 {
