--- a/src/scheduling/VersionMove.cpp
+++ b/src/scheduling/VersionMove.cpp
@@ -281,23 +281,30 @@
         return this->current;
     this->judgedBad = this->judgedBad || this->isBad();
     const Duration left = this->deadline() - now;
-    if (this->judgedBad)
+    const bool isOutOfTime = left <= this->settings.completionMargin;
+    const bool lacksEvidence = isOutOfTime && this->current != MoveState::Switching;
+    if (this->judgedBad || lacksEvidence)
         this->current = MoveState::Reverted;
     else if (this->current == MoveState::Switching) {
         const bool isDue = left <= scaled(this->settings.completionMargin, drainedMargins) && this->isDrained(oldInFlight, otherNodes);
-        if (isDue || left <= this->settings.completionMargin)
+        if (isDue || isOutOfTime)
             this->current = MoveState::Completed;
-    } else if (left <= this->settings.completionMargin)
-        this->current = MoveState::Reverted; // too few canary requests to move all traffic
-    else if (const double remaining = this->remainingExposure(now);
-             this->canaryRequests() >= this->settings.minCanaryRequests && left <= this->switchTime(remaining, now))
-        this->startLoad(MoveState::Switching);
-    else if (this->current == MoveState::Loading || left <= this->switchTime(switchPart * remaining, now) + this->loadTime(now)) {
-        this->startLoad(MoveState::Loading);
-        const double atSwitch = this->requestsPerSecond(now) * toSeconds(this->switchTime(0, now));
-        this->newShare = remaining > atSwitch ? this->loadShare() : this->settings.canaryShare;
-    }
+    } else
+        this->advanceTrial(left, now);
     return this->current;
 }
 
+// From state Trying on to the switch, as far as the limit on exposure allows.
+void VersionMove::advanceTrial(Duration left, TimePoint now)
+{
+    const double remaining = this->remainingExposure(now);
+    if (this->canaryRequests() >= this->settings.minCanaryRequests && left <= this->switchTime(remaining, now))
+        return this->startLoad(MoveState::Switching);
+    if (this->current == MoveState::Trying && left > this->switchTime(switchPart * remaining, now) + this->loadTime(now))
+        return;
+    this->startLoad(MoveState::Loading);
+    const double atSwitch = this->requestsPerSecond(now) * toSeconds(this->switchTime(0, now));
+    this->newShare = remaining > atSwitch ? this->loadShare() : this->settings.canaryShare;
+}
+
 } // namespace guavapond::edge
--- a/src/scheduling/VersionMove.h
+++ b/src/scheduling/VersionMove.h
@@ -154,8 +154,9 @@
     uint64_t totalArrivals() const;
     bool isBad(const RouteCounts& counts) const;
     bool isUnlikelyGood(const RouteCounts& counts) const;
-    bool isBad(const CountsByRoute& byRoute) const; // on a single route or over all routes
-    bool isBad() const;                             // since the order, or under load
+    bool isBad(const CountsByRoute& byRoute) const;  // on a single route or over all routes
+    bool isBad() const;                              // since the order, or under load
+    void advanceTrial(Duration left, TimePoint now); // `left`: until the deadline
     void startLoad(MoveState next);
     TimePoint deadline() const { return this->orderedAt + this->moveOrder.span; }
     double loadShare() const; // of the requests in state Loading
