Keep counts of peers that don't fit together from ending the process

The number of outcomes is at least that of the bad ones now, and the distribution throws nothing. EdgeVersionMoveTest CountsOfPeersThatDoNotFitTogetherThrowNothing ended with that exception before.

--- a/src/scheduling/VersionMove.cpp
+++ b/src/scheduling/VersionMove.cpp
@@ -164,8 +164,13 @@
     const VersionCounts& newCounts = counts.newVersion;
     const VersionCounts& oldCounts = counts.oldVersion;
     const double oldBadShare = static_cast<double>(oldCounts.bad + 1) / static_cast<double>(oldCounts.requests + 2); // rule of succession
-    const boost::math::binomial_distribution<> outcomes(
-        static_cast<double>(newCounts.requests + newCounts.running), std::min(std::max(oldBadShare, this->settings.leastBadShare), 1.0));
+    // Counts of peers may not fit together: the distribution must not throw, and one that is undefined is no verdict.
+    const uint64_t outcomeCount = std::max(newCounts.requests + newCounts.running, newCounts.bad);
+    using Policy = boost::math::policies::policy<boost::math::policies::domain_error<boost::math::policies::ignore_error>,
+        boost::math::policies::overflow_error<boost::math::policies::ignore_error>,
+        boost::math::policies::evaluation_error<boost::math::policies::ignore_error>>;
+    const boost::math::binomial_distribution<double, Policy> outcomes(
+        static_cast<double>(outcomeCount), std::min(std::max(oldBadShare, this->settings.leastBadShare), 1.0));
     return boost::math::cdf(boost::math::complement(outcomes, static_cast<double>(newCounts.bad) - 1)) < this->settings.chanceOfGood;
 }
 
--- a/tests/edge/VersionMoveTest.cpp
+++ b/tests/edge/VersionMoveTest.cpp
@@ -384,3 +384,28 @@
         move.count(true, "letters", true, { 100ms, {}, {} });
     CHECK(move.advance(0, 0, start + span - 400ms) == MoveState::Reverted);
 }
+
+// Guards against counts of a peer that don't fit together and end the process: a peer that has started anew counts from 0, and what comes
+// from outside may be anything.
+TEST(VersionMove, CountsOfPeersThatDoNotFitTogetherThrowNothing)
+{
+    constexpr uint64_t most = std::numeric_limits<uint64_t>::max();
+    for (const VersionCounts& odd :
+        { VersionCounts { 0, 3, 0 }, { 5, 3, 0 }, { most, 3, 0 }, { most, most, 0 }, { 0, most, 0 }, { 2, 9, most } }) {
+        for (const VersionCounts& oldCounts : { VersionCounts {}, { 0, most, 0 }, { most, 0, 0 }, { 7, 3, 0 } }) {
+            VersionMove move({ "drafts", "v2", span, 9 }, makeSettings(), start, start);
+            VersionMove::Report report;
+            report.revision = 9;
+            report.arrivals = 500;
+            report.routes[1] = { { 40, 0, 0 }, { 400, 0, 0 } };
+            move.onPeerReport(1, report, start);
+            move.setNewTargets(3);
+            const TimePoint loading = start + span - 1s;
+            move.advance(0, 1, loading);
+            report.routes[1] = { odd, oldCounts };
+            move.onPeerReport(1, report, loading);
+            move.advance(0, 1, loading + 10ms);
+            CHECK(move.state() != MoveState::Completed);
+        }
+    }
+}
