Ask in one place whether a target is paused, and plan the load of a move from one count

No change of behaviour.

- loadedTargets wrote the condition of a paused target a fifth time; isPaused serves it, choose's views, takesWork, unavailableTargets and areAllPaused.
- advanceTrial and loadTime each merged the counts of all peers for the same number, at each tick of a move in state Trying; loadTime takes it as an argument, as switchTime does.

--- a/src/scheduling/TargetCandidates.cpp
+++ b/src/scheduling/TargetCandidates.cpp
@@ -23,7 +23,7 @@
     if ((!demand.onlyVersion.empty() && target.info.version != demand.onlyVersion)
         || (!demand.notVersion.empty() && target.info.version == demand.notVersion))
         return TargetExclusion::OtherVersion;
-    if (now < std::max(target.shared.until, target.own.until) || target.own.probation)
+    if (isPaused(target, now))
         return TargetExclusion::Paused;
     if (this->isStalled(target, now))
         return TargetExclusion::Stalled;
--- a/src/scheduling/TargetPool.cpp
+++ b/src/scheduling/TargetPool.cpp
@@ -494,9 +494,8 @@
 
 bool TargetPool::areAllPaused(TimePoint now) const
 {
-    return std::all_of(this->targets.begin(), this->targets.end(), [&](const Target& target) {
-        return !isOpen(target) || target.own.probation || now < std::max(target.shared.until, target.own.until);
-    });
+    return std::all_of(
+        this->targets.begin(), this->targets.end(), [&](const Target& target) { return !isOpen(target) || isPaused(target, now); });
 }
 
 bool TargetPool::isLastResort(const Target& target, std::optional<TimePoint> answeredAt, TimePoint now)
@@ -542,8 +541,7 @@
     const Target& t = this->targets[target];
     if (!isOpen(t))
         return false;
-    return (now >= std::max(t.shared.until, t.own.until) && !t.own.probation)
-        || (isLastResort(t, t.answeredAt, now) && this->areAllPaused(now));
+    return !isPaused(t, now) || (isLastResort(t, t.answeredAt, now) && this->areAllPaused(now));
 }
 
 void TargetPool::started(Index target, const Demand& demand, TimePoint now)
@@ -758,9 +756,8 @@
     const bool allPaused = this->areAllPaused(now);
     for (const Target& target : this->targets) {
         const bool isKnownToAll = target.leaving && !target.leaveAnnounced;
-        const bool isPaused = (now < std::max(target.shared.until, target.own.until) || target.own.probation)
-            && !(allPaused && isLastResort(target, target.answeredAt, now));
-        if ((!isOpen(target) || isPaused) && !isKnownToAll && (group.empty() || target.info.failureDomain == group))
+        const bool isOutOfUse = isPaused(target, now) && !(allPaused && isLastResort(target, target.answeredAt, now));
+        if ((!isOpen(target) || isOutOfUse) && !isKnownToAll && (group.empty() || target.info.failureDomain == group))
             result.push_back(target.hash);
     }
     return result;
--- a/src/scheduling/TargetPool.h
+++ b/src/scheduling/TargetPool.h
@@ -316,6 +316,11 @@
     void recordAnswer(Target& target, uint64_t node, TimePoint now);
     // Records that the node lost a request there. False: others get answers, so that the loss says more about the node than the target.
     bool recordLoss(Target& target, uint64_t node, TimePoint now);
+    // By its failures or at its own request, for the requests of all nodes or of this one.
+    static bool isPaused(const Target& target, TimePoint now)
+    {
+        return now < std::max(target.shared.until, target.own.until) || target.own.probation;
+    }
     static bool isOpen(const Target& target) { return !target.leaving && !target.evacuated; } // may get new requests
     std::vector<std::string> domainsOf(bool (*includes)(const Target&)) const;
     Load load(const Target& target, TimePoint now) const;
--- a/src/scheduling/TargetVersions.cpp
+++ b/src/scheduling/TargetVersions.cpp
@@ -29,10 +29,8 @@
 TargetPool::LoadedTargets TargetPool::loadedTargets(std::string_view version, TimePoint now) const
 {
     std::map<std::string_view, const Target*> loaded; // by group; the lowest hash, so that nodes need not agree on it
-    const auto isCandidate = [&](const Target& target) {
-        return target.info.version == version && isOpen(target) && now >= std::max(target.shared.until, target.own.until)
-            && !target.own.probation;
-    };
+    const auto isCandidate
+        = [&](const Target& target) { return target.info.version == version && isOpen(target) && !isPaused(target, now); };
     size_t candidates = 0;
     for (const Target& target : this->targets) {
         if (!isCandidate(target))
--- a/src/scheduling/VersionMove.cpp
+++ b/src/scheduling/VersionMove.cpp
@@ -255,15 +255,14 @@
     return std::clamp(time, scaled(this->settings.completionMargin, minSwitchMargins), this->settings.maxSwitchTime);
 }
 
-Duration VersionMove::loadTime(TimePoint now) const
+Duration VersionMove::loadTime(double exposure, TimePoint now) const
 {
     const double share = this->loadShare();
     const double perSecond = this->requestsPerSecond(now);
     if (share >= 1 || perSecond <= 0 || now - this->orderedAt < minRateTime)
         return Duration::zero(); // where one target would get as many requests as after the switch, the switch is enough
-    const double remaining = this->remainingExposure(now);
-    const double atSwitch = perSecond * toSeconds(this->switchTime(switchPart * remaining, now));
-    return std::min(fromSeconds(std::max(0.0, remaining - atSwitch) / (share * perSecond)), this->settings.maxLoadTime);
+    const double atSwitch = perSecond * toSeconds(this->switchTime(switchPart * exposure, now));
+    return std::min(fromSeconds(std::max(0.0, exposure - atSwitch) / (share * perSecond)), this->settings.maxLoadTime);
 }
 
 void VersionMove::startLoad(MoveState next)
@@ -305,7 +304,7 @@
     const double remaining = this->remainingExposure(now);
     if (this->canaryRequests() >= this->settings.minCanaryRequests && left <= this->switchTime(remaining, now))
         return this->startLoad(MoveState::Switching);
-    if (this->current == MoveState::Trying && left > this->switchTime(switchPart * remaining, now) + this->loadTime(now))
+    if (this->current == MoveState::Trying && left > this->switchTime(switchPart * remaining, now) + this->loadTime(remaining, now))
         return;
     this->startLoad(MoveState::Loading);
     const double atSwitch = this->requestsPerSecond(now) * toSeconds(this->switchTime(0, now));
--- a/src/scheduling/VersionMove.h
+++ b/src/scheduling/VersionMove.h
@@ -162,8 +162,9 @@
     double loadShare() const; // of the requests in state Loading
     double requestsPerSecond(TimePoint now) const;
     double remainingExposure(TimePoint now) const; // requests that the new version may still get until the deadline
-    // Times before the deadline at which one target gets the load, and at which all requests move.
-    Duration loadTime(TimePoint now) const;
+    // How long one target can get the load, and then all requests can move, so that the new version gets so many requests until the
+    // deadline.
+    Duration loadTime(double exposure, TimePoint now) const;
     Duration switchTime(double exposure, TimePoint now) const;
 
     MoveOrder moveOrder;
